--- /dev/null
+++ b/src/bin/poplarbarrow/main.rs
@@ -0,0 +1,3 @@
+//! The operator program.
+
+fn main() {}
--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,50 @@
+//! Small `Copy` keys and identifiers shared by all modules.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use slotmap::new_key_type;
+use snafu::Snafu;
+
+new_key_type! {
+    /// A caller's request in progress at its entry node.
+    pub struct CallKey;
+
+    /// A request in progress, queued or running, at the target's node.
+    pub struct WorkKey;
+
+    /// A member in this node's directory.
+    pub struct MemberKey;
+
+    /// A service in this node's directory.
+    pub struct ServiceKey;
+}
+
+/// Identifies one lifetime of one node process.
+///
+/// The id is drawn at random at each start, so an address reused by another process is a different member.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MemberId(pub u64);
+
+impl fmt::Display for MemberId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for MemberId {
+    type Err = ParseKeyError;
+
+    fn from_str(s: &str) -> Result<MemberId, ParseKeyError> {
+        if s.len() != 16 {
+            return Err(ParseKeyError);
+        }
+        u64::from_str_radix(s, 16).map(MemberId).map_err(|_| ParseKeyError)
+    }
+}
+
+/// The text form of an identifier is not valid.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("an identifier has 16 hexadecimal digits"))]
+pub struct ParseKeyError;
