--- /dev/null
+++ b/src/auth.rs
@@ -0,0 +1,54 @@
+//! Authentication of requests between nodes by a shared key.
+
+use std::fmt;
+
+use crate::keys::MemberId;
+
+/// The context that separates this use of the cluster key from others.
+const CONTEXT: &str = "poplarbarrow 2026 requests between nodes";
+
+/// The number of hexadecimal digits of a tag.
+const TAG_LEN: usize = 32;
+
+/// Authenticates requests between nodes.
+#[derive(Clone)]
+pub(crate) struct RequestKey {
+    key: [u8; 32],
+}
+
+impl RequestKey {
+    /// Derives the key from the text in the settings.
+    pub(crate) fn new(text: &str) -> RequestKey {
+        RequestKey { key: blake3::derive_key(CONTEXT, text.as_bytes()) }
+    }
+
+    /// Returns the tag of a request: it covers the destination, so that a tag is of no use at another node.
+    pub(crate) fn tag(&self, to: MemberId, parts: &[&str]) -> Tag {
+        let mut hasher = blake3::Hasher::new_keyed(&self.key);
+        hasher.update(&to.0.to_be_bytes());
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part.as_bytes());
+        }
+        Tag(hasher.finalize())
+    }
+
+    /// Returns whether a tag is valid, in constant time.
+    pub(crate) fn verify(&self, tag: &str, to: MemberId, parts: &[&str]) -> bool {
+        let expected = self.tag(to, parts).to_string();
+        let same = expected.bytes().zip(tag.bytes()).fold(0, |differing, (a, b)| differing | (a ^ b));
+        tag.len() == TAG_LEN && same == 0
+    }
+}
+
+/// The tag of one request.
+pub(crate) struct Tag(blake3::Hash);
+
+impl fmt::Display for Tag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0.to_hex()[..TAG_LEN])
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/driver.rs
@@ -0,0 +1,183 @@
+//! Applies events to the reducer and carries out the effects.
+
+use std::sync::{
+    Mutex, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
+
+use slog::Logger;
+use slotmap::SlotMap;
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
+
+use crate::{
+    effect::{CallStep, Effect, WorkStep},
+    event::{CallEvent, Event, WorkEvent},
+    keys::{CallKey, WorkKey},
+    load::LoadReport,
+    logging,
+    metrics::Metrics,
+    reducer::Reducer,
+    time::Time,
+    timer::Timers,
+};
+
+/// The largest number of requests that a node handles at the same time, as entry node and as target's node each.
+pub(crate) const MAX_REQUESTS: usize = 16_384;
+
+/// Connects the reducer to the tasks of a process.
+pub(crate) struct Driver {
+    core: Mutex<Core>,
+    started: Instant,
+    timers: std::sync::OnceLock<Timers>,
+    log: Logger,
+    metrics: Metrics,
+    exit: watch::Sender<bool>,
+    rejected: AtomicU64,
+}
+
+struct Core {
+    reducer: Reducer,
+    calls: SlotMap<CallKey, mpsc::UnboundedSender<CallStep>>,
+    works: SlotMap<WorkKey, mpsc::UnboundedSender<WorkStep>>,
+    effects: Vec<Effect>,
+}
+
+impl Driver {
+    pub(crate) fn new(reducer: Reducer, log: Logger, metrics: Metrics) -> Driver {
+        let core =
+            Core { reducer, calls: SlotMap::with_key(), works: SlotMap::with_key(), effects: Vec::new() };
+        Driver {
+            core: Mutex::new(core),
+            started: Instant::now(),
+            timers: std::sync::OnceLock::new(),
+            log,
+            metrics,
+            exit: watch::Sender::new(false),
+            rejected: AtomicU64::new(0),
+        }
+    }
+
+    /// Connects the timer service and starts the reducer.
+    pub(crate) fn start(&self, timers: Timers) {
+        let _ = self.timers.set(timers);
+        let mut core = self.lock();
+        let core = &mut *core;
+        core.reducer.start(&mut core.effects);
+        self.carry_out(core);
+    }
+
+    /// Applies one event and carries out its effects.
+    pub(crate) fn dispatch(&self, event: Event) {
+        let mut core = self.lock();
+        self.apply(&mut core, event);
+    }
+
+    /// Registers a caller's request, or returns `None` if the node handles too many.
+    pub(crate) fn open_call(&self) -> Option<(CallKey, mpsc::UnboundedReceiver<CallStep>)> {
+        let mut core = self.lock();
+        if core.calls.len() >= MAX_REQUESTS {
+            self.count_rejected();
+            return None;
+        }
+        let (tx, rx) = mpsc::unbounded_channel();
+        Some((core.calls.insert(tx), rx))
+    }
+
+    /// Registers a request for the target, or returns `None` if the node handles too many.
+    pub(crate) fn open_work(&self) -> Option<(WorkKey, mpsc::UnboundedReceiver<WorkStep>)> {
+        let mut core = self.lock();
+        if core.works.len() >= MAX_REQUESTS {
+            self.count_rejected();
+            return None;
+        }
+        let (tx, rx) = mpsc::unbounded_channel();
+        Some((core.works.insert(tx), rx))
+    }
+
+    /// Applies the last event of a caller's request.
+    pub(crate) fn close_call(&self, key: CallKey, event: CallEvent) {
+        let mut core = self.lock();
+        core.calls.remove(key);
+        self.apply(&mut core, Event::Call(key, event));
+    }
+
+    /// Applies the last event of a request for the target.
+    pub(crate) fn close_work(&self, key: WorkKey, event: WorkEvent) {
+        let mut core = self.lock();
+        core.works.remove(key);
+        self.apply(&mut core, Event::Work(key, event));
+    }
+
+    /// Returns the current load of the target beside this node.
+    pub(crate) fn load_report(&self) -> LoadReport {
+        self.lock().reducer.load_report()
+    }
+
+    /// Reads the state of the reducer.
+    pub(crate) fn inspect<T>(&self, read: impl FnOnce(&Reducer) -> T) -> T {
+        read(&self.lock().reducer)
+    }
+
+    /// Returns a receiver that becomes true when the process may end.
+    pub(crate) fn exit(&self) -> watch::Receiver<bool> {
+        self.exit.subscribe()
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        Time::from_micros(u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    pub(crate) fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn apply(&self, core: &mut Core, event: Event) {
+        core.reducer.apply(self.now(), event, &mut core.effects);
+        self.carry_out(core);
+    }
+
+    fn carry_out(&self, core: &mut Core) {
+        for effect in core.effects.drain(..) {
+            match effect {
+                Effect::Call(key, step) => {
+                    if let Some(steps) = core.calls.get(key) {
+                        let _ = steps.send(step);
+                    }
+                }
+                Effect::Work(key, step) => {
+                    if let Some(steps) = core.works.get(key) {
+                        let _ = steps.send(step);
+                    }
+                }
+                Effect::Arm { timer, after } => {
+                    if let Some(timers) = self.timers.get() {
+                        timers.arm(timer, after);
+                    }
+                }
+                Effect::Log(record) => {
+                    self.metrics.record(&record);
+                    logging::write(&self.log, &record);
+                }
+                Effect::Exit => {
+                    self.exit.send_replace(true);
+                }
+            }
+        }
+    }
+
+    fn count_rejected(&self) {
+        let total = self.rejected.fetch_add(1, Ordering::Relaxed) + 1;
+        slog::warn!(self.log, "event"; "event" => "too-many-requests", "limit" => MAX_REQUESTS, "total" => total);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/effect.rs
@@ -0,0 +1,91 @@
+//! Everything that the reducer asks the process to do.
+
+use std::{net::SocketAddr, time::Duration};
+
+use compact_str::CompactString;
+
+use crate::{
+    event::Timer,
+    keys::{CallKey, MemberId, WorkKey},
+    refusal::Refusal,
+};
+
+/// One effect, carried out by the driver.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Effect {
+    /// The next step of a caller's request.
+    Call(CallKey, CallStep),
+    /// The next step of a request at the target's node.
+    Work(WorkKey, WorkStep),
+    /// Sets a timer.
+    Arm { timer: Timer, after: Duration },
+    /// Writes a log line.
+    Log(Record),
+    /// Lets the process end.
+    Exit,
+}
+
+/// What the entry node does next with a caller's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallStep {
+    /// Sends the request to a target's node.
+    Attempt(Attempt),
+    /// Passes the answer of an attempt on to the caller.
+    Deliver { attempt: u32 },
+    /// Refuses the request.
+    Refuse(Refusal),
+}
+
+/// One attempt to have a request run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Attempt {
+    pub(crate) number: u32,
+    pub(crate) member: MemberId,
+    pub(crate) hop: Hop,
+    /// The time that is left for the attempt.
+    pub(crate) timeout: Duration,
+}
+
+/// The way to a target.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Hop {
+    /// The target is beside this node.
+    Local,
+    /// The target is beside another node.
+    Peer(SocketAddr),
+}
+
+/// What the target's node does next with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum WorkStep {
+    /// Sends the request to the target.
+    Run,
+    /// Refuses the request.
+    Refuse(Refusal),
+}
+
+/// A log line, as data.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Record {
+    /// A target was chosen for an attempt.
+    Route {
+        call: CallKey,
+        service: CompactString,
+        attempt: u32,
+        member: MemberId,
+        reason: &'static str,
+        candidates: CompactString,
+    },
+    /// A request was refused.
+    Refuse { call: CallKey, service: CompactString, refusal: Refusal },
+    /// The target's node decided about a request.
+    Admit { work: WorkKey, from: MemberId, decision: &'static str, running: u16, limit: u16 },
+    /// A member appeared, changed or was lost.
+    Member { id: MemberId, service: CompactString, change: &'static str },
+    /// A document came into force.
+    Document { revision: u64, services: usize },
+    /// The target became reachable or unreachable.
+    Target { change: &'static str },
+    /// A graceful stop began or ended.
+    Stop { phase: &'static str, calls: usize, works: usize },
+}
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,123 @@
+//! Everything that the reducer reacts to.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use compact_str::CompactString;
+use http::Method;
+
+use crate::{
+    body::End,
+    document::Document,
+    keys::{CallKey, MemberId, WorkKey},
+    load::LoadReport,
+    pool::Reach,
+    refusal::Refusal,
+    time::Wall,
+};
+
+/// One event; the time at which it happened accompanies it.
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    /// Concerns a caller's request at its entry node.
+    Call(CallKey, CallEvent),
+    /// Concerns a request at the target's node.
+    Work(WorkKey, WorkEvent),
+    /// A member of the system appeared or changed.
+    MemberSeen(MemberInfo),
+    /// A member of the system left or failed.
+    MemberLost(MemberId),
+    /// A document came into force.
+    Document { revision: u64, document: Arc<Document> },
+    /// The target became reachable or unreachable.
+    Target(Reach),
+    /// A timer that the reducer set has expired.
+    Timer(Timer),
+    /// The wall clock was read; schedules depend on it.
+    Clock(Wall),
+    /// The process was asked to stop.
+    Stop,
+}
+
+/// A step of a caller's request at its entry node.
+#[derive(Clone, Debug)]
+pub(crate) enum CallEvent {
+    /// The head of the request arrived.
+    Arrived(CallHead),
+    /// The head of an answer arrived.
+    Answered { attempt: u32, status: u16, report: Option<LoadReport> },
+    /// The target's node refused an attempt.
+    Refused { attempt: u32, refusal: Refusal, report: Option<LoadReport> },
+    /// An attempt ended without an answer or refusal.
+    Failed { attempt: u32, failure: Failure, can_replay: bool },
+    /// The answer's body ended, or the caller went away.
+    Ended(End),
+}
+
+/// How an attempt failed.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// No byte of the request was sent.
+    NotSent,
+    /// The request was sent, and the connection broke before an answer.
+    Lost,
+    /// The caller's body ended early.
+    BodyCut,
+}
+
+/// What the entry node knows about a caller's request from its head.
+#[derive(Clone, Debug)]
+pub(crate) struct CallHead {
+    pub(crate) service: CompactString,
+    pub(crate) method: Method,
+    pub(crate) path: CompactString,
+    /// The time that the caller still waits, if it said so.
+    pub(crate) timeout: Option<Duration>,
+    /// The number of calls above this one in its chain.
+    pub(crate) depth: u32,
+}
+
+/// A step of a request at the target's node.
+#[derive(Clone, Debug)]
+pub(crate) enum WorkEvent {
+    /// The head of the request arrived.
+    Arrived(WorkHead),
+    /// The target sent the head of its answer.
+    Answered { status: u16 },
+    /// No answer will come.
+    Failed(Failure),
+    /// The answer's body ended, or the entry node went away.
+    Ended(End),
+}
+
+/// What the target's node knows about a request from its head.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkHead {
+    pub(crate) service: CompactString,
+    pub(crate) path: CompactString,
+    /// The member that chose this target.
+    pub(crate) from: MemberId,
+    /// The time that the entry node still waits.
+    pub(crate) timeout: Duration,
+}
+
+/// What members announce about themselves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct MemberInfo {
+    pub(crate) id: MemberId,
+    pub(crate) service: CompactString,
+    pub(crate) version: CompactString,
+    pub(crate) centre: CompactString,
+    pub(crate) peer: SocketAddr,
+    pub(crate) is_leaving: bool,
+}
+
+/// A timer that the reducer sets; an expired timer of a request that is gone is ignored.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Timer {
+    /// The deadline of a caller's request.
+    CallDeadline(CallKey),
+    /// The periodic work of all parts.
+    Tick,
+    /// The end of the time for a graceful stop.
+    StopDeadline,
+}
--- /dev/null
+++ b/src/headers.rs
@@ -0,0 +1,86 @@
+//! Names and forms of the HTTP headers of the system; see `docs/http.md`.
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+
+/// The time left for the request, in milliseconds.
+pub const DEADLINE: HeaderName = HeaderName::from_static("poplarbarrow-deadline-ms");
+
+/// The number of calls above this one in its chain.
+pub const DEPTH: HeaderName = HeaderName::from_static("poplarbarrow-depth");
+
+/// The identity under which a non-idempotent request runs at most once.
+pub const IDENTITY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Whether a refused request may have run.
+pub const OUTCOME: HeaderName = HeaderName::from_static("poplarbarrow-outcome");
+
+/// The cause of a refusal.
+pub const REASON: HeaderName = HeaderName::from_static("poplarbarrow-reason");
+
+/// The load report of a target, between nodes only.
+pub(crate) const LOAD: HeaderName = HeaderName::from_static("poplarbarrow-load");
+
+/// The attempt that a request between nodes belongs to.
+pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("poplarbarrow-attempt");
+
+/// The authentication tag of a request between nodes.
+pub(crate) const TAG: HeaderName = HeaderName::from_static("poplarbarrow-tag");
+
+/// The service of a request between nodes, whose authority is an address.
+pub(crate) const SERVICE: HeaderName = HeaderName::from_static("poplarbarrow-service");
+
+/// Headers that apply to one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Headers that only nodes may set; a caller or target that sends one must not be believed.
+const INTERNAL: [HeaderName; 6] = [LOAD, ATTEMPT, TAG, SERVICE, OUTCOME, REASON];
+
+/// Removes the headers that apply to one connection only, including those that `Connection` names.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers that only nodes may set.
+pub(crate) fn strip_internal(headers: &mut HeaderMap) {
+    for name in &INTERNAL {
+        headers.remove(name);
+    }
+}
+
+/// Returns the number in a header, `None` if it is absent, or an error if it is not a number.
+pub(crate) fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u32>, InvalidHeader> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| InvalidHeader)?;
+    text.parse().map(Some).map_err(|_| InvalidHeader)
+}
+
+/// Sets a header to a value that is known to be visible ASCII.
+pub(crate) fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// A header value does not have the documented form.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) struct InvalidHeader;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,59 @@
+//! Log lines of key=value pairs, one for each event and for each routing or placement decision.
+//!
+//! The lines are listed in `docs/logs.md`.
+
+use std::io;
+
+use slog::{Drain, Level, Logger, info, o};
+use slog_logfmt::Logfmt;
+use slotmap::{Key, KeyData};
+
+use crate::{effect::Record, settings::LogLevel};
+
+/// The number of log lines that may wait for the writer; beyond it lines are dropped and counted.
+const LOG_QUEUE: usize = 65_536;
+
+/// Creates a logger that writes to standard error from a thread of its own.
+pub fn logger(level: LogLevel) -> Logger {
+    let lines = Logfmt::new(io::stderr()).build().fuse();
+    let level = match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    };
+    let filtered = lines.filter_level(level).fuse();
+    let queued = slog_async::Async::new(filtered).chan_size(LOG_QUEUE).build().fuse();
+    Logger::root(queued, o!())
+}
+
+/// Creates a logger that writes nothing.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+/// Writes one record as one line.
+pub(crate) fn write(log: &Logger, record: &Record) {
+    match record {
+        Record::Route { call, service, attempt, member, reason, candidates } => info!(log, "route";
+            "call" => id(call.data()), "service" => service.as_str(), "attempt" => attempt,
+            "member" => %member, "reason" => reason, "candidates" => candidates.as_str()),
+        Record::Refuse { call, service, refusal } => info!(log, "refuse";
+            "call" => id(call.data()), "service" => service.as_str(),
+            "reason" => refusal.reason.as_str(), "outcome" => refusal.outcome.as_str()),
+        Record::Admit { work, from, decision, running, limit } => info!(log, "admit";
+            "work" => id(work.data()), "from" => %from, "decision" => decision,
+            "running" => running, "limit" => limit),
+        Record::Member { id, service, change } => info!(log, "member";
+            "member" => %id, "service" => service.as_str(), "change" => change),
+        Record::Document { revision, services } => info!(log, "document";
+            "revision" => revision, "services" => services),
+        Record::Target { change } => info!(log, "target"; "change" => change),
+        Record::Stop { phase, calls, works } => info!(log, "stop";
+            "phase" => phase, "calls" => calls, "works" => works),
+    }
+}
+
+fn id(data: KeyData) -> u64 {
+    data.as_ffi()
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,62 @@
+//! Metrics in statsd form, sent to a UDP address if the settings name one.
+//!
+//! The metrics are listed in `docs/metrics.md`.
+
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+
+use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+
+use crate::effect::Record;
+
+/// The prefix of all metric names.
+const PREFIX: &str = "poplarbarrow";
+
+/// Sends metrics, or drops them if no receiver is set.
+pub(crate) struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Creates metrics that are sent to `receiver`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no UDP socket can be opened.
+    pub(crate) fn new(receiver: Option<SocketAddr>) -> Result<Metrics, cadence::MetricError> {
+        let client = match receiver {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(addr) => {
+                let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+                socket.set_nonblocking(true)?;
+                let sink = QueuingMetricSink::from(UdpMetricSink::from(addr, socket)?);
+                StatsdClient::from_sink(PREFIX, sink)
+            }
+        };
+        Ok(Metrics { client })
+    }
+
+    /// Counts a record by its kind.
+    pub(crate) fn record(&self, record: &Record) {
+        let name = match record {
+            Record::Route { .. } => "routes",
+            Record::Refuse { refusal, .. } => return self.count_refusal(refusal.reason.as_str()),
+            Record::Admit { decision: "refuse", .. } => "works.refused",
+            Record::Admit { .. } => "works.admitted",
+            Record::Member { .. } => "members.changed",
+            Record::Document { .. } => "documents",
+            Record::Target { .. } => "targets.changed",
+            Record::Stop { .. } => "stops",
+        };
+        // A lost metric must not disturb a request.
+        let _ = self.client.count(name, 1);
+    }
+
+    /// Records the microseconds that this node added to a call before it was handed on.
+    pub(crate) fn added(&self, micros: u64) {
+        let _ = self.client.time("call.added_us", micros);
+    }
+
+    fn count_refusal(&self, reason: &str) {
+        let _ = self.client.count_with_tags("refusals", 1).with_tag("reason", reason).try_send();
+    }
+}
--- /dev/null
+++ b/src/reducer.rs
@@ -0,0 +1,166 @@
+//! The one place where decisions are made: a pure function of state, event and time.
+//!
+//! The reducer does no input or output and reads no clock, so that a recorded sequence of events leads to the
+//! same effects again. See `docs/design.md`, section 3.
+
+mod calls;
+mod works;
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use slotmap::SecondaryMap;
+
+use crate::{
+    directory::{Change, Directory},
+    document::Document,
+    effect::{Effect, Record},
+    event::{Event, MemberInfo, Timer},
+    keys::{CallKey, MemberId, WorkKey},
+    pool::Reach,
+    time::{Time, Wall},
+};
+
+use self::{calls::Call, works::Work};
+
+/// The interval of periodic work.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What a node knows about itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Me {
+    pub(crate) info: MemberInfo,
+    pub(crate) slots: u16,
+    /// The time that a graceful stop waits for requests in progress.
+    pub(crate) drain: Duration,
+}
+
+/// The state of all decisions of one node.
+pub(crate) struct Reducer {
+    me: Me,
+    rng: SmallRng,
+    directory: Directory,
+    document: Option<Arc<Document>>,
+    revision: u64,
+    calls: SecondaryMap<CallKey, Call>,
+    works: SecondaryMap<WorkKey, Work>,
+    running: u16,
+    is_target_up: bool,
+    is_stopping: bool,
+    /// The difference between wall clock and monotonic time at the last reading.
+    wall: Option<(Time, Wall)>,
+}
+
+impl Reducer {
+    /// Creates the state of a node that has just started.
+    pub(crate) fn new(me: Me, seed: u64) -> Reducer {
+        let mut directory = Directory::default();
+        directory.upsert(me.info.clone());
+        Reducer {
+            me,
+            rng: SmallRng::seed_from_u64(seed),
+            directory,
+            document: None,
+            revision: 0,
+            calls: SecondaryMap::new(),
+            works: SecondaryMap::new(),
+            running: 0,
+            is_target_up: false,
+            is_stopping: false,
+            wall: None,
+        }
+    }
+
+    /// Returns the effects that start the node.
+    pub(crate) fn start(&self, out: &mut Vec<Effect>) {
+        out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
+    }
+
+    /// Applies one event that happened at `now` and appends its effects to `out`.
+    pub(crate) fn apply(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Call(key, event) => self.apply_call(now, key, event, out),
+            Event::Work(key, event) => self.apply_work(now, key, event, out),
+            Event::MemberSeen(info) => self.member_seen(info, out),
+            Event::MemberLost(id) => self.member_lost(id, out),
+            Event::Document { revision, document } => self.set_document(revision, document, out),
+            Event::Target(reach) => self.set_reach(reach, out),
+            Event::Timer(timer) => self.expire(now, timer, out),
+            Event::Clock(wall) => self.wall = Some((now, wall)),
+            Event::Stop => self.stop(out),
+        }
+    }
+
+    fn member_seen(&mut self, info: MemberInfo, out: &mut Vec<Effect>) {
+        let (id, service) = (info.id, info.service.clone());
+        let change = match self.directory.upsert(info) {
+            Change::Joined => "joined",
+            Change::Changed => "changed",
+            Change::Ignored => "ignored-full",
+            Change::Unchanged => return,
+        };
+        out.push(Effect::Log(Record::Member { id, service, change }));
+    }
+
+    fn member_lost(&mut self, id: MemberId, out: &mut Vec<Effect>) {
+        if id == self.me.info.id {
+            return;
+        }
+        if let Some(info) = self.directory.remove(id) {
+            out.push(Effect::Log(Record::Member { id, service: info.service, change: "lost" }));
+        }
+    }
+
+    /// Puts a document in force unless it is older than the one in force.
+    fn set_document(&mut self, revision: u64, document: Arc<Document>, out: &mut Vec<Effect>) {
+        if revision <= self.revision && self.document.is_some() {
+            return;
+        }
+        self.revision = revision;
+        out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
+        self.document = Some(document);
+    }
+
+    fn set_reach(&mut self, reach: Reach, out: &mut Vec<Effect>) {
+        self.is_target_up = reach == Reach::Up;
+        let change = if self.is_target_up { "reachable" } else { "unreachable" };
+        out.push(Effect::Log(Record::Target { change }));
+    }
+
+    fn expire(&mut self, now: Time, timer: Timer, out: &mut Vec<Effect>) {
+        match timer {
+            Timer::CallDeadline(key) => self.call_deadline(key, out),
+            Timer::Tick => {
+                self.check_stopped(now, out);
+                out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
+            }
+            Timer::StopDeadline => self.exit("deadline", out),
+        }
+    }
+
+    fn stop(&mut self, out: &mut Vec<Effect>) {
+        if self.is_stopping {
+            return;
+        }
+        self.is_stopping = true;
+        self.me.info.is_leaving = true;
+        self.directory.upsert(self.me.info.clone());
+        out.push(Effect::Log(self.stop_record("begin")));
+        out.push(Effect::Arm { timer: Timer::StopDeadline, after: self.me.drain });
+    }
+
+    fn check_stopped(&mut self, _now: Time, out: &mut Vec<Effect>) {
+        if self.is_stopping && self.calls.is_empty() && self.works.is_empty() {
+            self.exit("idle", out);
+        }
+    }
+
+    fn exit(&mut self, phase: &'static str, out: &mut Vec<Effect>) {
+        out.push(Effect::Log(self.stop_record(phase)));
+        out.push(Effect::Exit);
+    }
+
+    fn stop_record(&self, phase: &'static str) -> Record {
+        Record::Stop { phase, calls: self.calls.len(), works: self.works.len() }
+    }
+}
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,123 @@
+//! HTTP servers of a node: accept connections, limit them and close them gracefully.
+
+use std::{convert::Infallible, future::Future, net::IpAddr, sync::Arc, time::Duration};
+
+use axum::body::Body;
+use http::{Request, Response};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use ipnet::IpNet;
+use slog::Logger;
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    time,
+};
+
+use crate::peer::{CONNECTION_WINDOW, STREAM_WINDOW};
+
+/// The largest head of a request in bytes; a larger one is answered with status 431.
+pub(crate) const MAX_HEAD: usize = 16 * 1024;
+
+/// The smallest buffer that the HTTP/1 parser accepts as its limit.
+const MIN_HEAD_BUFFER: usize = 8 * 1024;
+
+/// The largest number of headers of a request.
+const MAX_HEADERS: usize = 100;
+
+/// The time in which the head of a request must arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The largest number of open connections for each listener.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// The largest number of streams that may be open on one HTTP/2 connection.
+const MAX_STREAMS: u32 = 1_024;
+
+/// The pause after the listener failed to accept, for instance because no file descriptor was free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The time that idle and slow connections get to close at a graceful stop.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Accepts connections until `stop` becomes true, then closes them gracefully.
+///
+/// Connections from outside `networks` are closed at once; an empty list accepts all.
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    networks: Vec<IpNet>,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+    handle: H,
+) where
+    H: Fn(Request<Body>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let builder = builder();
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let (stream, remote) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                slog::warn!(log, "event"; "event" => "accept-failed", "error" => %error);
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = permits.clone().try_acquire_owned() else {
+            slog::warn!(log, "event"; "event" => "too-many-connections", "limit" => MAX_CONNECTIONS);
+            continue;
+        };
+        if !is_allowed(&networks, remote.ip()) {
+            slog::warn!(log, "event"; "event" => "connection-rejected", "remote" => %remote);
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        let handle = handle.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            let answer = handle(req.map(Body::new));
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let conn = builder.serve_connection(TokioIo::new(stream), service);
+        let conn = graceful.watch(conn.into_owned());
+        tokio::spawn(async move {
+            // A connection that fails has told its requests already.
+            let _ = conn.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    if time::timeout(CLOSE_TIMEOUT, graceful.shutdown()).await.is_err() {
+        slog::warn!(log, "event"; "event" => "connections-aborted");
+    }
+}
+
+fn is_allowed(networks: &[IpNet], ip: IpAddr) -> bool {
+    networks.is_empty() || networks.iter().any(|net| net.contains(&ip))
+}
+
+fn builder() -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEAD.max(MIN_HEAD_BUFFER));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(MAX_HEAD).unwrap_or(u32::MAX))
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW);
+    builder
+}
--- /dev/null
+++ b/src/work.rs
@@ -0,0 +1,125 @@
+//! Runs requests at the target beside this node.
+
+use std::sync::Arc;
+
+use axum::body::Body;
+use http::{HeaderValue, Request, Response, Version, header};
+use tokio::sync::mpsc;
+
+use crate::{
+    body::{End, Tracked},
+    driver::Driver,
+    effect::WorkStep,
+    event::{Event, Failure, WorkEvent, WorkHead},
+    headers,
+    keys::WorkKey,
+    pool::{Pool, SendError},
+    refusal::{Reason, Refusal},
+};
+
+/// Runs requests at the target beside this node.
+#[derive(Clone)]
+pub(crate) struct Worker {
+    driver: Arc<Driver>,
+    pool: Pool,
+}
+
+/// Why a request got no answer from the target.
+#[derive(Debug)]
+pub(crate) enum WorkError {
+    /// This node refused the request.
+    Refused(Refusal),
+    /// The request failed on the way to the target.
+    Failed(Failure),
+}
+
+impl Worker {
+    pub(crate) fn new(driver: Arc<Driver>, pool: Pool) -> Worker {
+        Worker { driver, pool }
+    }
+
+    /// Has a request admitted, sends it to the target and returns the answer, whose body streams on.
+    pub(crate) async fn run(
+        &self,
+        head: WorkHead,
+        req: Request<Body>,
+    ) -> Result<Response<Body>, WorkError> {
+        let overloaded = WorkError::Refused(Refusal::not_run(Reason::Overloaded));
+        let mut work = Handle::open(&self.driver).ok_or(overloaded)?;
+        work.dispatch(WorkEvent::Arrived(head));
+        match work.steps.recv().await {
+            Some(WorkStep::Run) => {}
+            Some(WorkStep::Refuse(refusal)) => return Err(WorkError::Refused(refusal)),
+            None => return Err(WorkError::Refused(Refusal::not_run(Reason::Draining))),
+        }
+        match self.pool.send(prepare(req)).await {
+            Ok(answer) => {
+                let (mut parts, body) = answer.into_parts();
+                work.dispatch(WorkEvent::Answered { status: parts.status.as_u16() });
+                headers::strip_hop_by_hop(&mut parts.headers);
+                headers::strip_internal(&mut parts.headers);
+                let body = Tracked::new(Body::new(body), move |end| work.close(WorkEvent::Ended(end)));
+                Ok(Response::from_parts(parts, Body::new(body)))
+            }
+            Err(error) => {
+                let failure = match error {
+                    SendError::NotSent => Failure::NotSent,
+                    SendError::Lost => Failure::Lost,
+                };
+                work.close(WorkEvent::Failed(failure));
+                Err(WorkError::Failed(failure))
+            }
+        }
+    }
+}
+
+/// A registered request; dropping it tells the reducer that the entry node went away.
+struct Handle {
+    driver: Arc<Driver>,
+    key: WorkKey,
+    steps: mpsc::UnboundedReceiver<WorkStep>,
+    is_open: bool,
+}
+
+impl Handle {
+    fn open(driver: &Arc<Driver>) -> Option<Handle> {
+        let (key, steps) = driver.open_work()?;
+        Some(Handle { driver: driver.clone(), key, steps, is_open: true })
+    }
+
+    fn dispatch(&self, event: WorkEvent) {
+        self.driver.dispatch(Event::Work(self.key, event));
+    }
+
+    fn close(mut self, event: WorkEvent) {
+        self.is_open = false;
+        self.driver.close_work(self.key, event);
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.driver.close_work(self.key, WorkEvent::Ended(End::Dropped));
+        }
+    }
+}
+
+/// Turns a request into the form for the target: HTTP/1.1 with a path only and a `Host` header.
+fn prepare(req: Request<Body>) -> Request<Body> {
+    let (mut parts, body) = req.into_parts();
+    headers::strip_hop_by_hop(&mut parts.headers);
+    headers::strip_internal(&mut parts.headers);
+    if !parts.headers.contains_key(header::HOST)
+        && let Some(authority) = parts.uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        parts.headers.insert(header::HOST, host);
+    }
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    if let Ok(uri) = path.parse() {
+        parts.uri = uri;
+    }
+    parts.version = Version::HTTP_11;
+    Request::from_parts(parts, body)
+}
