Add platform trait with memory and HTTP adapters

The node needs compare-and-swap, leases and watches from the operators' platform, and must distinguish a write without effect from one whose answer was lost.

Platform is a trait because it is a process edge. Memory has switchable faults (outage, added time, lost answers) and expires leases by tokio time. Http maps a refused connection to Unavailable, and a timeout or a broken connection during a write to Unknown.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod document;
 pub mod keys;
 pub mod load;
+pub mod platform;
 pub mod refusal;
 pub mod time;
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,250 @@
+//! The platform over HTTP. This file is the only one that knows the platform's wire form.
+//!
+//! | request | answer |
+//! |---|---|
+//! | `GET /kv/<key>` | 200 with the [`Entry`], 404 |
+//! | `PUT /kv/<key>?expect=<any, absent or revision>&lease=<id>` | 200 with the revision |
+//! | `DELETE /kv/<key>?expect=<any, absent or revision>` | 200 with the revision |
+//! | `GET /list/<prefix>` | 200 with the [`Listing`] |
+//! | `GET /watch/<prefix>?after=<revision>&wait_ms=<n>` | 200 with the [`Watched`] |
+//! | `POST /lease?ttl_ms=<n>` | 200 with the lease |
+//! | `POST /lease/<id>` | 200; renews |
+//! | `DELETE /lease/<id>` | 200; revokes |
+//!
+//! Bodies are in the `postcard` encoding, but for the value of a `PUT`, which is sent as it is. Any error
+//! status has a [`Fault`] as its body.
+
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::time::timeout;
+
+use super::{
+    Entry, Expect, LeaseId, Listing, MAX_BYTES, MAX_ENTRIES, MAX_KEY, MAX_VALUE, MAX_WAIT,
+    Platform, PlatformError, Result, TooLargeSnafu, UnavailableSnafu, UnknownSnafu, Watched,
+    check_key, check_prefix,
+};
+
+/// The largest response: the values of a list with their keys and fields.
+const MAX_RESPONSE: usize = MAX_BYTES + MAX_VALUE + MAX_ENTRIES * (MAX_KEY + 64);
+
+/// How long an idle connection is kept; below the usual idle limit of HTTP servers (60 s), so that a request is
+/// seldom sent on a connection that the server is closing.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// The time limits of platform calls.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The time to open a connection.
+    pub connect: Duration,
+    /// The time from the start of a call to its complete answer; a watch has its wait in addition.
+    pub request: Duration,
+}
+
+impl Default for Limits {
+    /// The platform answers in milliseconds, so a call that takes seconds is most likely lost.
+    fn default() -> Limits {
+        Limits { connect: Duration::from_secs(1), request: Duration::from_secs(3) }
+    }
+}
+
+/// A client of the platform over HTTP. Clones share their connections.
+#[derive(Clone)]
+pub struct Http {
+    client: Arc<Client<HttpConnector, Full<Bytes>>>,
+    address: SocketAddr,
+    limits: Limits,
+}
+
+/// The body of an error answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fault {
+    /// The entry is not as expected.
+    Conflict(Option<u64>),
+    /// The value has this many bytes, which is too many.
+    TooLarge(u64),
+    /// The key has an invalid form.
+    InvalidKey,
+    /// The lease has ended.
+    LeaseLost,
+    /// The platform refuses to work; nothing took effect.
+    Unavailable(CompactString),
+}
+
+impl From<Fault> for PlatformError {
+    fn from(fault: Fault) -> PlatformError {
+        match fault {
+            Fault::Conflict(current) => PlatformError::Conflict { current },
+            Fault::TooLarge(size) => {
+                PlatformError::TooLarge { size: usize::try_from(size).unwrap_or(usize::MAX) }
+            }
+            Fault::InvalidKey => PlatformError::InvalidKey,
+            Fault::LeaseLost => PlatformError::LeaseLost,
+            Fault::Unavailable(reason) => PlatformError::Unavailable { reason },
+        }
+    }
+}
+
+/// Whether a call without a valid answer may have changed something.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Kind {
+    Read,
+    Write,
+}
+
+impl Kind {
+    fn lost(self, reason: impl fmt::Display) -> PlatformError {
+        let reason = format_compact!("{reason}");
+        match self {
+            Kind::Read => UnavailableSnafu { reason }.build(),
+            Kind::Write => UnknownSnafu { reason }.build(),
+        }
+    }
+}
+
+impl Http {
+    /// Creates a client; connections are opened when needed.
+    pub fn new(address: SocketAddr, limits: Limits) -> Http {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(limits.connect));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            .build(connector);
+        Http { client: Arc::new(client), address, limits }
+    }
+
+    async fn call<T: DeserializeOwned>(&self, kind: Kind, call: Call) -> Result<T> {
+        let body = self.send(kind, call).await?.unwrap_or_default();
+        postcard::from_bytes(&body).map_err(|e| kind.lost(e))
+    }
+
+    /// Sends a request and returns the body of a successful answer, or nothing if the key is absent.
+    async fn send(&self, kind: Kind, call: Call) -> Result<Option<Bytes>> {
+        let uri = format!("http://{}{}", self.address, call.path);
+        let request = Request::builder()
+            .method(call.method)
+            .uri(uri)
+            .body(Full::new(call.body))
+            .map_err(|_| PlatformError::InvalidKey)?;
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|e| {
+                if e.is_connect() {
+                    UnavailableSnafu { reason: format_compact!("{e}") }.build()
+                } else {
+                    kind.lost(e)
+                }
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_RESPONSE).collect().await;
+            Ok((status, body.map_err(|e| kind.lost(e))?.to_bytes()))
+        };
+        let (status, body) = timeout(self.limits.request + call.wait, exchange)
+            .await
+            .unwrap_or_else(|_| Err(kind.lost("timeout")))?;
+        match status {
+            StatusCode::OK => Ok(Some(body)),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(match postcard::from_bytes::<Fault>(&body) {
+                Ok(fault) => fault.into(),
+                Err(_) => kind.lost(format_args!("status {status}")),
+            }),
+        }
+    }
+}
+
+impl fmt::Debug for Http {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Http").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl Platform for Http {
+    async fn get(&self, key: &str) -> Result<Option<Entry>> {
+        check_key(key)?;
+        let call = Call::new(Method::GET, format!("/kv/{key}"));
+        match self.send(Kind::Read, call).await? {
+            None => Ok(None),
+            Some(body) => postcard::from_bytes(&body).map(Some).map_err(|e| Kind::Read.lost(e)),
+        }
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<u64> {
+        check_key(key)?;
+        if value.len() > MAX_VALUE {
+            return TooLargeSnafu { size: value.len() }.fail();
+        }
+        let lease = lease.map(|id| format!("&lease={}", id.0)).unwrap_or_default();
+        let path = format!("/kv/{key}?expect={}{lease}", name(expect));
+        self.call(Kind::Write, Call { body: value, ..Call::new(Method::PUT, path) }).await
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<u64> {
+        check_key(key)?;
+        let path = format!("/kv/{key}?expect={}", name(expect));
+        self.call(Kind::Write, Call::new(Method::DELETE, path)).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing> {
+        check_prefix(prefix)?;
+        self.call(Kind::Read, Call::new(Method::GET, format!("/list/{prefix}"))).await
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched> {
+        check_prefix(prefix)?;
+        let wait = wait.min(MAX_WAIT);
+        let path = format!("/watch/{prefix}?after={after}&wait_ms={}", wait.as_millis());
+        self.call(Kind::Read, Call { wait, ..Call::new(Method::GET, path) }).await
+    }
+
+    async fn lease(&self, ttl: Duration) -> Result<LeaseId> {
+        let path = format!("/lease?ttl_ms={}", ttl.as_millis());
+        self.call(Kind::Write, Call::new(Method::POST, path)).await
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<()> {
+        let path = format!("/lease/{}", lease.0);
+        self.call(Kind::Write, Call::new(Method::POST, path)).await
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<()> {
+        let path = format!("/lease/{}", lease.0);
+        self.call(Kind::Write, Call::new(Method::DELETE, path)).await
+    }
+}
+
+struct Call {
+    method: Method,
+    path: String,
+    body: Bytes,
+    wait: Duration,
+}
+
+impl Call {
+    fn new(method: Method, path: String) -> Call {
+        Call { method, path, body: Bytes::new(), wait: Duration::ZERO }
+    }
+}
+
+fn name(expect: Expect) -> CompactString {
+    match expect {
+        Expect::Any => CompactString::const_new("any"),
+        Expect::Absent => CompactString::const_new("absent"),
+        Expect::Revision(r) => format_compact!("{r}"),
+    }
+}
--- /dev/null
+++ b/src/platform/memory.rs
@@ -0,0 +1,438 @@
+//! A platform in memory with switchable faults, for tests and for the stand-in server.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, sleep_until, timeout},
+};
+
+use super::{
+    ConflictSnafu, Entry, Expect, LeaseId, LeaseLostSnafu, Listing, MAX_BYTES, MAX_ENTRIES,
+    MAX_VALUE, MAX_WAIT, Platform, Result, TooLargeSnafu, UnavailableSnafu, UnknownSnafu, Watched,
+    check_key, check_prefix,
+};
+
+/// The deletions that are remembered for watches; beyond it, a watch from before the oldest one returns a
+/// snapshot.
+pub const MAX_DELETIONS: usize = 16_384;
+
+/// A platform in memory. Clones share their content.
+#[derive(Clone, Default)]
+pub struct Memory {
+    shared: Arc<Shared>,
+    timeout: Option<Duration>,
+}
+
+/// The faults of a platform; the default has none.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Whether every call is refused without effect.
+    pub outage: bool,
+    /// The time in milliseconds added to each call, one half before it takes effect and one half after.
+    pub slow_ms: u64,
+    /// The number of writes that still take effect but whose answers are lost.
+    pub lose: u32,
+}
+
+/// The number of calls by kind, including failed ones. A watch counts once, however long it waits.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Stats {
+    /// Reads of one key.
+    pub get: u64,
+    /// Writes of one key.
+    pub put: u64,
+    /// Deletions of one key.
+    pub delete: u64,
+    /// Reads of a prefix.
+    pub list: u64,
+    /// Watches.
+    pub watch: u64,
+    /// Leases opened.
+    pub lease: u64,
+    /// Lease renewals.
+    pub renew: u64,
+    /// Leases revoked.
+    pub revoke: u64,
+}
+
+impl Stats {
+    /// Returns the number of calls that change the platform's state.
+    pub fn writes(&self) -> u64 {
+        self.put + self.delete + self.lease + self.renew + self.revoke
+    }
+
+    /// Returns the number of calls that only read.
+    pub fn reads(&self) -> u64 {
+        self.get + self.list + self.watch
+    }
+}
+
+impl Memory {
+    /// Creates an empty platform without faults.
+    pub fn new() -> Memory {
+        Memory::default()
+    }
+
+    /// Returns this platform as seen by a client that gives up on a call after `limit`.
+    pub fn with_timeout(mut self, limit: Duration) -> Memory {
+        self.timeout = Some(limit);
+        self
+    }
+
+    /// Replaces the faults. An outage ends the watches that wait.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state().faults = faults;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns the present faults.
+    pub fn faults(&self) -> Faults {
+        self.state().faults
+    }
+
+    /// Returns the number of calls so far.
+    pub fn stats(&self) -> Stats {
+        self.state().stats
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        // Each operation leaves the state consistent before it can panic.
+        let mut state = self.shared.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.expire(Instant::now()) {
+            self.shared.changed.notify_waiters();
+        }
+        state
+    }
+
+    /// Counts a call, fails it during an outage and returns half of the added time.
+    fn begin(&self, count: impl FnOnce(&mut Stats)) -> Result<Duration> {
+        let mut state = self.state();
+        count(&mut state.stats);
+        if state.faults.outage {
+            return UnavailableSnafu { reason: "outage" }.fail();
+        }
+        Ok(Duration::from_millis(state.faults.slow_ms) / 2)
+    }
+
+    async fn read<T>(
+        &self,
+        count: impl FnOnce(&mut Stats),
+        f: impl FnOnce(&mut State) -> Result<T>,
+    ) -> Result<T> {
+        let call = async {
+            let half = self.begin(count)?;
+            pause(half).await;
+            let result = f(&mut self.state());
+            pause(half).await;
+            result
+        };
+        match self.timeout {
+            None => call.await,
+            Some(limit) => timeout(limit, call)
+                .await
+                .unwrap_or_else(|_| UnavailableSnafu { reason: "timeout" }.fail()),
+        }
+    }
+
+    async fn write<T>(
+        &self,
+        count: impl FnOnce(&mut Stats),
+        f: impl FnOnce(&mut State) -> Result<T>,
+    ) -> Result<T> {
+        let call = async {
+            let half = self.begin(count)?;
+            pause(half).await;
+            let (result, lost) = {
+                let mut state = self.state();
+                let result = f(&mut state);
+                let lost = state.faults.lose > 0;
+                state.faults.lose = state.faults.lose.saturating_sub(1);
+                (result, lost)
+            };
+            self.shared.changed.notify_waiters();
+            pause(half).await;
+            if lost { UnknownSnafu { reason: "answer lost" }.fail() } else { result }
+        };
+        match self.timeout {
+            None => call.await,
+            Some(limit) => timeout(limit, call)
+                .await
+                .unwrap_or_else(|_| UnknownSnafu { reason: "timeout" }.fail()),
+        }
+    }
+}
+
+impl fmt::Debug for Memory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Memory").field("timeout", &self.timeout).finish_non_exhaustive()
+    }
+}
+
+impl Platform for Memory {
+    async fn get(&self, key: &str) -> Result<Option<Entry>> {
+        check_key(key)?;
+        self.read(|s| s.get += 1, |state| Ok(state.entries.get(key).cloned())).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<u64> {
+        check_key(key)?;
+        self.write(|s| s.put += 1, |state| state.put(key, value, expect, lease)).await
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<u64> {
+        check_key(key)?;
+        self.write(|s| s.delete += 1, |state| state.delete(key, expect)).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing> {
+        check_prefix(prefix)?;
+        self.read(|s| s.list += 1, |state| Ok(state.list(prefix))).await
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched> {
+        check_prefix(prefix)?;
+        let half = self.begin(|s| s.watch += 1)?;
+        pause(half).await;
+        let end = Instant::now() + wait.min(MAX_WAIT);
+        let watched = loop {
+            let notified = self.shared.changed.notified();
+            tokio::pin!(notified);
+            // Registered before the state is read, so that no change in between is missed.
+            notified.as_mut().enable();
+            let (watched, expiry) = {
+                let state = self.state();
+                if state.faults.outage {
+                    return UnavailableSnafu { reason: "outage" }.fail();
+                }
+                (state.changes(prefix, after), state.expiries.first().map(|(at, _)| *at))
+            };
+            if watched.snapshot || !watched.changes.is_empty() || Instant::now() >= end {
+                break watched;
+            }
+            tokio::select! {
+                () = notified => {}
+                () = sleep_until(expiry.map_or(end, |at| at.min(end))) => {}
+            }
+        };
+        pause(half).await;
+        Ok(watched)
+    }
+
+    async fn lease(&self, ttl: Duration) -> Result<LeaseId> {
+        self.write(|s| s.lease += 1, |state| Ok(state.lease(Instant::now(), ttl))).await
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<()> {
+        self.write(|s| s.renew += 1, |state| state.renew(Instant::now(), lease)).await
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<()> {
+        let end = |state: &mut State| {
+            state.end(lease);
+            Ok(())
+        };
+        self.write(|s| s.revoke += 1, end).await
+    }
+}
+
+async fn pause(d: Duration) {
+    if !d.is_zero() {
+        sleep(d).await;
+    }
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    entries: BTreeMap<CompactString, Entry>,
+    /// Deleted keys by the revision of their deletion.
+    deletions: BTreeMap<u64, CompactString>,
+    /// The highest revision of a deletion that is no longer remembered.
+    floor: u64,
+    leases: BTreeMap<LeaseId, Lease>,
+    expiries: BTreeSet<(Instant, LeaseId)>,
+    last_lease: u64,
+    faults: Faults,
+    stats: Stats,
+}
+
+struct Lease {
+    ttl: Duration,
+    expires: Instant,
+    keys: BTreeSet<CompactString>,
+}
+
+impl State {
+    fn check(&self, key: &str, expect: Expect) -> Result<()> {
+        let current = self.entries.get(key).map(|e| e.revision);
+        let met = match expect {
+            Expect::Any => true,
+            Expect::Absent => current.is_none(),
+            Expect::Revision(r) => current == Some(r),
+        };
+        if met { Ok(()) } else { ConflictSnafu { current }.fail() }
+    }
+
+    fn put(
+        &mut self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<u64> {
+        if value.len() > MAX_VALUE {
+            return TooLargeSnafu { size: value.len() }.fail();
+        }
+        if let Some(id) = lease
+            && !self.leases.contains_key(&id)
+        {
+            return LeaseLostSnafu.fail();
+        }
+        self.check(key, expect)?;
+        self.remove(key);
+        if let Some(lease) = lease.and_then(|id| self.leases.get_mut(&id)) {
+            lease.keys.insert(key.into());
+        }
+        self.revision += 1;
+        self.entries.insert(key.into(), Entry { value, revision: self.revision, lease });
+        Ok(self.revision)
+    }
+
+    fn delete(&mut self, key: &str, expect: Expect) -> Result<u64> {
+        self.check(key, expect)?;
+        if self.remove(key) {
+            self.revision += 1;
+            self.deletions.insert(self.revision, key.into());
+            if self.deletions.len() > MAX_DELETIONS
+                && let Some((revision, _)) = self.deletions.pop_first()
+            {
+                self.floor = revision;
+            }
+        }
+        Ok(self.revision)
+    }
+
+    /// Removes an entry and its link to a lease, without a new revision.
+    fn remove(&mut self, key: &str) -> bool {
+        let Some(entry) = self.entries.remove(key) else { return false };
+        if let Some(lease) = entry.lease.and_then(|id| self.leases.get_mut(&id)) {
+            lease.keys.remove(key);
+        }
+        true
+    }
+
+    fn list(&self, prefix: &str) -> Listing {
+        let mut listing = Listing { revision: self.revision, ..Listing::default() };
+        let mut bytes = 0;
+        for (key, entry) in self.below(prefix) {
+            bytes += entry.value.len();
+            if is_full(listing.entries.len(), bytes) {
+                listing.more = true;
+                break;
+            }
+            listing.entries.push((key.clone(), entry.clone()));
+        }
+        listing
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Watched {
+        // A revision from the future belongs to another history of the platform.
+        let snapshot = after < self.floor || after > self.revision;
+        let from = if snapshot { 0 } else { after };
+        let mut changes: BTreeMap<u64, (CompactString, Option<Entry>)> = self
+            .below(prefix)
+            .filter(|(_, e)| e.revision > from)
+            .map(|(k, e)| (e.revision, (k.clone(), Some(e.clone()))))
+            .collect();
+        if !snapshot {
+            for (revision, key) in self.deletions.range(after + 1..) {
+                if key.starts_with(prefix) && !self.entries.contains_key(key) {
+                    changes.insert(*revision, (key.clone(), None));
+                }
+            }
+        }
+        let mut watched = Watched { revision: self.revision, changes: Vec::new(), snapshot };
+        let mut bytes = 0;
+        let mut last = after;
+        for (revision, change) in changes {
+            bytes += change.1.as_ref().map_or(0, |e| e.value.len());
+            if is_full(watched.changes.len(), bytes) {
+                watched.revision = last;
+                break;
+            }
+            last = revision;
+            watched.changes.push(change);
+        }
+        watched
+    }
+
+    fn below(&self, prefix: &str) -> impl Iterator<Item = (&CompactString, &Entry)> {
+        self.entries
+            .range(CompactString::new(prefix)..)
+            .take_while(move |(k, _)| k.starts_with(prefix))
+    }
+
+    fn lease(&mut self, now: Instant, ttl: Duration) -> LeaseId {
+        self.last_lease += 1;
+        let id = LeaseId(self.last_lease);
+        let expires = now + ttl;
+        self.leases.insert(id, Lease { ttl, expires, keys: BTreeSet::new() });
+        self.expiries.insert((expires, id));
+        id
+    }
+
+    fn renew(&mut self, now: Instant, id: LeaseId) -> Result<()> {
+        let Some(lease) = self.leases.get_mut(&id) else { return LeaseLostSnafu.fail() };
+        self.expiries.remove(&(lease.expires, id));
+        lease.expires = now + lease.ttl;
+        self.expiries.insert((lease.expires, id));
+        Ok(())
+    }
+
+    fn end(&mut self, id: LeaseId) {
+        let Some(lease) = self.leases.remove(&id) else { return };
+        self.expiries.remove(&(lease.expires, id));
+        for key in lease.keys {
+            // An unconditional deletion has no failure.
+            let _ = self.delete(&key, Expect::Any);
+        }
+    }
+
+    fn expire(&mut self, now: Instant) -> bool {
+        let mut ended = false;
+        while let Some(&(at, id)) = self.expiries.first()
+            && at <= now
+        {
+            self.end(id);
+            ended = true;
+        }
+        ended
+    }
+}
+
+fn is_full(entries: usize, bytes: usize) -> bool {
+    entries > 0 && (entries >= MAX_ENTRIES || bytes > MAX_BYTES)
+}
