--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod load;
 pub mod platform;
 pub mod refusal;
+pub mod standin;
 pub mod time;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -14,7 +14,7 @@
 //! Bodies are in the `postcard` encoding, but for the value of a `PUT`, which is sent as it is. Any error
 //! status has a [`Fault`] as its body.
 
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{error::Error, fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
@@ -139,9 +139,9 @@
         let exchange = async {
             let response = self.client.request(request).await.map_err(|e| {
                 if e.is_connect() {
-                    UnavailableSnafu { reason: format_compact!("{e}") }.build()
+                    UnavailableSnafu { reason: cause(&e) }.build()
                 } else {
-                    kind.lost(e)
+                    kind.lost(cause(&e))
                 }
             })?;
             let status = response.status();
@@ -241,6 +241,15 @@
     }
 }
 
+/// Returns the innermost cause of an error, which names the failed system call.
+fn cause(error: &dyn Error) -> CompactString {
+    let mut error = error;
+    while let Some(source) = error.source() {
+        error = source;
+    }
+    format_compact!("{error}")
+}
+
 fn name(expect: Expect) -> CompactString {
     match expect {
         Expect::Any => CompactString::const_new("any"),
--- a/src/platform/memory.rs
+++ b/src/platform/memory.rs
@@ -171,6 +171,34 @@
                 .unwrap_or_else(|_| UnknownSnafu { reason: "timeout" }.fail()),
         }
     }
+
+    async fn wait(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched> {
+        let half = self.begin(|s| s.watch += 1)?;
+        pause(half).await;
+        let end = Instant::now() + wait;
+        let watched = loop {
+            let notified = self.shared.changed.notified();
+            tokio::pin!(notified);
+            // Registered before the state is read, so that no change in between is missed.
+            notified.as_mut().enable();
+            let (watched, expiry) = {
+                let state = self.state();
+                if state.faults.outage {
+                    return UnavailableSnafu { reason: "outage" }.fail();
+                }
+                (state.changes(prefix, after), state.expiries.first().map(|(at, _)| *at))
+            };
+            if watched.snapshot || !watched.changes.is_empty() || Instant::now() >= end {
+                break watched;
+            }
+            tokio::select! {
+                () = notified => {}
+                () = sleep_until(expiry.map_or(end, |at| at.min(end))) => {}
+            }
+        };
+        pause(half).await;
+        Ok(watched)
+    }
 }
 
 impl fmt::Debug for Memory {
@@ -208,31 +236,14 @@
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Watched> {
         check_prefix(prefix)?;
-        let half = self.begin(|s| s.watch += 1)?;
-        pause(half).await;
-        let end = Instant::now() + wait.min(MAX_WAIT);
-        let watched = loop {
-            let notified = self.shared.changed.notified();
-            tokio::pin!(notified);
-            // Registered before the state is read, so that no change in between is missed.
-            notified.as_mut().enable();
-            let (watched, expiry) = {
-                let state = self.state();
-                if state.faults.outage {
-                    return UnavailableSnafu { reason: "outage" }.fail();
-                }
-                (state.changes(prefix, after), state.expiries.first().map(|(at, _)| *at))
-            };
-            if watched.snapshot || !watched.changes.is_empty() || Instant::now() >= end {
-                break watched;
-            }
-            tokio::select! {
-                () = notified => {}
-                () = sleep_until(expiry.map_or(end, |at| at.min(end))) => {}
-            }
-        };
-        pause(half).await;
-        Ok(watched)
+        let wait = wait.min(MAX_WAIT);
+        let call = self.wait(prefix, after, wait);
+        match self.timeout {
+            None => call.await,
+            Some(limit) => timeout(limit + wait, call)
+                .await
+                .unwrap_or_else(|_| UnavailableSnafu { reason: "timeout" }.fail()),
+        }
     }
 
     async fn lease(&self, ttl: Duration) -> Result<LeaseId> {
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the systems around the nodes, for demos, tests and measurements.
+
+pub mod platform;
