Add load estimation, the measuring budget and target selection

Selection needs an estimate of each target that holds while reports are stale, and measuring must stay within the operators' budget. Reports get a compact header form that is parsed strictly. The budget is a byte bucket whose burst and refill together make up one second's allowance, plus probes earned by calls. The view of a target combines reports with the calling node's own observations, which take precedence.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod keys;
 pub mod load;
 pub mod refusal;
+pub mod routing;
 pub mod time;
--- a/src/load.rs
+++ b/src/load.rs
@@ -1,6 +1,30 @@
-//! Load reports that nodes attach to answers.
+//! Load reports, the budget for measuring load, and a calling node's estimate of a target.
+//!
+//! `docs/design.md`, section 5.3, describes how the parts work together.
 
+use std::fmt::Write as _;
+
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
+use snafu::{OptionExt as _, Snafu, ensure};
+
+mod budget;
+mod view;
+
+#[cfg(test)]
+mod tests;
+
+pub use budget::{Measure, MeasureBudget, MeasureCounts};
+pub use view::{Health, Observed, TargetView};
+
+/// The name of the header that carries a load report on answers between nodes.
+pub const REPORT_HEADER: &str = "poplarbarrow-load";
+
+/// The largest length of an encoded report in bytes: three counts of 5 digits, a latency of 9, a flag, commas.
+pub const REPORT_MAX_BYTES: usize = 29;
+
+/// The largest latency in a report in microseconds: 600 s, beyond any deadline in use.
+pub const REPORT_MAX_LATENCY: u32 = 600_000_000;
 
 /// The state of one target as its node reports it, with each answer.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,3 +40,79 @@
     /// Whether the target is in cold start.
     pub cold: bool,
 }
+
+/// A load report header is not valid.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum ReportError {
+    /// The value is longer than [`REPORT_MAX_BYTES`].
+    #[snafu(display("the report has {len} bytes, more than {REPORT_MAX_BYTES}"))]
+    TooLong {
+        /// The length in bytes.
+        len: usize,
+    },
+    /// The value does not have exactly five fields.
+    #[snafu(display("the report does not have five fields"))]
+    Fields,
+    /// A field is not a canonical decimal number in its range, or the flag is unknown.
+    #[snafu(display("field {index} of the report is not valid"))]
+    Field {
+        /// The index of the field, from 0.
+        index: usize,
+    },
+}
+
+impl LoadReport {
+    /// Encodes the report as `running,queued,limit,latency,flag`, with the flag `c` (cold) or `w` (warm).
+    ///
+    /// The latency is clamped to [`REPORT_MAX_LATENCY`], so that every encoded report can be parsed.
+    pub fn encode(&self) -> CompactString {
+        let mut s = CompactString::default();
+        let latency = self.latency_us.min(REPORT_MAX_LATENCY);
+        let flag = if self.cold { 'c' } else { 'w' };
+        write!(s, "{},{},{},{latency},{flag}", self.running, self.queued, self.limit)
+            .expect("writing to a string cannot fail");
+        s
+    }
+
+    /// Parses the form that [`LoadReport::encode`] writes, and nothing else.
+    ///
+    /// # Errors
+    ///
+    /// The value comes from another process: overlong, malformed and out-of-range values are errors.
+    pub fn parse(s: &str) -> Result<LoadReport, ReportError> {
+        ensure!(s.len() <= REPORT_MAX_BYTES, TooLongSnafu { len: s.len() });
+        let mut parts = s.split(',');
+        let mut fields = [""; 5];
+        for field in &mut fields {
+            *field = parts.next().context(FieldsSnafu)?;
+        }
+        ensure!(parts.next().is_none(), FieldsSnafu);
+        let count = |index| {
+            let n = number(fields[index]).context(FieldSnafu { index })?;
+            u16::try_from(n).ok().context(FieldSnafu { index })
+        };
+        let latency_us = number(fields[3])
+            .filter(|&us| us <= REPORT_MAX_LATENCY)
+            .context(FieldSnafu { index: 3usize })?;
+        let cold = match fields[4] {
+            "c" => true,
+            "w" => false,
+            _ => return FieldSnafu { index: 4usize }.fail(),
+        };
+        Ok(LoadReport { running: count(0)?, queued: count(1)?, limit: count(2)?, latency_us, cold })
+    }
+
+    /// Returns the cost of the encoded report in bytes, with the header's name and separators.
+    ///
+    /// HPACK usually needs fewer bytes, so the budget errs on the low side.
+    pub fn cost(&self) -> u32 {
+        (REPORT_HEADER.len() + ": \r\n".len() + self.encode().len()) as u32
+    }
+}
+
+/// Parses decimal digits without a sign or leading zeros.
+fn number(s: &str) -> Option<u32> {
+    let canonical =
+        s == "0" || (!s.starts_with('0') && s.bytes().all(|b| b.is_ascii_digit()) && !s.is_empty());
+    if canonical { s.parse().ok() } else { None }
+}
