--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 mod server;
 pub mod settings;
 pub mod standin;
+pub mod routing;
 pub mod time;
 mod timer;
 mod work;
