Add the fake target with switchable faults

Tests and trials need a target whose load, cold start, faults and crashes can be switched while requests run.

--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the outside systems that poplarbarrow meets, used by tests, trials and the demo.
+
+pub mod target;
