--- a/src/auth.rs
+++ b/src/auth.rs
@@ -36,7 +36,8 @@
     /// Returns whether a tag is valid, in constant time.
     pub(crate) fn verify(&self, tag: &str, to: MemberId, parts: &[&str]) -> bool {
         let expected = self.tag(to, parts).to_string();
-        let same = expected.bytes().zip(tag.bytes()).fold(0, |differing, (a, b)| differing | (a ^ b));
+        let same =
+            expected.bytes().zip(tag.bytes()).fold(0, |differing, (a, b)| differing | (a ^ b));
         tag.len() == TAG_LEN && same == 0
     }
 }
--- a/src/body.rs
+++ b/src/body.rs
@@ -109,7 +109,8 @@
 impl Replay {
     pub(crate) fn new(body: Body) -> Replay {
         let state = if body.is_end_stream() { SourceState::Ended } else { SourceState::Open };
-        let source = Source { body, kept: Vec::new(), size: 0, is_spent: false, state, waiting: Vec::new() };
+        let source =
+            Source { body, kept: Vec::new(), size: 0, is_spent: false, state, waiting: Vec::new() };
         Replay { shared: Arc::new(Mutex::new(source)) }
     }
 
@@ -220,7 +221,8 @@
 
     fn is_end_stream(&self) -> bool {
         let source = self.replay.lock();
-        let is_whole = self.next == SPENT_READER || (!source.is_spent && self.next >= source.kept.len());
+        let is_whole =
+            self.next == SPENT_READER || (!source.is_spent && self.next >= source.kept.len());
         source.state == SourceState::Ended && is_whole
     }
 
--- a/src/body/tests.rs
+++ b/src/body/tests.rs
@@ -36,7 +36,10 @@
     let first = replay.reader().collect().await.expect("whole body").to_bytes();
     assert_eq!(first.len(), REPLAY_LIMIT / 2 * 3);
     assert!(!replay.can_replay());
-    assert!(replay.reader().collect().await.is_err(), "a part of a body must not pass as the whole");
+    assert!(
+        replay.reader().collect().await.is_err(),
+        "a part of a body must not pass as the whole"
+    );
 }
 
 #[tokio::test]
@@ -53,7 +56,8 @@
 #[tokio::test]
 async fn tracked_body_reports_its_end(cut: bool, read: bool, expected: End) {
     let (tx, rx) = mpsc::channel();
-    let body = Body::new(Tracked::new(chunks(2, 10, cut), move |end| tx.send(end).expect("receiver")));
+    let body =
+        Body::new(Tracked::new(chunks(2, 10, cut), move |end| tx.send(end).expect("receiver")));
     if read {
         let _ = body.collect().await;
     } else {
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -47,8 +47,12 @@
 
 impl Driver {
     pub(crate) fn new(reducer: Reducer, log: Logger, metrics: Metrics) -> Driver {
-        let core =
-            Core { reducer, calls: SlotMap::with_key(), works: SlotMap::with_key(), effects: Vec::new() };
+        let core = Core {
+            reducer,
+            calls: SlotMap::with_key(),
+            works: SlotMap::with_key(),
+            effects: Vec::new(),
+        };
         Driver {
             core: Mutex::new(core),
             started: Instant::now(),
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -42,15 +42,22 @@
                 answer
             }
             Err(WorkError::Refused(refusal)) => self.refuse(refusal),
-            Err(WorkError::Failed(Failure::NotSent)) => self.refuse(Refusal::not_run(Reason::NoTarget)),
-            Err(WorkError::Failed(Failure::Lost)) => self.refuse(Refusal::unknown(Reason::AnswerLost)),
-            Err(WorkError::Failed(Failure::BodyCut)) => self.refuse(Refusal::unknown(Reason::BodyCut)),
+            Err(WorkError::Failed(Failure::NotSent)) => {
+                self.refuse(Refusal::not_run(Reason::NoTarget))
+            }
+            Err(WorkError::Failed(Failure::Lost)) => {
+                self.refuse(Refusal::unknown(Reason::AnswerLost))
+            }
+            Err(WorkError::Failed(Failure::BodyCut)) => {
+                self.refuse(Refusal::unknown(Reason::BodyCut))
+            }
         }
     }
 
     /// Reads the internal headers, or returns `None` if the request is not authentic.
     fn read_head(&self, req: &Request<Body>) -> Option<WorkHead> {
-        let text = |name| req.headers().get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        let text =
+            |name| req.headers().get(name).and_then(|value: &HeaderValue| value.to_str().ok());
         let (tag, from) = (text(headers::TAG)?, text(headers::ATTEMPT)?);
         let service = text(headers::SERVICE)?;
         let path = req.uri().path();
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -54,7 +54,8 @@
 
     async fn try_serve(&self, req: Request<Body>) -> Result<Response<Body>, Refusal> {
         let (mut parts, body) = req.into_parts();
-        let head = read_head(&parts).map_err(|InvalidHeader| Refusal::not_run(Reason::Malformed))?;
+        let head =
+            read_head(&parts).map_err(|InvalidHeader| Refusal::not_run(Reason::Malformed))?;
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
         let overloaded = Refusal::not_run(Reason::Overloaded);
@@ -120,12 +121,19 @@
         })
     }
 
-    async fn run_here(&self, service: CompactString, attempt: Attempt, req: Request<Body>) -> Reply {
+    async fn run_here(
+        &self,
+        service: CompactString,
+        attempt: Attempt,
+        req: Request<Body>,
+    ) -> Reply {
         let path = req.uri().path().to_compact_string();
         let head = WorkHead { service, path, from: self.me, timeout: attempt.timeout };
         match self.worker.run(head, req).await {
             Ok(answer) => Reply::Answer(answer, Some(self.driver.load_report())),
-            Err(WorkError::Refused(refusal)) => Reply::Refused(refusal, Some(self.driver.load_report())),
+            Err(WorkError::Refused(refusal)) => {
+                Reply::Refused(refusal, Some(self.driver.load_report()))
+            }
             Err(WorkError::Failed(failure)) => Reply::Failed(failure),
         }
     }
@@ -166,7 +174,8 @@
         headers::set(&mut parts.headers, headers::DEPTH, &self.depth.to_compact_string());
         headers::set(&mut parts.headers, header::HOST, &self.service);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        if let Ok(uri) = Uri::builder().scheme("http").authority(&*self.service).path_and_query(path).build()
+        if let Ok(uri) =
+            Uri::builder().scheme("http").authority(&*self.service).path_and_query(path).build()
         {
             parts.uri = uri;
         }
@@ -232,7 +241,7 @@
 
 /// Returns the service that the authority names, without a port.
 fn service_name(parts: &Parts) -> Option<CompactString> {
-    let from_uri = parts.uri.host().map(ToCompactString::to_compact_string);
+    let from_uri = parts.uri.host().map(CompactString::from);
     from_uri.or_else(|| {
         let host = parts.headers.get(header::HOST)?.to_str().ok()?;
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
@@ -248,7 +257,8 @@
     if !refused {
         return Reply::Answer(answer, report);
     }
-    let text = |name| answer.headers().get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    let text =
+        |name| answer.headers().get(name).and_then(|value: &HeaderValue| value.to_str().ok());
     let reason = text(headers::REASON).and_then(Reason::parse).unwrap_or(Reason::AnswerLost);
     let refusal = match text(headers::OUTCOME) {
         Some(outcome) if outcome == Outcome::NotRun.as_str() => Refusal::not_run(reason),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,4 +30,3 @@
 pub mod time;
 mod timer;
 mod work;
-pub mod standin;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -94,7 +94,10 @@
     }
 
     /// Sends a request and returns the head of the answer; the body streams on.
-    pub(crate) async fn send(&self, mut req: Request<Body>) -> Result<Response<Incoming>, SendError> {
+    pub(crate) async fn send(
+        &self,
+        mut req: Request<Body>,
+    ) -> Result<Response<Incoming>, SendError> {
         loop {
             let (mut link, reused) = match self.take() {
                 Some(link) => (link, true),
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -41,7 +41,13 @@
 }
 
 impl Reducer {
-    pub(super) fn apply_call(&mut self, now: Time, key: CallKey, event: CallEvent, out: &mut Vec<Effect>) {
+    pub(super) fn apply_call(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        event: CallEvent,
+        out: &mut Vec<Effect>,
+    ) {
         match event {
             CallEvent::Arrived(head) => self.call_arrived(now, key, head, out),
             CallEvent::Answered { attempt, status: _, report } => {
@@ -108,7 +114,12 @@
     }
 
     /// Starts the next attempt, or returns why there is none.
-    fn start_attempt(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) -> Result<(), Reason> {
+    fn start_attempt(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        out: &mut Vec<Effect>,
+    ) -> Result<(), Reason> {
         let call = self.calls.get(key).ok_or(Reason::Deadline)?;
         let timeout = call.deadline.since(now);
         if timeout.is_zero() {
@@ -144,7 +155,10 @@
         let mut best: Option<(u32, u32, MemberKey)> = None;
         for &key in self.directory.group(service) {
             let Some(member) = self.directory.get(key) else { continue };
-            if member.info.is_leaving || tried.contains(&key) || !self.is_centre_in(&member.info.centre) {
+            if member.info.is_leaving
+                || tried.contains(&key)
+                || !self.is_centre_in(&member.info.centre)
+            {
                 continue;
             }
             let _ = write!(candidates, "{}:{},", member.info.id, member.in_flight);
@@ -202,7 +216,8 @@
     fn refuse_call(&mut self, key: CallKey, reason: Reason, out: &mut Vec<Effect>) {
         let Some(call) = self.calls.remove(key) else { return };
         let may_have_run = call.may_have_run || !call.open.is_empty();
-        let refusal = if may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
+        let refusal =
+            if may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
         for (_, member) in &call.open {
             self.release(*member);
         }
@@ -225,7 +240,9 @@
 
     fn close_attempt(&mut self, key: CallKey, attempt: u32, _report: Option<LoadReport>) {
         let Some(call) = self.calls.get_mut(key) else { return };
-        let Some(index) = call.open.iter().position(|(number, _)| *number == attempt) else { return };
+        let Some(index) = call.open.iter().position(|(number, _)| *number == attempt) else {
+            return;
+        };
         let (_, member) = call.open.swap_remove(index);
         self.release(member);
     }
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -18,7 +18,13 @@
 }
 
 impl Reducer {
-    pub(super) fn apply_work(&mut self, _now: Time, key: WorkKey, event: WorkEvent, out: &mut Vec<Effect>) {
+    pub(super) fn apply_work(
+        &mut self,
+        _now: Time,
+        key: WorkKey,
+        event: WorkEvent,
+        out: &mut Vec<Effect>,
+    ) {
         match event {
             WorkEvent::Arrived(head) => self.work_arrived(key, &head, out),
             WorkEvent::Answered { .. } => {}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -191,7 +191,8 @@
     /// Fails if the file cannot be read, or with all faults that it has.
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
         let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-        Settings::parse(&text).map_err(|problems| SettingsError::Invalid { path: path.to_owned(), problems })
+        Settings::parse(&text)
+            .map_err(|problems| SettingsError::Invalid { path: path.to_owned(), problems })
     }
 
     /// Parses and checks settings in JSON.
@@ -224,7 +225,11 @@
         check("target.slots", in_range(slots, 1, MAX_SLOTS), range(1, MAX_SLOTS));
         let connections = self.target.connections;
         check("target.connections", in_range(connections, slots, u16::MAX), range(slots, u16::MAX));
-        check("drain_ms", self.drain_ms <= MAX_DRAIN_MS, Fault::Range { min: 0, max: MAX_DRAIN_MS });
+        check(
+            "drain_ms",
+            self.drain_ms <= MAX_DRAIN_MS,
+            Fault::Range { min: 0, max: MAX_DRAIN_MS },
+        );
         check("key", self.key.chars().count() >= MIN_KEY, Fault::ShortKey);
         check("networks", !self.networks.is_empty(), Fault::NoNetwork);
         check("listen.peers", is_specific(self.listen.peers), Fault::Unspecified);
@@ -254,7 +259,8 @@
 }
 
 fn list(problems: &[Problem]) -> String {
-    let lines: Vec<_> = problems.iter().map(|p| format!("field `{}`: {}", p.field, p.fault)).collect();
+    let lines: Vec<_> =
+        problems.iter().map(|p| format!("field `{}`: {}", p.field, p.fault)).collect();
     lines.join("; ")
 }
 
--- a/src/work.rs
+++ b/src/work.rs
@@ -58,7 +58,8 @@
                 work.dispatch(WorkEvent::Answered { status: parts.status.as_u16() });
                 headers::strip_hop_by_hop(&mut parts.headers);
                 headers::strip_internal(&mut parts.headers);
-                let body = Tracked::new(Body::new(body), move |end| work.close(WorkEvent::Ended(end)));
+                let body =
+                    Tracked::new(Body::new(body), move |end| work.close(WorkEvent::Ended(end)));
                 Ok(Response::from_parts(parts, Body::new(body)))
             }
             Err(error) => {
