--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,240 @@
+//! Admission control at the target's node: the concurrency limit, the queue and cold start.
+//!
+//! `docs/design.md`, section 5.4, states the rules.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::{
+    keys::WorkKey,
+    load::LoadReport,
+    refusal::{Reason, Refusal},
+    time::Time,
+};
+
+mod limit;
+
+#[cfg(test)]
+mod tests;
+
+use limit::Limit;
+
+/// Queue entries per slot. At twice the slots, the last entry waits for about two service times.
+const QUEUE_PER_SLOT: usize = 2;
+
+/// The answer to a request that arrives.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Run it at the target now.
+    Run,
+    /// It waits; a later [`Next`] decides.
+    Queue,
+    /// Refuse it.
+    Refuse(Refusal),
+}
+
+/// What to do with a request that waited.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Run it at the target now.
+    Run(WorkKey),
+    /// Refuse it.
+    Refuse(WorkKey, Refusal),
+}
+
+/// The end of a request at the target.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Finish {
+    /// The target answered.
+    Answer,
+    /// The target failed the request, shed it or reset its connection.
+    Failure,
+}
+
+/// A request at the target.
+#[derive(Copy, Clone, Debug)]
+struct Running {
+    work: WorkKey,
+    since: Time,
+}
+
+/// A request in the queue.
+#[derive(Copy, Clone, Debug)]
+struct Waiting {
+    work: WorkKey,
+    deadline: Time,
+}
+
+/// Admits, queues and refuses requests for one target.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    slots: u16,
+    limit: Limit,
+    /// At most `slots` entries, so that a linear search is cheap.
+    running: Vec<Running>,
+    queue: VecDeque<Waiting>,
+    draining: bool,
+    /// The time of the last end or, if later, of the first start after an idle period.
+    progress: Time,
+}
+
+impl Gate {
+    /// Creates the gate of a target with `slots` slots that has just started.
+    pub fn new(slots: u16, now: Time) -> Gate {
+        Gate {
+            slots,
+            limit: Limit::new(slots, now),
+            running: Vec::with_capacity(slots.into()),
+            queue: VecDeque::new(),
+            draining: false,
+            progress: now,
+        }
+    }
+
+    /// Decides on a request that arrives.
+    pub fn arrive(&mut self, now: Time, work: WorkKey, deadline: Time) -> Decision {
+        if self.draining {
+            return Decision::Refuse(Refusal::not_run(Reason::Draining));
+        }
+        if deadline <= now {
+            return Decision::Refuse(Refusal::not_run(Reason::Deadline));
+        }
+        if self.running.is_empty() && self.queue.is_empty() {
+            // The estimate of the service time is not applied: with nothing running, no answer would ever
+            // correct an estimate that is too high.
+            self.start(now, work);
+            return Decision::Run;
+        }
+        if now + self.wait(now) + self.service(now) > deadline {
+            return Decision::Refuse(Refusal::not_run(Reason::Deadline));
+        }
+        if self.queue.is_empty() && self.has_room() {
+            self.start(now, work);
+            return Decision::Run;
+        }
+        if self.queue.len() >= usize::from(self.slots) * QUEUE_PER_SLOT {
+            return Decision::Refuse(Refusal::not_run(Reason::Overloaded));
+        }
+        self.queue.push_back(Waiting { work, deadline });
+        Decision::Queue
+    }
+
+    /// Notes the end of a running request and returns what to do with those that waited.
+    ///
+    /// The end of a request that is not running, such as one from before a crash, is ignored.
+    pub fn finish(&mut self, now: Time, work: WorkKey, finish: Finish) -> Vec<Next> {
+        let Some(running) = self.remove(work) else { return Vec::new() };
+        self.progress = now;
+        match finish {
+            Finish::Answer => self.limit.answered(now, now.since(running.since)),
+            Finish::Failure => self.limit.failed(),
+        }
+        self.advance(now)
+    }
+
+    /// Notes that the caller cancelled a request. The latency of a cancelled request says nothing.
+    pub fn cancel(&mut self, now: Time, work: WorkKey) -> Vec<Next> {
+        self.queue.retain(|w| w.work != work);
+        self.remove(work);
+        self.advance(now)
+    }
+
+    /// Refuses queue entries that can no longer meet their deadline.
+    pub fn tick(&mut self, now: Time) -> Vec<Next> {
+        self.advance(now)
+    }
+
+    /// Returns the time of the next useful [`Gate::tick`].
+    pub fn next_tick(&self) -> Option<Time> {
+        self.queue.iter().map(|w| w.deadline).min()
+    }
+
+    /// Notes a crash of the target: all connections were reset.
+    ///
+    /// The running requests are forgotten, those in the queue are refused as not run, and the target is in
+    /// cold start when it returns.
+    pub fn crashed(&mut self, now: Time) -> Vec<Next> {
+        self.running.clear();
+        self.progress = now;
+        self.limit = Limit::new(self.slots, now);
+        let refusal = Refusal::not_run(Reason::Overloaded);
+        self.queue.drain(..).map(|w| Next::Refuse(w.work, refusal)).collect()
+    }
+
+    /// Refuses new work from now on. Work that was accepted, also in the queue, still runs.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Returns whether the gate is draining and nothing is running or waiting.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.running.is_empty() && self.queue.is_empty()
+    }
+
+    /// Returns the load report for answers.
+    pub fn report(&self) -> LoadReport {
+        LoadReport {
+            running: u16::try_from(self.running.len()).unwrap_or(u16::MAX),
+            queued: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
+            limit: self.limit.get(),
+            latency_us: self.limit.service_us() as u32,
+            cold: self.limit.is_cold(),
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < usize::from(self.limit.get())
+    }
+
+    fn start(&mut self, now: Time, work: WorkKey) {
+        if self.running.is_empty() {
+            self.progress = now;
+        }
+        self.running.push(Running { work, since: now });
+        self.limit.started(self.running.len());
+    }
+
+    fn remove(&mut self, work: WorkKey) -> Option<Running> {
+        let index = self.running.iter().position(|r| r.work == work)?;
+        Some(self.running.swap_remove(index))
+    }
+
+    /// Returns the expected time in the queue for a request that arrives now.
+    fn wait(&self, now: Time) -> Duration {
+        if self.queue.is_empty() && self.has_room() {
+            return Duration::ZERO;
+        }
+        let ahead = self.queue.len() as u32 + 1;
+        self.service(now) * ahead / u32::from(self.limit.get())
+    }
+
+    /// Returns the expected service time, which is at least the time without any end while requests run, so
+    /// that a stall shows before a request ends.
+    fn service(&self, now: Time) -> Duration {
+        let known = Duration::from_micros(self.limit.service_us() as u64);
+        if self.running.is_empty() { known } else { known.max(now.since(self.progress)) }
+    }
+
+    fn advance(&mut self, now: Time) -> Vec<Next> {
+        let mut next = Vec::new();
+        let refusal = Refusal::not_run(Reason::Deadline);
+        self.queue.retain(|w| {
+            let keep = w.deadline > now;
+            if !keep {
+                next.push(Next::Refuse(w.work, refusal));
+            }
+            keep
+        });
+        while self.has_room()
+            && let Some(waiting) = self.queue.pop_front()
+        {
+            let late = now + self.service(now) > waiting.deadline;
+            if late && !self.running.is_empty() {
+                next.push(Next::Refuse(waiting.work, refusal));
+            } else {
+                self.start(now, waiting.work);
+                next.push(Next::Run(waiting.work));
+            }
+        }
+        next
+    }
+}
