--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod auth;
 mod body;
 mod directory;
+pub mod admission;
 pub mod document;
 mod driver;
 mod effect;
@@ -26,6 +27,7 @@
 mod server;
 pub mod settings;
 pub mod standin;
+pub mod retry;
 pub mod routing;
 pub mod time;
 mod timer;
