--- /dev/null
+++ b/src/identity/cost.rs
@@ -0,0 +1,39 @@
+//! The cost of the owner's table, for the capacity figures.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    identity::{AttemptResult, Fingerprint, MAX_ENTRIES, Owner, owner::ENTRY_BYTES},
+    keys::MemberId,
+    time::Time,
+};
+
+/// The measured cost of one owner's table.
+#[derive(Copy, Clone, Debug, PartialEq)]
+pub struct IdentityCost {
+    /// The entries held.
+    pub entries: usize,
+    /// The estimated memory of one entry without its answer, in bytes.
+    pub entry_bytes: usize,
+    /// The mean time to issue, begin, attempt and settle one identity.
+    pub run_time: Duration,
+}
+
+/// Fills a table with up to [`MAX_ENTRIES`] finished identities and measures the cost of each.
+///
+/// This is the only function of the module that reads a clock; no decision depends on it.
+pub fn measure(entries: usize) -> IdentityCost {
+    let entries = entries.clamp(1, MAX_ENTRIES);
+    let mut owner = Owner::new(MemberId(1), 0);
+    let fingerprint = Fingerprint::new("orders", "POST", "/orders", Some(100));
+    let start = Instant::now();
+    for _ in 0..entries {
+        let identity = owner.issue();
+        owner.begin(Time::ZERO, identity, fingerprint);
+        if let Some(tag) = owner.attempt(Time::ZERO, identity, MemberId(2)) {
+            owner.settle(Time::ZERO, tag, AttemptResult::Answered(None));
+        }
+    }
+    let run_time = start.elapsed() / u32::try_from(entries).unwrap_or(u32::MAX);
+    IdentityCost { entries: owner.len(), entry_bytes: ENTRY_BYTES, run_time }
+}
--- /dev/null
+++ b/src/identity/handover.rs
@@ -0,0 +1,126 @@
+//! The outcomes that an owner hands over at a planned stop.
+//!
+//! Ownership doesn't move. A successor never starts an attempt of an imported identity; it repeats outcomes that
+//! are final, and answers "unknown" for the rest. So it is safe even if the former owner goes on running.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::{
+    identity::{
+        Answer, Begin, Fingerprint, HANDOVER_BYTES, Identity, MAX_ANSWER, MAX_IMPORTS, REMEMBER,
+    },
+    keys::MemberId,
+    time::Time,
+};
+
+/// The size of an outcome without its answer, in bytes.
+const OUTCOME_BYTES: usize = 32;
+
+/// The final outcomes of an owner that is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// The member that is leaving.
+    pub owner: MemberId,
+    /// The outcomes, the newest first.
+    pub outcomes: Vec<Finished>,
+}
+
+/// The final outcome of one identity.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finished {
+    /// The counter of the identity.
+    pub counter: u64,
+    /// What the request asked for.
+    pub fingerprint: Fingerprint,
+    /// The outcome.
+    pub outcome: FinishedOutcome,
+}
+
+impl Finished {
+    pub(super) fn size(&self) -> usize {
+        match &self.outcome {
+            FinishedOutcome::Answered(answer) => OUTCOME_BYTES + answer.size(),
+            FinishedOutcome::AlreadyRun | FinishedOutcome::Unknown => OUTCOME_BYTES,
+        }
+    }
+}
+
+/// What a repeat of a finished identity receives.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum FinishedOutcome {
+    /// The request ran; this is its answer.
+    Answered(Arc<Answer>),
+    /// The request ran, and its answer is not held.
+    AlreadyRun,
+    /// It can't be determined whether the request ran.
+    Unknown,
+}
+
+/// Why outcomes are not taken over.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum ImportError {
+    /// The outcomes are larger than the bound.
+    #[snafu(display("the outcomes handed over exceed {HANDOVER_BYTES} bytes"))]
+    TooLarge,
+    /// The outcomes name the receiving member as their owner.
+    #[snafu(display("the outcomes handed over are the receiver's own"))]
+    OwnIdentities,
+}
+
+/// The outcomes taken over from former owners.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(super) struct Imports(VecDeque<Import>);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Import {
+    owner: MemberId,
+    time: Time,
+    outcomes: BTreeMap<u64, (Fingerprint, FinishedOutcome)>,
+}
+
+impl Imports {
+    /// Adds or replaces the outcomes of one owner; the oldest import is dropped beyond [`MAX_IMPORTS`].
+    pub(super) fn add(&mut self, now: Time, handover: Handover) -> Result<(), ImportError> {
+        let bytes: usize = handover.outcomes.iter().map(Finished::size).sum();
+        let oversize = handover.outcomes.iter().any(|f| f.size() > MAX_ANSWER + OUTCOME_BYTES);
+        if bytes > HANDOVER_BYTES || oversize {
+            return Err(ImportError::TooLarge);
+        }
+        self.0.retain(|i| i.owner != handover.owner);
+        if self.0.len() >= MAX_IMPORTS {
+            self.0.pop_front();
+        }
+        let outcomes = handover.outcomes.into_iter();
+        let outcomes = outcomes.map(|f| (f.counter, (f.fingerprint, f.outcome))).collect();
+        self.0.push_back(Import { owner: handover.owner, time: now, outcomes });
+        Ok(())
+    }
+
+    pub(super) fn contains(&self, owner: MemberId) -> bool {
+        self.0.iter().any(|i| i.owner == owner)
+    }
+
+    /// Returns what is known about an identity of a former owner, or none if its outcomes weren't taken over.
+    pub(super) fn find(&self, identity: Identity, fingerprint: Fingerprint) -> Option<Begin> {
+        let import = self.0.iter().find(|i| i.owner == identity.owner)?;
+        Some(match import.outcomes.get(&identity.counter) {
+            None => Begin::Unknown,
+            Some((expected, _)) if *expected != fingerprint => Begin::Mismatch,
+            Some((_, FinishedOutcome::Answered(answer))) => Begin::Answered(Arc::clone(answer)),
+            Some((_, FinishedOutcome::AlreadyRun)) => Begin::AlreadyRun,
+            Some((_, FinishedOutcome::Unknown)) => Begin::Unknown,
+        })
+    }
+
+    pub(super) fn sweep(&mut self, now: Time) {
+        while self.0.front().is_some_and(|i| now.since(i.time) > REMEMBER) {
+            self.0.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/identity/tests.rs
@@ -0,0 +1,287 @@
+use test_case::test_case;
+
+use super::*;
+use crate::{
+    refusal::{Outcome, Reason, Refusal},
+    time::Time,
+};
+
+const ME: MemberId = MemberId(1);
+const OTHER: MemberId = MemberId(2);
+const TARGET: MemberId = MemberId(3);
+
+fn print(path: &str) -> Fingerprint {
+    Fingerprint::new("orders", "POST", path, Some(10))
+}
+
+fn at(seconds: u64) -> Time {
+    Time::from_micros(seconds * 1_000_000)
+}
+
+fn answer(len: usize) -> Answer {
+    Answer { status: 200, content_type: None, body: vec![7; len].into() }
+}
+
+fn run(owner: &mut Owner, now: Time, result: AttemptResult) -> Identity {
+    let identity = owner.issue();
+    assert_eq!(owner.begin(now, identity, print("/a")), Begin::Start);
+    let tag = owner.attempt(now, identity, TARGET).unwrap();
+    owner.settle(now, tag, result);
+    identity
+}
+
+fn stamp(sender: u64, sequence: u64) -> Stamp {
+    Stamp { sender: MemberId(sender), sequence, destination: ME }
+}
+
+// Guards against two texts for one identity, which would be two keys for one request.
+#[test_case("00000000000000ff.12", true; "canonical")]
+#[test_case("00000000000000FF.12", false; "capitals")]
+#[test_case("00000000000000ff.012", false; "leading zero")]
+#[test_case("00000000000000ff.+12", false; "sign")]
+#[test_case("+0000000000000ff.12", false; "sign in member")]
+#[test_case("ff.12", false; "short member")]
+#[test_case("order-7", false; "own key")]
+fn identity_text(text: &str, issued: bool) {
+    let presented = Presented::parse("orders", text).unwrap();
+    assert_eq!(matches!(presented, Presented::Issued(i) if i.to_string() == text), issued);
+}
+
+// Guards against unbounded or unprintable keys, and against one key shared by two services.
+#[test]
+fn key_text() {
+    assert!(Key::new("orders", &"k".repeat(MAX_KEY)).is_ok());
+    for bad in ["", "a b", "\u{e9}", &"k".repeat(MAX_KEY + 1)] {
+        assert_eq!(Key::new("orders", bad), Err(KeyError));
+    }
+    assert_ne!(Key::new("orders", "k"), Key::new("payments", "k"));
+    assert_ne!(
+        Fingerprint::new("o", "POST", "/", None),
+        Fingerprint::new("o", "POST", "/", Some(0))
+    );
+}
+
+// Guards against a second attempt without an explicit "not run" of the first one.
+#[test_case(AttemptResult::NotRun, Settled::Held, true; "not run")]
+#[test_case(AttemptResult::Lost, Settled::Ended, false; "lost")]
+#[test_case(AttemptResult::Answered(None), Settled::Ended, false; "answered")]
+fn next_attempt(result: AttemptResult, settled: Settled, allowed: bool) {
+    let mut owner = Owner::new(ME, 0);
+    let identity = owner.issue();
+    owner.begin(at(0), identity, print("/a"));
+    let tag = owner.attempt(at(0), identity, TARGET).unwrap();
+    assert_eq!(owner.attempt(at(0), identity, OTHER), None);
+    assert!(!owner.release(identity));
+    assert_eq!(owner.settle(at(0), tag, result), settled);
+    assert_eq!(owner.attempt(at(0), identity, OTHER).is_some(), allowed);
+    // The result of the first attempt says nothing about the second one.
+    assert_eq!(owner.settle(at(0), tag, AttemptResult::NotRun), Settled::Ignored);
+}
+
+// Guards against a repeat that runs again or receives the answer to another request.
+#[test]
+fn repeats() {
+    let mut owner = Owner::new(ME, 0);
+    let kept = run(&mut owner, at(0), AttemptResult::Answered(Some(answer(9))));
+    let large = run(&mut owner, at(0), AttemptResult::Answered(Some(answer(MAX_ANSWER + 1))));
+    let lost = run(&mut owner, at(0), AttemptResult::Lost);
+    assert_eq!(owner.begin(at(1), kept, print("/a")), Begin::Answered(Arc::new(answer(9))));
+    assert_eq!(owner.begin(at(1), kept, print("/b")), Begin::Mismatch);
+    assert_eq!(owner.begin(at(1), large, print("/a")), Begin::AlreadyRun);
+    assert_eq!(owner.begin(at(1), lost, print("/a")), Begin::Unknown);
+    let foreign = Identity { owner: OTHER, counter: 1 };
+    assert_eq!(owner.begin(at(1), foreign, print("/a")), Begin::Foreign(OTHER));
+    let ahead = Identity { owner: ME, counter: 99 };
+    assert_eq!(owner.begin(at(1), ahead, print("/a")), Begin::NotIssued);
+}
+
+// Guards against "not run" for an identity that ran and was evicted.
+#[test]
+fn eviction_raises_floor() {
+    let mut owner = Owner::new(ME, 0);
+    let early = owner.issue();
+    let done = run(&mut owner, at(0), AttemptResult::Answered(Some(answer(1))));
+    let later = owner.issue();
+    assert!(matches!(owner.begin(at(600), done, print("/a")), Begin::Answered(_)));
+    assert_eq!(owner.begin(at(601), done, print("/a")), Begin::Unknown);
+    assert_eq!(owner.begin(at(601), early, print("/a")), Begin::Unknown);
+    assert_eq!(owner.begin(at(601), later, print("/a")), Begin::Start);
+    assert_eq!(owner.len(), 1);
+}
+
+// Guards against unbounded tables and answers.
+#[test]
+fn owner_bounds() {
+    let mut owner = Owner::new(ME, 0);
+    let first = run(&mut owner, at(0), AttemptResult::Answered(Some(answer(MAX_ANSWER))));
+    let kept = MAX_ANSWERS / MAX_ANSWER;
+    let second = run(&mut owner, at(0), AttemptResult::Answered(Some(answer(MAX_ANSWER))));
+    for _ in 1..kept {
+        run(&mut owner, at(0), AttemptResult::Answered(Some(answer(MAX_ANSWER))));
+    }
+    assert_eq!(owner.begin(at(0), first, print("/a")), Begin::AlreadyRun);
+    assert!(matches!(owner.begin(at(0), second, print("/a")), Begin::Answered(_)));
+    while owner.len() < MAX_ENTRIES {
+        run(&mut owner, at(0), AttemptResult::Lost);
+    }
+    let refused = owner.issue();
+    let full = owner.begin(at(600), refused, print("/a"));
+    assert_eq!(full.refusal().unwrap().outcome, Outcome::NotRun);
+    assert_eq!(owner.begin_anonymous(at(600), print("/a")), Err(Begin::Full));
+    assert_eq!(owner.begin(at(601), refused, print("/a")), Begin::Start);
+}
+
+// Guards against entries of requests without an identity, which nobody can repeat, filling the table, and
+// against their eviction making issued identities unknown.
+#[test]
+fn anonymous_entries_leave() {
+    let mut owner = Owner::new(ME, 0);
+    let issued = owner.issue();
+    let identity = owner.begin_anonymous(at(0), print("/a")).unwrap();
+    let tag = owner.attempt(at(0), identity, TARGET).unwrap();
+    assert_eq!(owner.begin(at(0), identity, print("/a")), Begin::Unknown);
+    assert_eq!(owner.settle(at(0), tag, AttemptResult::Answered(None)), Settled::Ended);
+    assert!(owner.is_empty());
+    assert_eq!(owner.begin(at(601), issued, print("/a")), Begin::Start);
+}
+
+// Guards against a run on a second delivery, in whatever order and however late it arrives.
+#[test]
+fn deliveries() {
+    let mut receipts = Receipts::new();
+    assert_eq!(receipts.accept(stamp(9, 5), ME), Accept::Run);
+    assert_eq!(receipts.accept(stamp(9, 5), ME), Accept::Duplicate);
+    assert_eq!(receipts.accept(stamp(9, 3), ME), Accept::Run);
+    assert_eq!(receipts.accept(stamp(9, 6), OTHER), Accept::WrongMember);
+    for sequence in 10..10 + WINDOW as u64 {
+        assert_eq!(receipts.accept(stamp(9, sequence), ME), Accept::Run);
+    }
+    assert_eq!(receipts.accept(stamp(9, 3), ME), Accept::BelowFloor);
+    assert_eq!(receipts.accept(stamp(9, 5), ME), Accept::BelowFloor);
+    assert_eq!(receipts.accept(stamp(9, 10), ME), Accept::Duplicate);
+}
+
+// Guards against unbounded senders, a second run after the eviction of a sender, and a sender whose clock is
+// far ahead raising the floor for all others.
+#[test]
+fn sender_bound() {
+    let mut receipts = Receipts::new();
+    assert_eq!(receipts.accept(stamp(1, u64::MAX), ME), Accept::Run);
+    for sender in 2..=MAX_SENDERS as u64 {
+        assert_eq!(receipts.accept(stamp(sender, 1_000 + sender), ME), Accept::Run);
+    }
+    assert_eq!(receipts.accept(stamp(90_000, 900), ME), Accept::BelowFloor);
+    assert_eq!(receipts.accept(stamp(90_000, 900_000), ME), Accept::Run);
+    assert_eq!(receipts.senders(), MAX_SENDERS);
+    assert_eq!(receipts.accept(stamp(2, 1_002), ME), Accept::BelowFloor);
+    assert_eq!(receipts.accept(stamp(90_000, 900), ME), Accept::BelowFloor);
+    assert_eq!(receipts.accept(stamp(2, 900_001), ME), Accept::Run);
+}
+
+// Guards against a claim whose result is misread: each row is the events and the last action.
+#[test_case(&[ClaimEvent::Written], "own 1"; "written")]
+#[test_case(&[ClaimEvent::Conflict, ClaimEvent::Read(Some(id(OTHER, 4)))], "forward 4"; "conflict")]
+#[test_case(&[ClaimEvent::Conflict, ClaimEvent::Read(Some(id(ME, 2)))], "own 2"; "other send here")]
+#[test_case(&[ClaimEvent::WriteUnknown, ClaimEvent::Read(Some(id(ME, 1)))], "own 1"; "answer lost")]
+#[test_case(&[ClaimEvent::WriteUnknown, ClaimEvent::Read(None)], "identity-budget (not-run)"; "may still land")]
+#[test_case(&[ClaimEvent::WriteUnknown, ClaimEvent::Unavailable], "identity-budget (not-run)"; "read fails")]
+#[test_case(&[ClaimEvent::Unavailable], "identity-budget (not-run)"; "platform down")]
+#[test_case(&[ClaimEvent::Timeout], "identity-budget (not-run)"; "timeout")]
+#[test_case(&[ClaimEvent::Timeout, ClaimEvent::Written], "nothing"; "written after timeout")]
+#[test_case(&[ClaimEvent::Conflict, ClaimEvent::Read(Some(id(OTHER, 4))), ClaimEvent::OwnerLost], "owner-lost (unknown)"; "owner lost")]
+fn claims(events: &[ClaimEvent], expected: &str) {
+    let (mut claim, first) = Claim::new(at(5), id(ME, 1));
+    assert_eq!(first, ClaimAction::Write);
+    let last = events.iter().map(|e| claim.apply(at(6), *e)).last().unwrap();
+    let text = match last {
+        ClaimAction::Own(i) => format!("own {}", i.counter),
+        ClaimAction::Forward(i) => format!("forward {}", i.counter),
+        ClaimAction::Refuse(r) => r.to_string(),
+        ClaimAction::Nothing => "nothing".to_owned(),
+        ClaimAction::Write | ClaimAction::Read => "platform".to_owned(),
+    };
+    assert_eq!(text, expected);
+}
+
+// Guards against a claim that was written after a pause, when the lease of an earlier one may have ended.
+#[test]
+fn late_claim_is_not_used() {
+    let (mut claim, _) = Claim::new(at(5), id(ME, 1));
+    let refusal = Refusal::not_run(Reason::IdentityBudget);
+    assert_eq!(claim.apply(at(8), ClaimEvent::Written), ClaimAction::Refuse(refusal));
+}
+
+// Guards against more claims than the document's rate or the node's share of the fleet's.
+#[test_case(20, 10, 20, 40, 20; "rate of the document")]
+#[test_case(20, 24_000, 1, 1, 0; "share of a large fleet")]
+#[test_case(0, 10, 0, 0, 0; "no claims")]
+fn claim_rate(rate: u16, nodes: u64, at_once: usize, admitted: usize, after_second: usize) {
+    let mut budget = ClaimBudget::new(rate, nodes);
+    let starts: Vec<_> = (0..100).filter_map(|_| budget.admit(at(100))).collect();
+    assert_eq!(starts.iter().filter(|s| **s == at(100)).count(), at_once);
+    assert_eq!(starts.len(), admitted);
+    assert!(starts.iter().all(|s| *s <= at(101)));
+    assert_eq!((0..100).filter_map(|_| budget.admit(at(101))).count(), after_second);
+}
+
+// Guards against a successor that runs a request, and against a leaving node that begins one.
+#[test]
+fn handover() {
+    let mut leaver = Owner::new(OTHER, 0);
+    let done = run(&mut leaver, at(0), AttemptResult::Answered(Some(answer(9))));
+    let lost = run(&mut leaver, at(0), AttemptResult::Lost);
+    let unused = leaver.issue();
+    assert_eq!(leaver.export(), None);
+    leaver.leave();
+    assert_eq!(leaver.begin(at(1), unused, print("/a")), Begin::Leaving);
+    assert_eq!(leaver.active(), 0);
+    let handover = leaver.export().unwrap();
+    assert_eq!(leaver.import(at(1), handover.clone()), Err(ImportError::OwnIdentities));
+    let mut successor = Owner::new(ME, 0);
+    successor.import(at(1), handover).unwrap();
+    assert!(matches!(successor.begin(at(2), done, print("/a")), Begin::Answered(_)));
+    assert_eq!(successor.begin(at(2), done, print("/b")), Begin::Mismatch);
+    assert_eq!(successor.begin(at(2), lost, print("/a")), Begin::Unknown);
+    assert_eq!(successor.begin(at(2), unused, print("/a")), Begin::Unknown);
+    assert!(successor.succeeds(OTHER));
+    assert_eq!(successor.begin(at(602), done, print("/a")), Begin::Foreign(OTHER));
+}
+
+// Guards against a handover that exceeds the control budget.
+#[test]
+fn handover_bound() {
+    let mut leaver = Owner::new(OTHER, 0);
+    for _ in 0..40 {
+        run(&mut leaver, at(0), AttemptResult::Answered(Some(answer(MAX_ANSWER))));
+    }
+    leaver.leave();
+    let mut handover = leaver.export().unwrap();
+    assert_eq!(handover.outcomes.len(), HANDOVER_BYTES / MAX_ANSWER - 1);
+    assert_eq!(handover.outcomes[0].counter, 40);
+    handover.outcomes.extend(handover.outcomes.clone());
+    assert_eq!(Owner::new(ME, 0).import(at(0), handover), Err(ImportError::TooLarge));
+}
+
+// Guards against unbounded memory for claimed keys and a key that outlives the retention time.
+#[test]
+fn claimed_keys() {
+    let mut owner = Owner::new(ME, 0);
+    let key = Key::new("orders", "k").unwrap();
+    let identity = owner.issue();
+    owner.claimed(at(0), key, identity);
+    owner.claimed(at(0), key, id(ME, 9));
+    assert_eq!(owner.claimed_identity(at(600), key), Some(identity));
+    assert_eq!(owner.claimed_identity(at(601), key), None);
+}
+
+// Guards against a table whose memory exceeds a quarter of the 32 MB of a node.
+#[test]
+fn cost_estimate() {
+    let cost = measure(1_000);
+    assert_eq!(cost.entries, 1_000);
+    assert!(cost.entry_bytes * MAX_ENTRIES <= 8 * 1_024 * 1_024);
+}
+
+fn id(owner: MemberId, counter: u64) -> Identity {
+    Identity { owner, counter }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod load;
 pub mod refusal;
 pub mod time;
+pub mod identity;
