--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod time;
 mod timer;
 mod work;
+pub mod identity;
