Add document validation and difference

Operators need every problem of a document at once, each with its path and a remedy, and need to see what a change does before it is applied. serde stops at the first problem and keeps the last of repeated fields.

--- a/src/document.rs
+++ b/src/document.rs
@@ -7,6 +7,10 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+pub mod diff;
+mod read;
+pub mod validate;
+
 /// The operators' document.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
