--- /dev/null
+++ b/src/gossip.rs
@@ -0,0 +1,230 @@
+//! Gossip datagrams: their codec and the UDP edge of [`crate::membership`].
+//!
+//! A datagram holds the sender's member id, a sequence number and the message in `postcard` form, followed by a
+//! keyed BLAKE3 tag over all of it. Datagrams that fail a check are counted by kind and dropped.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use ipnet::IpNet;
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc::{self, error::TrySendError},
+    task::JoinHandle,
+};
+
+use crate::{
+    keys::MemberId,
+    membership::{DATAGRAM_BYTES, Message, Source},
+};
+
+mod codec;
+mod replay;
+
+#[cfg(test)]
+mod tests;
+
+pub use codec::{Decoder, Encoder, Key};
+pub use replay::{REPLAY_WINDOW, SENDERS};
+
+/// Messages waiting for the driver. A member receives a few datagrams a second, and a burst of the whole region
+/// is dropped beyond this.
+pub const RECEIVE_QUEUE: usize = 1_024;
+
+/// The pause after a failed receive, so that a broken socket does not occupy a core.
+const ERROR_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a datagram was dropped.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum DropKind {
+    /// It is larger than [`DATAGRAM_BYTES`].
+    Oversize,
+    /// It came from outside the configured address ranges, or its destination lies outside of them.
+    Foreign,
+    /// Its tag is missing or does not match the key.
+    Unauthenticated,
+    /// Its content cannot be decoded.
+    Malformed,
+    /// Its sequence number was seen before, or is too old to tell.
+    Replayed,
+    /// It came from a new sender while [`SENDERS`] others were active.
+    Untracked,
+    /// The receive queue was full.
+    Overrun,
+    /// The socket reported an error.
+    Socket,
+}
+
+impl DropKind {
+    /// All kinds, in the order of their counters.
+    pub const ALL: [DropKind; 8] = [
+        DropKind::Oversize,
+        DropKind::Foreign,
+        DropKind::Unauthenticated,
+        DropKind::Malformed,
+        DropKind::Replayed,
+        DropKind::Untracked,
+        DropKind::Overrun,
+        DropKind::Socket,
+    ];
+
+    /// Returns the name for metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            DropKind::Oversize => "oversize",
+            DropKind::Foreign => "foreign",
+            DropKind::Unauthenticated => "unauthenticated",
+            DropKind::Malformed => "malformed",
+            DropKind::Replayed => "replayed",
+            DropKind::Untracked => "untracked",
+            DropKind::Overrun => "overrun",
+            DropKind::Socket => "socket",
+        }
+    }
+}
+
+/// Datagrams and bytes since the start, shared by both halves of the edge.
+#[derive(Debug, Default)]
+pub struct Counters {
+    received: AtomicU64,
+    received_bytes: AtomicU64,
+    sent: AtomicU64,
+    sent_bytes: AtomicU64,
+    drops: [AtomicU64; DropKind::ALL.len()],
+}
+
+impl Counters {
+    /// Returns the accepted datagrams and their bytes.
+    pub fn received(&self) -> (u64, u64) {
+        (self.received.load(Ordering::Relaxed), self.received_bytes.load(Ordering::Relaxed))
+    }
+
+    /// Returns the sent datagrams and their bytes.
+    pub fn sent(&self) -> (u64, u64) {
+        (self.sent.load(Ordering::Relaxed), self.sent_bytes.load(Ordering::Relaxed))
+    }
+
+    /// Returns the dropped datagrams of one kind, received or to be sent.
+    pub fn dropped(&self, kind: DropKind) -> u64 {
+        self.drops[kind as usize].load(Ordering::Relaxed)
+    }
+
+    fn count_drop(&self, kind: DropKind) {
+        self.drops[kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn count_sent(&self, bytes: usize) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn count_received(&self, bytes: usize) {
+        self.received.fetch_add(1, Ordering::Relaxed);
+        self.received_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+/// Who this node is and whom it accepts.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The id under which datagrams are sent.
+    pub id: MemberId,
+    /// The key shared by all nodes.
+    pub key: Key,
+    /// The address ranges from which datagrams are accepted and to which they are sent.
+    pub ranges: Vec<IpNet>,
+}
+
+impl Identity {
+    fn covers(&self, address: SocketAddr) -> bool {
+        self.ranges.iter().any(|range| range.contains(&address.ip()))
+    }
+}
+
+/// The sending half of the edge.
+#[derive(Debug)]
+pub struct Sender {
+    socket: Arc<UdpSocket>,
+    encoder: Encoder,
+    counters: Arc<Counters>,
+}
+
+impl Sender {
+    /// Sends a message without waiting. Failures are counted and otherwise treated as loss, which the protocol
+    /// tolerates.
+    pub fn send(&mut self, to: SocketAddr, message: &Message) {
+        let sent = self.encoder.encode(to, message).and_then(|datagram| {
+            self.socket.try_send_to(&datagram, to).map_err(|_| DropKind::Socket)
+        });
+        match sent {
+            Ok(bytes) => self.counters.count_sent(bytes),
+            Err(kind) => self.counters.count_drop(kind),
+        }
+    }
+}
+
+/// An open edge.
+#[derive(Debug)]
+pub struct Gossip {
+    /// The bound address.
+    pub address: SocketAddr,
+    /// The sending half.
+    pub sender: Sender,
+    /// The accepted messages. Dropping the receiver ends the task.
+    pub messages: mpsc::Receiver<(Source, Message)>,
+    /// The counters of both halves.
+    pub counters: Arc<Counters>,
+    /// The task that reads datagrams.
+    pub task: JoinHandle<()>,
+}
+
+/// Binds the UDP socket and starts to read datagrams.
+pub async fn open(bind: SocketAddr, identity: Identity) -> io::Result<Gossip> {
+    let socket = Arc::new(UdpSocket::bind(bind).await?);
+    let address = socket.local_addr()?;
+    let counters = Arc::new(Counters::default());
+    let (tx, messages) = mpsc::channel(RECEIVE_QUEUE);
+    let decoder = Decoder::new(identity.clone());
+    let task = tokio::spawn(read(socket.clone(), decoder, tx, counters.clone()));
+    let sender = Sender { socket, encoder: Encoder::new(identity), counters: counters.clone() };
+    Ok(Gossip { address, sender, messages, counters, task })
+}
+
+async fn read(
+    socket: Arc<UdpSocket>,
+    mut decoder: Decoder,
+    messages: mpsc::Sender<(Source, Message)>,
+    counters: Arc<Counters>,
+) {
+    // One byte more than allowed tells an oversize datagram from the largest one.
+    let mut buffer = [0; DATAGRAM_BYTES + 1];
+    loop {
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buffer) => received,
+            () = messages.closed() => return,
+        };
+        let (bytes, from) = match received {
+            Ok(received) => received,
+            Err(_) => {
+                counters.count_drop(DropKind::Socket);
+                tokio::time::sleep(ERROR_PAUSE).await;
+                continue;
+            }
+        };
+        match decoder.decode(from, &buffer[..bytes]) {
+            Ok(accepted) => match messages.try_send(accepted) {
+                Ok(()) => counters.count_received(bytes),
+                Err(TrySendError::Full(_)) => counters.count_drop(DropKind::Overrun),
+                Err(TrySendError::Closed(_)) => return,
+            },
+            Err(kind) => counters.count_drop(kind),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 //! architecture.
 
 pub mod document;
+pub mod gossip;
 pub mod keys;
 pub mod load;
+pub mod membership;
 pub mod refusal;
 pub mod time;
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,394 @@
+//! SWIM membership of one region: failure detection and dissemination, without I/O or a clock.
+//!
+//! Section 5.1 of `docs/design.md` gives the requirements. The driver passes in verified messages and the time,
+//! and executes the [`Output`]s. All traffic is bounded by a token bucket, see [`GOSSIP_BYTES`].
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use compact_str::CompactString;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{keys::MemberId, time::Time};
+
+mod budget;
+mod measure;
+mod merge;
+mod message;
+mod output;
+mod probe;
+mod sync;
+mod table;
+
+#[cfg(test)]
+mod tests;
+
+pub use budget::{CONTROL_BYTES, GOSSIP_BYTES};
+pub use measure::{MembershipCost, measure};
+pub use message::{
+    Body, Claim, DATAGRAM_BYTES, ENVELOPE_BYTES, InvalidMember, MESSAGE_BYTES, Member, Message,
+    NAME_BYTES, PAYLOAD_BYTES, Source, State, Update,
+};
+pub use output::{Counters, Loss, Output};
+pub use probe::PROBE_PERIOD;
+pub use sync::WANTED_SERVICES;
+pub use table::{TABLE_MEMBERS, TOMBSTONE_TIME};
+
+use budget::{Budget, HEADER_BYTES};
+use message::encoded_bytes;
+use probe::Probing;
+use sync::Sync;
+use table::Table;
+
+/// The interval at which the driver calls [`Membership::tick`].
+pub const TICK: Duration = Duration::from_millis(100);
+
+/// A tick later than this means that the process was paused. Deadlines that passed meanwhile prove nothing.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// The interval between rounds in which queued updates are spread. With [`SPREAD_FANOUT`] an update reaches 2,667
+/// members in about log4(2,667) = 6 rounds, or 1.2 s.
+const SPREAD_PERIOD: Duration = Duration::from_millis(200);
+
+/// The members to which each round spreads updates.
+const SPREAD_FANOUT: usize = 3;
+
+/// The members that a leaving member tells at once, so that a loss of some datagrams does not hide its stop.
+const LEAVE_FANOUT: usize = 8;
+
+/// The interval at which expired tombstones are removed and a full table is reported.
+const SWEEP_PERIOD: Duration = Duration::from_secs(10);
+
+/// What the node asks of membership.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The services whose members a join pulls first; at most [`WANTED_SERVICES`] are used.
+    pub wanted: Vec<CompactString>,
+    /// The bytes per second that may be sent.
+    pub send_bytes: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings { wanted: vec![], send_bytes: GOSSIP_BYTES }
+    }
+}
+
+/// How an update arrived.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Via {
+    /// News, which is spread further.
+    Gossip,
+    /// A join or an anti-entropy exchange, whose content is not news to most members.
+    Exchange,
+}
+
+/// Whether a message may use the part of the budget reserved for probes.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Class {
+    Probe,
+    Bulk,
+}
+
+/// The receiver of a message.
+#[derive(Copy, Clone, Debug)]
+struct Receiver {
+    address: SocketAddr,
+    id: Option<MemberId>,
+}
+
+impl From<Source> for Receiver {
+    fn from(source: Source) -> Receiver {
+        Receiver { address: source.address, id: Some(source.id) }
+    }
+}
+
+/// One node's view of its region.
+#[derive(Debug)]
+pub struct Membership {
+    id: MemberId,
+    settings: Settings,
+    table: Table,
+    /// The times at which suspected members are declared dead.
+    suspects: BTreeMap<MemberId, Time>,
+    probing: Probing,
+    sync: Sync,
+    budget: Budget,
+    rng: SmallRng,
+    revision: u64,
+    payload: Vec<u8>,
+    left: bool,
+    ticked: Time,
+    next_spread: Time,
+    next_sweep: Time,
+    reported: u64,
+    counters: Counters,
+}
+
+impl Membership {
+    /// Creates the membership of a region that consists of `me` alone. A member that others have to accept passes
+    /// [`Member::validate`].
+    pub fn new(me: Member, settings: Settings, seed: u64) -> Membership {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        // A random phase keeps nodes that started together from sending in step.
+        let phase = Time::ZERO + PROBE_PERIOD.mul_f64(rng.random_range(0.0..1.0));
+        Membership {
+            id: me.id,
+            budget: Budget::new(settings.send_bytes),
+            probing: Probing::new(phase, rng.random()),
+            sync: Sync::new(phase),
+            table: Table::new(me),
+            settings,
+            suspects: BTreeMap::new(),
+            rng,
+            revision: 0,
+            payload: vec![],
+            left: false,
+            ticked: Time::ZERO,
+            next_spread: phase,
+            next_sweep: Time::ZERO,
+            reported: 0,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Returns this node's record.
+    pub fn me(&self) -> &Member {
+        &self.table.me().member
+    }
+
+    /// Returns the record and state of a member, tombstones included.
+    pub fn member(&self, id: MemberId) -> Option<(&Member, State)> {
+        self.table.get(id).map(|r| (&r.member, r.state))
+    }
+
+    /// Returns all members including this node and tombstones, in the order of their ids.
+    pub fn members(&self) -> impl Iterator<Item = (&Member, State)> {
+        self.table.iter().map(|r| (&r.member, r.state))
+    }
+
+    /// Returns the number of live members including this node.
+    pub fn group(&self) -> usize {
+        self.table.group()
+    }
+
+    /// Returns whether the table is complete, so that this node may serve joins.
+    pub fn is_synced(&self) -> bool {
+        self.sync.is_synced()
+    }
+
+    /// Returns whether the planned leave has been announced often enough for the process to stop.
+    pub fn has_left(&self) -> bool {
+        self.left && !self.table.is_queued(self.id)
+    }
+
+    /// Returns the events counted since the start.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Estimates the memory of the table in bytes.
+    pub fn state_bytes(&self) -> usize {
+        self.table.state_bytes() + self.probing.state_bytes()
+    }
+
+    /// Changes what this node announces. The id and the incarnation stay with membership.
+    pub fn set_me(&mut self, change: impl FnOnce(&mut Member)) {
+        let id = self.id;
+        self.table.renew_me(0, |record| {
+            let incarnation = record.member.incarnation;
+            change(&mut record.member);
+            (record.member.id, record.member.incarnation) = (id, incarnation);
+        });
+    }
+
+    /// Sets the revision that rides on each message.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
+    /// Sets the payload that rides on each message, and returns whether it fits [`PAYLOAD_BYTES`]. A payload that
+    /// does not fit leaves the previous one in place.
+    pub fn set_payload(&mut self, payload: Vec<u8>) -> bool {
+        let fits = payload.len() <= PAYLOAD_BYTES;
+        if fits {
+            self.payload = payload;
+        }
+        fits
+    }
+
+    /// Starts to pull the table from the members at `contacts`, and to announce this node. Without contacts the
+    /// node is the first of its region.
+    pub fn join(&mut self, now: Time, contacts: Vec<SocketAddr>, out: &mut Vec<Output>) {
+        let own = self.me().gossip;
+        let contacts = contacts.into_iter().filter(|c| *c != own).collect();
+        self.table.enqueue(self.id);
+        self.start_join(now, contacts, out);
+    }
+
+    /// Announces a planned leave. The node answers probes until the process stops, but no longer refutes.
+    pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.left {
+            return;
+        }
+        self.left = true;
+        self.budget.refill(now);
+        self.table.renew_me(0, |record| record.state = State::Left);
+        self.spread(LEAVE_FANOUT, out);
+    }
+
+    /// Processes a message whose origin has been verified.
+    pub fn handle(&mut self, now: Time, from: Source, message: Message, out: &mut Vec<Output>) {
+        if from.id == self.id {
+            return;
+        }
+        self.budget.refill(now);
+        let Message { revision, payload, updates, body } = message;
+        for update in updates {
+            self.apply(now, update, Via::Gossip, out);
+        }
+        let is_ping = matches!(body, Body::Ping { .. });
+        match body {
+            Body::Ping { probe, target } => self.on_ping(from, probe, target, out),
+            Body::PingRequest { probe, target, address } => {
+                self.on_ping_request(now, from, probe, Receiver { address, id: Some(target) }, out);
+            }
+            Body::Ack { probe, subject } => self.on_ack(now, from, probe, subject, out),
+            Body::Gossip => {}
+            Body::Identify => self.on_identify(from, out),
+            Body::Pull { pull, first, services } => self.on_pull(from, pull, first, &services, out),
+            Body::Chunk { pull, synced, next, records } => {
+                for record in records {
+                    self.apply(now, record, Via::Exchange, out);
+                }
+                self.on_chunk(now, pull, synced, next, out);
+            }
+            Body::Digest { slices } => self.on_digest(from, &slices, out),
+            Body::Listing { first, last, claims } => {
+                self.on_listing(now, from, first..=last, &claims, out);
+            }
+            Body::Records { records, wanted } => self.on_records(now, from, records, &wanted, out),
+        }
+
+        match self.table.get(from.id).map(|r| r.state) {
+            Some(State::Alive | State::Suspect) => {
+                if revision > self.revision {
+                    out.push(Output::Revision { from: from.id, revision });
+                }
+                if !payload.is_empty() && payload.len() <= PAYLOAD_BYTES {
+                    out.push(Output::Payload { from: from.id, payload });
+                }
+            }
+            // The ack has told the sender that it is held dead.
+            Some(State::Dead) if is_ping => {}
+            Some(State::Dead) | None => {
+                self.send(from.into(), Class::Bulk, vec![], Body::Identify, out);
+            }
+            Some(State::Left) => {}
+        }
+    }
+
+    /// Does what is due. The driver calls it every [`TICK`].
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.budget.refill(now);
+        let gap = now.since(self.ticked);
+        self.ticked = now;
+        if gap >= PAUSE_LIMIT {
+            self.counters.pauses += 1;
+            self.probing.forget();
+            for deadline in self.suspects.values_mut() {
+                *deadline += gap;
+            }
+        }
+        if !self.left {
+            self.tick_probes(now, out);
+            self.tick_suspects(now, out);
+            self.tick_sync(now, out);
+        }
+        if now >= self.next_spread {
+            self.next_spread = now + SPREAD_PERIOD;
+            self.spread(SPREAD_FANOUT, out);
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_PERIOD;
+            self.table.sweep(now);
+            let refused = self.counters.refused - self.reported;
+            if refused > 0 {
+                self.reported = self.counters.refused;
+                out.push(Output::TableFull { refused });
+            }
+        }
+    }
+
+    /// Sends queued updates to random members.
+    fn spread(&mut self, fanout: usize, out: &mut Vec<Output>) {
+        if !self.table.has_news() {
+            return;
+        }
+        for id in self.table.choose(&mut self.rng, fanout, self.id) {
+            if let Some(to) = self.receiver(id)
+                && self.table.has_news()
+            {
+                self.send(to, Class::Bulk, vec![], Body::Gossip, out);
+            }
+        }
+    }
+
+    fn receiver(&self, id: MemberId) -> Option<Receiver> {
+        self.table.get(id).map(|r| Receiver { address: r.member.gossip, id: Some(id) })
+    }
+
+    /// Sends a message within the byte budget, filled up with queued updates where the body allows it, and returns
+    /// whether it was sent.
+    fn send(
+        &mut self,
+        to: Receiver,
+        class: Class,
+        mut updates: Vec<Update>,
+        body: Body,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        // A member held as suspect or dead learns it from each message, so that it can refute.
+        let held = to.id.and_then(|id| self.table.get(id)).map(|r| r.claim());
+        updates.extend(
+            held.filter(|c| matches!(c.state, State::Suspect | State::Dead)).map(Update::Claim),
+        );
+        let fills = matches!(
+            body,
+            Body::Ping { .. } | Body::PingRequest { .. } | Body::Ack { .. } | Body::Gossip
+        );
+        let is_gossip = body == Body::Gossip;
+        let mut message =
+            Message { revision: self.revision, payload: self.payload.clone(), updates, body };
+        // One more byte than now may encode the number of updates.
+        let bytes = encoded_bytes(&message) + 1;
+        let cost = bytes + ENVELOPE_BYTES + HEADER_BYTES;
+        let spare = self.budget.spare();
+        if class == Class::Bulk && cost > spare {
+            self.counters.throttled += 1;
+            return false;
+        }
+        let mut filled = 0;
+        if fills {
+            let room = MESSAGE_BYTES.saturating_sub(bytes).min(spare.saturating_sub(cost));
+            filled = self.table.take_updates(room, &mut message.updates);
+        }
+        if is_gossip && message.updates.is_empty() {
+            return false;
+        }
+        let paid = self.budget.spend(cost + filled);
+        if paid {
+            out.push(Output::Send { to: to.address, message });
+        } else {
+            self.counters.throttled += 1;
+        }
+        paid
+    }
+
+    /// The room in bytes for records in a message with the given empty body.
+    fn room(&self, body: &Body) -> usize {
+        // The lengths of two lists may take one more byte each, and the claim on the receiver up to 20 bytes.
+        let fixed = encoded_bytes(body) + self.payload.len() + 10 + 3 + 22;
+        let spare = self.budget.spare().saturating_sub(ENVELOPE_BYTES + HEADER_BYTES);
+        MESSAGE_BYTES.min(spare).saturating_sub(fixed)
+    }
+}
--- /dev/null
+++ b/src/membership/budget.rs
@@ -0,0 +1,64 @@
+//! The byte budget of gossip.
+
+use crate::time::Time;
+
+/// The control budget of a node in bytes per second, sent and received (design section 2.5).
+pub const CONTROL_BYTES: u32 = 17_000;
+
+/// The bytes per second that a member may send as gossip.
+///
+/// Configuration takes 53,000 changes a day x 3.7 KB a part = 2.3 KB/s in each direction. Of the remaining
+/// 12.4 KB/s half is for sending, because what one member sends another receives.
+pub const GOSSIP_BYTES: u32 = 6_000;
+
+/// The seconds of budget that may accumulate, so that a burst of updates after a quiet time is not delayed.
+const BURST_SECONDS: u32 = 2;
+
+/// Bytes left to probes when other messages have exhausted the rest.
+///
+/// A second of probing takes one ping, one ack, three ping requests and three relayed pings and acks, about 130
+/// bytes each without updates: 11 x 130 = 1,430 bytes.
+const PROBE_RESERVE: u64 = 1_500;
+
+/// IPv4 and UDP headers of a datagram in bytes.
+pub(super) const HEADER_BYTES: usize = 28;
+
+const MICROS: u64 = 1_000_000;
+
+/// Token bucket over sent bytes, with a reserve for probes.
+#[derive(Debug)]
+pub(super) struct Budget {
+    rate: u64,
+    /// Available bytes x 1,000,000, so that short intervals are not rounded away.
+    level: u64,
+    filled: Time,
+}
+
+impl Budget {
+    pub(super) fn new(rate: u32) -> Budget {
+        let rate = u64::from(rate);
+        Budget { rate, level: rate * u64::from(BURST_SECONDS) * MICROS, filled: Time::ZERO }
+    }
+
+    pub(super) fn refill(&mut self, now: Time) {
+        let us = u64::try_from(now.since(self.filled).as_micros()).unwrap_or(u64::MAX);
+        let cap = self.rate * u64::from(BURST_SECONDS) * MICROS;
+        self.level = self.level.saturating_add(us.saturating_mul(self.rate)).min(cap);
+        self.filled = now;
+    }
+
+    /// Returns the bytes that messages other than bare probes may use.
+    pub(super) fn spare(&self) -> usize {
+        usize::try_from((self.level / MICROS).saturating_sub(PROBE_RESERVE)).unwrap_or(usize::MAX)
+    }
+
+    /// Takes `bytes` from the bucket and returns whether they were available.
+    pub(super) fn spend(&mut self, bytes: usize) -> bool {
+        let cost = (bytes as u64).saturating_mul(MICROS);
+        let paid = cost <= self.level;
+        if paid {
+            self.level -= cost;
+        }
+        paid
+    }
+}
--- /dev/null
+++ b/src/membership/merge.rs
@@ -0,0 +1,145 @@
+//! Merging of updates into the table, and the notifications that result.
+
+use std::net::SocketAddr;
+
+use super::{
+    Loss, Membership, Output, Via,
+    message::{Claim, Member, State, Update},
+    probe::suspicion_time,
+};
+use crate::{keys::MemberId, time::Time};
+
+impl Membership {
+    /// Merges an update into the table.
+    pub(super) fn apply(&mut self, now: Time, update: Update, via: Via, out: &mut Vec<Output>) {
+        let claim = update.claim();
+        if claim.id == self.id {
+            return self.refute(claim);
+        }
+        let held = self.table.get(claim.id).map(|r| r.claim());
+        if held.is_some_and(|held| !claim.supersedes(&held)) {
+            return;
+        }
+        match update {
+            Update::Record { member, suspect } => {
+                if member.region != self.me().region || member.validate().is_err() {
+                    self.counters.invalid += 1;
+                    return;
+                }
+                if held.is_none() && !self.table.make_room() {
+                    self.counters.refused += 1;
+                    return;
+                }
+                self.replace_at(now, member.gossip, claim.id, out);
+                let state = if suspect { State::Suspect } else { State::Alive };
+                self.admit(now, member, state, out);
+            }
+            Update::Claim(claim) => {
+                let Some(held) = held else { return };
+                // After a partition heals, each side holds the other dead. The member is asked to refute before
+                // the claim is believed, or one exchange would spread the deaths to the living side.
+                if via == Via::Exchange
+                    && claim.state == State::Dead
+                    && claim.incarnation == held.incarnation
+                    && held.state.is_live()
+                {
+                    return self.verify(now, claim, out);
+                }
+                if claim.state == State::Alive {
+                    return;
+                }
+                let loss = if claim.state == State::Left { Loss::Left } else { Loss::Failed };
+                self.mark(now, claim, loss, out);
+            }
+        }
+        if via == Via::Gossip {
+            self.table.enqueue(claim.id);
+        }
+    }
+
+    /// Raises this node's incarnation above that of a suspicion or death claimed of it.
+    pub(super) fn refute(&mut self, claim: Claim) {
+        let wrong = matches!(claim.state, State::Suspect | State::Dead);
+        if wrong && !self.left && claim.incarnation >= self.me().incarnation {
+            self.counters.refutations += 1;
+            self.table.renew_me(claim.incarnation, |_| {});
+        }
+    }
+
+    /// Stores a record that supersedes what is held, and reports the difference.
+    pub(super) fn admit(&mut self, now: Time, member: Member, state: State, out: &mut Vec<Output>) {
+        let id = member.id;
+        let before = self.table.get(id).filter(|r| r.state.is_live());
+        let was_suspect = before.is_some_and(|r| r.state == State::Suspect);
+        match before {
+            None => out.push(Output::Joined(member.clone())),
+            Some(r) if !r.member.has_same_info(&member) => {
+                out.push(Output::Changed(member.clone()));
+            }
+            Some(_) => {}
+        }
+        if before.is_none() {
+            self.probing.add(id, &mut self.rng);
+        }
+        self.table.put(now, member, state);
+        self.note_suspicion(now, id, was_suspect, state, out);
+    }
+
+    /// Applies a claim that supersedes what is held, and reports the difference.
+    pub(super) fn mark(&mut self, now: Time, claim: Claim, loss: Loss, out: &mut Vec<Output>) {
+        let Some(before) = self.table.get(claim.id).map(|r| r.state) else { return };
+        self.table.mark(now, claim);
+        if before.is_live() && !claim.state.is_live() {
+            self.suspects.remove(&claim.id);
+            out.push(Output::Lost { id: claim.id, reason: loss });
+            return;
+        }
+        if !before.is_live() && claim.state.is_live() {
+            self.probing.add(claim.id, &mut self.rng);
+            if let Some(record) = self.table.get(claim.id) {
+                out.push(Output::Joined(record.member.clone()));
+            }
+        }
+        self.note_suspicion(now, claim.id, before == State::Suspect, claim.state, out);
+    }
+
+    pub(super) fn note_suspicion(
+        &mut self,
+        now: Time,
+        id: MemberId,
+        before: bool,
+        state: State,
+        out: &mut Vec<Output>,
+    ) {
+        let suspected = state == State::Suspect;
+        if suspected {
+            self.suspects.insert(id, now + suspicion_time(self.table.group()));
+        } else {
+            self.suspects.remove(&id);
+        }
+        if suspected != before {
+            out.push(Output::Suspected { id, suspected });
+        }
+    }
+
+    /// Buries the live member that held `address` before `successor`.
+    pub(super) fn replace_at(
+        &mut self,
+        now: Time,
+        address: SocketAddr,
+        successor: MemberId,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(old) = self.table.at_address(address).filter(|old| *old != successor) {
+            self.bury(now, old, Loss::Replaced, out);
+        }
+    }
+
+    /// Declares a live member dead and spreads the news.
+    pub(super) fn bury(&mut self, now: Time, id: MemberId, loss: Loss, out: &mut Vec<Output>) {
+        if let Some(held) = self.table.get(id).map(|r| r.claim()).filter(|c| c.state.is_live()) {
+            self.mark(now, Claim { state: State::Dead, ..held }, loss, out);
+            self.table.enqueue(id);
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/probe.rs
@@ -0,0 +1,265 @@
+//! Failure detection: direct and indirect probes, suspicion, and probes of the dead.
+
+use std::time::Duration;
+
+use rand::{Rng, rngs::SmallRng, seq::SliceRandom};
+
+use super::{
+    Class, Loss, Membership, Output, Receiver, Via,
+    message::{Body, Claim, Source, State, Update},
+};
+use crate::{keys::MemberId, time::Time};
+
+/// The interval between probes, and the time in which a probe has to succeed.
+pub const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// The time after which other members are asked to probe. Members of a region are 1 ms apart, so an answer this
+/// late is a lost datagram or a stalled process.
+const DIRECT_TIME: Duration = Duration::from_millis(300);
+
+/// The members asked to probe indirectly.
+const INDIRECT_PROBES: usize = 3;
+
+/// The time a suspected member has to refute, multiplied by the decimal logarithm of the group size: 5.1 s for
+/// 2,667 members. Spreading the suspicion and the refutation takes about 1.5 s each.
+const SUSPICION_TIME: Duration = Duration::from_millis(1_500);
+
+/// The interval between probes of random dead members. Each member of a healed partition probes the other side
+/// within this time, which costs 26 bytes/s.
+const DEAD_PERIOD: Duration = Duration::from_secs(5);
+
+/// Outstanding probes: one a second, and those that verify claims of an exchange.
+const PROBES: usize = 16;
+
+/// Outstanding pings on behalf of others. A member receives three requests a second if as many members as there
+/// are in the region fail to answer, so this covers twenty times that rate.
+const RELAYS: usize = 64;
+
+#[derive(Debug)]
+struct Probe {
+    number: u32,
+    target: MemberId,
+    sent: Time,
+    indirect: bool,
+}
+
+#[derive(Debug)]
+struct Relay {
+    number: u32,
+    target: MemberId,
+    origin: Source,
+    origin_number: u32,
+    sent: Time,
+}
+
+/// The state of failure detection.
+#[derive(Debug)]
+pub(super) struct Probing {
+    probes: Vec<Probe>,
+    relays: Vec<Relay>,
+    /// The members still to be probed in this round, in random order.
+    order: Vec<MemberId>,
+    next_probe: Time,
+    next_dead: Time,
+    number: u32,
+}
+
+impl Probing {
+    pub(super) fn new(phase: Time, number: u32) -> Probing {
+        Probing {
+            probes: vec![],
+            relays: vec![],
+            order: vec![],
+            next_probe: phase,
+            next_dead: phase,
+            number,
+        }
+    }
+
+    /// Forgets outstanding probes without a verdict.
+    pub(super) fn forget(&mut self) {
+        self.probes.clear();
+        self.relays.clear();
+    }
+
+    /// Inserts a new member at a random position of this round.
+    pub(super) fn add(&mut self, id: MemberId, rng: &mut SmallRng) {
+        let position = rng.random_range(0..=self.order.len());
+        self.order.insert(position, id);
+    }
+
+    pub(super) fn state_bytes(&self) -> usize {
+        self.order.capacity() * size_of::<MemberId>()
+    }
+
+    fn number(&mut self) -> u32 {
+        self.number = self.number.wrapping_add(1);
+        self.number
+    }
+}
+
+/// The time after which a suspected member is declared dead.
+pub(super) fn suspicion_time(group: usize) -> Duration {
+    SUSPICION_TIME.mul_f64((group as f64).log10().max(1.0))
+}
+
+impl Membership {
+    pub(super) fn tick_probes(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.probing.relays.retain(|r| now.since(r.sent) < PROBE_PERIOD);
+        for probe in std::mem::take(&mut self.probing.probes) {
+            self.advance(now, probe, out);
+        }
+        if now >= self.probing.next_probe {
+            self.probing.next_probe = now + PROBE_PERIOD;
+            if let Some(id) = self.next_target() {
+                self.probe(now, id, vec![], out);
+            }
+        }
+        if now >= self.probing.next_dead {
+            self.probing.next_dead = now + DEAD_PERIOD;
+            if let Some(id) = self.table.choose_dead(&mut self.rng)
+                && let Some(to) = self.receiver(id)
+            {
+                let ping = Body::Ping { probe: self.probing.number(), target: id };
+                self.send(to, Class::Probe, vec![], ping, out);
+            }
+        }
+    }
+
+    /// Declares dead the suspected members that did not refute in time.
+    pub(super) fn tick_suspects(&mut self, now: Time, out: &mut Vec<Output>) {
+        let due: Vec<MemberId> =
+            self.suspects.iter().filter(|(_, at)| now >= **at).map(|(id, _)| *id).collect();
+        for id in due {
+            self.suspects.remove(&id);
+            self.bury(now, id, Loss::Failed, out);
+        }
+    }
+
+    /// Asks a member about a claim of its death. If it lives it refutes, otherwise the probe fails.
+    pub(super) fn verify(&mut self, now: Time, claim: Claim, out: &mut Vec<Output>) {
+        if self.probing.probes.iter().all(|p| p.target != claim.id) {
+            self.probe(now, claim.id, vec![Update::Claim(claim)], out);
+        }
+    }
+
+    pub(super) fn on_ping(
+        &mut self,
+        from: Source,
+        probe: u32,
+        target: MemberId,
+        out: &mut Vec<Output>,
+    ) {
+        // A sender that expects another process at this address learns who took it over.
+        let updates = if target == self.id { vec![] } else { vec![self.table.me().full_update()] };
+        self.send(from.into(), Class::Probe, updates, Body::Ack { probe, subject: self.id }, out);
+    }
+
+    pub(super) fn on_ping_request(
+        &mut self,
+        now: Time,
+        origin: Source,
+        origin_number: u32,
+        target: Receiver,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(id) = target.id else { return };
+        if self.probing.relays.len() >= RELAYS {
+            self.counters.throttled += 1;
+            return;
+        }
+        let number = self.probing.number();
+        let ping = Body::Ping { probe: number, target: id };
+        if self.send(target, Class::Probe, vec![], ping, out) {
+            let relay = Relay { number, target: id, origin, origin_number, sent: now };
+            self.probing.relays.push(relay);
+        }
+    }
+
+    pub(super) fn on_ack(
+        &mut self,
+        now: Time,
+        from: Source,
+        number: u32,
+        subject: MemberId,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(i) = self.probing.relays.iter().position(|r| r.number == number) {
+            let relay = self.probing.relays.swap_remove(i);
+            if relay.target == subject {
+                let ack = Body::Ack { probe: relay.origin_number, subject };
+                self.send(relay.origin.into(), Class::Probe, vec![], ack, out);
+            }
+            return;
+        }
+        let Some(i) = self.probing.probes.iter().position(|p| p.number == number) else { return };
+        let target = self.probing.probes[i].target;
+        if target == subject {
+            self.probing.probes.swap_remove(i);
+        } else if from.id == subject
+            && self.receiver(target).is_some_and(|r| r.address == from.address)
+        {
+            // Two processes cannot hold one address, so the expected one is gone.
+            self.probing.probes.swap_remove(i);
+            self.bury(now, target, Loss::Replaced, out);
+        }
+    }
+
+    fn probe(&mut self, now: Time, target: MemberId, first: Vec<Update>, out: &mut Vec<Output>) {
+        let Some(to) = self.receiver(target) else { return };
+        if self.probing.probes.len() >= PROBES {
+            self.counters.throttled += 1;
+            return;
+        }
+        let number = self.probing.number();
+        let ping = Body::Ping { probe: number, target };
+        // Without a sent ping there is nothing to conclude.
+        if self.send(to, Class::Probe, first, ping, out) {
+            self.probing.probes.push(Probe { number, target, sent: now, indirect: false });
+        }
+    }
+
+    fn advance(&mut self, now: Time, mut probe: Probe, out: &mut Vec<Output>) {
+        let Some(held) = self.table.get(probe.target).map(|r| r.claim()) else { return };
+        if !held.state.is_live() {
+            return;
+        }
+        if now.since(probe.sent) >= PROBE_PERIOD {
+            let claim = Claim { state: State::Suspect, ..held };
+            self.apply(now, Update::Claim(claim), Via::Gossip, out);
+            return;
+        }
+        if !probe.indirect && now.since(probe.sent) >= DIRECT_TIME {
+            probe.indirect = true;
+            self.ask_others(&probe, out);
+        }
+        self.probing.probes.push(probe);
+    }
+
+    fn ask_others(&mut self, probe: &Probe, out: &mut Vec<Output>) {
+        let Some(target) = self.receiver(probe.target) else { return };
+        for id in self.table.choose(&mut self.rng, INDIRECT_PROBES, probe.target) {
+            let Some(to) = self.receiver(id) else { continue };
+            let request = Body::PingRequest {
+                probe: probe.number,
+                target: probe.target,
+                address: target.address,
+            };
+            self.send(to, Class::Probe, vec![], request, out);
+        }
+    }
+
+    /// The next member of the round; a new round shuffles the live members.
+    fn next_target(&mut self) -> Option<MemberId> {
+        loop {
+            if self.probing.order.is_empty() {
+                self.probing.order.extend_from_slice(self.table.live());
+                self.probing.order.shuffle(&mut self.rng);
+            }
+            let id = self.probing.order.pop()?;
+            if self.table.get(id).is_some_and(|r| r.state.is_live()) {
+                return Some(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/sync.rs
@@ -0,0 +1,327 @@
+//! Joining: the pull of the table in chunks; and anti-entropy: the repair of lost updates.
+
+use std::{collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, time::Duration};
+
+use compact_str::CompactString;
+use rand::{Rng, seq::IndexedRandom};
+
+use super::{
+    Class, MESSAGE_BYTES, Membership, Output, Receiver, Via,
+    message::{Body, Claim, Source, State, Update, encoded_bytes},
+    table::{SLICES, slice_ids},
+};
+use crate::{keys::MemberId, time::Time};
+
+/// The interval between chunks of a join. A chunk has about 1,200 bytes, so a join receives at most 12 KB/s, below
+/// the 17 KB/s for control.
+const CHUNK_PERIOD: Duration = Duration::from_millis(100);
+
+/// The wait before a chunk is requested again from another member; it doubles up to eightfold.
+const CHUNK_RETRY: Duration = Duration::from_millis(500);
+
+/// The time after which a joining member accepts chunks from members that are themselves joining. Without it, a
+/// region that starts as a whole would wait for itself.
+const JOIN_PATIENCE: Duration = Duration::from_secs(5);
+
+/// The services that one pull may name. A node calls a few, and eight of the longest names take 520 bytes.
+pub const WANTED_SERVICES: usize = 8;
+
+/// The interval between anti-entropy exchanges that each member starts; the digest costs 85 bytes/s.
+const EXCHANGE_PERIOD: Duration = Duration::from_secs(5);
+
+/// The interval after an exchange that found a difference.
+const REPAIR_PERIOD: Duration = Duration::from_millis(500);
+
+/// Claims in a listing: 13 bytes each fill 1,040 bytes of a datagram.
+const LISTING_CLAIMS: usize = 72;
+
+/// Records requested by one exchange: ids take 10 bytes each, and the response holds about 13 records.
+const WANTED_RECORDS: usize = 13;
+
+/// Claims of death that one exchange may cause to be verified.
+const VERIFIED_CLAIMS: usize = 2;
+
+#[derive(Debug)]
+struct Join {
+    contacts: Vec<SocketAddr>,
+    started: Time,
+    /// The services to pull now; all if empty.
+    services: Vec<CompactString>,
+    first: MemberId,
+    number: u32,
+    attempts: u32,
+    next: Time,
+}
+
+/// The state of joining and anti-entropy.
+#[derive(Debug)]
+pub(super) struct Sync {
+    join: Option<Join>,
+    next_exchange: Time,
+}
+
+impl Sync {
+    pub(super) fn new(phase: Time) -> Sync {
+        Sync { join: None, next_exchange: phase }
+    }
+
+    pub(super) fn is_synced(&self) -> bool {
+        self.join.is_none()
+    }
+}
+
+impl Membership {
+    pub(super) fn start_join(
+        &mut self,
+        now: Time,
+        contacts: Vec<SocketAddr>,
+        out: &mut Vec<Output>,
+    ) {
+        if contacts.is_empty() {
+            self.sync.join = None;
+            out.push(Output::Synced);
+            return;
+        }
+        let services = self.settings.wanted.iter().take(WANTED_SERVICES).cloned().collect();
+        self.sync.join = Some(Join {
+            contacts,
+            started: now,
+            services,
+            first: MemberId(0),
+            number: self.rng.random(),
+            attempts: 0,
+            next: now,
+        });
+    }
+
+    pub(super) fn tick_sync(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.sync.join.is_some() {
+            self.pull(now, out);
+        } else if now >= self.sync.next_exchange {
+            self.sync.next_exchange = now + EXCHANGE_PERIOD;
+            let peer = self.table.live().choose(&mut self.rng).copied();
+            if let Some(to) = peer.and_then(|id| self.receiver(id)) {
+                let digest = Body::Digest { slices: self.table.digest() };
+                self.send(to, Class::Bulk, vec![], digest, out);
+            }
+        }
+    }
+
+    /// Requests the next chunk. Known members share the work with the contacts, which are few.
+    fn pull(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(join) = self.sync.join.as_mut().filter(|join| now >= join.next) else { return };
+        let use_contact = join.attempts % 2 == 1;
+        let known = self.table.live().choose(&mut self.rng).filter(|_| !use_contact).copied();
+        let contact = join.contacts.choose(&mut self.rng).copied();
+        join.next = now + CHUNK_RETRY * (1 << join.attempts.min(3));
+        join.attempts += 1;
+        let body =
+            Body::Pull { pull: join.number, first: join.first, services: join.services.clone() };
+        let to = known
+            .and_then(|id| self.receiver(id))
+            .or_else(|| contact.map(|address| Receiver { address, id: None }));
+        if let Some(to) = to {
+            let me = self.table.me().full_update();
+            self.send(to, Class::Bulk, vec![me], body, out);
+        }
+    }
+
+    pub(super) fn on_pull(
+        &mut self,
+        from: Source,
+        pull: u32,
+        first: MemberId,
+        services: &[CompactString],
+        out: &mut Vec<Output>,
+    ) {
+        let synced = self.is_synced();
+        let empty = Body::Chunk { pull, synced, next: Some(first), records: vec![] };
+        let mut room = self.room(&empty);
+        let (mut records, mut next) = (vec![], None);
+        let live = self.table.range(first..=MemberId(u64::MAX)).filter(|r| r.state.is_live());
+        for record in live.filter(|r| services.is_empty() || services.contains(&r.member.service)) {
+            let update = record.full_update();
+            let bytes = encoded_bytes(&update);
+            if bytes > room {
+                next = Some(record.member.id);
+                break;
+            }
+            room -= bytes;
+            records.push(update);
+        }
+        if records.is_empty() && next.is_some() {
+            self.counters.throttled += 1;
+            return;
+        }
+        let chunk = Body::Chunk { pull, synced, next, records };
+        self.send(from.into(), Class::Bulk, vec![], chunk, out);
+    }
+
+    pub(super) fn on_chunk(
+        &mut self,
+        now: Time,
+        pull: u32,
+        synced: bool,
+        next: Option<MemberId>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(join) = self.sync.join.as_mut().filter(|join| join.number == pull) else { return };
+        if !synced && now.since(join.started) < JOIN_PATIENCE {
+            return;
+        }
+        join.number = join.number.wrapping_add(1);
+        join.attempts = 0;
+        join.next = now + CHUNK_PERIOD;
+        match next {
+            Some(next) => join.first = next.max(join.first),
+            None if !join.services.is_empty() => {
+                join.services.clear();
+                join.first = MemberId(0);
+            }
+            None => {
+                self.sync.join = None;
+                out.push(Output::Synced);
+            }
+        }
+    }
+
+    pub(super) fn on_identify(&mut self, from: Source, out: &mut Vec<Output>) {
+        if !self.left {
+            let records = vec![self.table.me().full_update()];
+            self.send(
+                from.into(),
+                Class::Bulk,
+                vec![],
+                Body::Records { records, wanted: vec![] },
+                out,
+            );
+        }
+    }
+
+    /// Lists one slice in which the tables differ.
+    pub(super) fn on_digest(&mut self, from: Source, slices: &[u32], out: &mut Vec<Output>) {
+        if slices.len() != SLICES {
+            self.counters.invalid += 1;
+            return;
+        }
+        let own = self.table.digest();
+        let differing: Vec<usize> = (0..SLICES).filter(|i| own[*i] != slices[*i]).collect();
+        let Some(slice) = differing.choose(&mut self.rng) else { return };
+        let ids = slice_ids(*slice);
+        let count = self.table.range(ids.clone()).count();
+        // A slice with more claims than fit is listed in part, from a random position.
+        let skip = self.rng.random_range(0..=count.saturating_sub(LISTING_CLAIMS));
+        let claims: Vec<Claim> = self
+            .table
+            .range(ids.clone())
+            .skip(skip)
+            .take(LISTING_CLAIMS)
+            .map(|r| r.claim())
+            .collect();
+        let first =
+            if skip == 0 { *ids.start() } else { claims.first().map_or(*ids.start(), |c| c.id) };
+        let is_end = skip + claims.len() == count;
+        let last = if is_end { *ids.end() } else { claims.last().map_or(*ids.end(), |c| c.id) };
+        self.send(from.into(), Class::Bulk, vec![], Body::Listing { first, last, claims }, out);
+    }
+
+    /// Compares a listing with the table: applies claims, requests records and sends what the other side lacks.
+    pub(super) fn on_listing(
+        &mut self,
+        now: Time,
+        from: Source,
+        ids: RangeInclusive<MemberId>,
+        claims: &[Claim],
+        out: &mut Vec<Output>,
+    ) {
+        self.sync.next_exchange = self.sync.next_exchange.min(now + REPAIR_PERIOD);
+        let (mut wanted, mut verified) = (vec![], 0);
+        for claim in claims {
+            if claim.id == self.id {
+                self.refute(*claim);
+                continue;
+            }
+            let held = self.table.get(claim.id).map(|r| r.claim());
+            if held.is_some_and(|held| !claim.supersedes(&held)) {
+                continue;
+            }
+            if claim.state.is_live() {
+                if wanted.len() < WANTED_RECORDS {
+                    wanted.push(claim.id);
+                }
+            } else {
+                verified += usize::from(claim.state == State::Dead);
+                if claim.state == State::Left || verified <= VERIFIED_CLAIMS {
+                    self.apply(now, Update::Claim(*claim), Via::Exchange, out);
+                }
+            }
+        }
+        let theirs: BTreeMap<MemberId, Claim> = claims.iter().map(|c| (c.id, *c)).collect();
+        let empty = Body::Records { records: vec![], wanted: wanted.clone() };
+        let mut room = self.room(&empty);
+        let mut records = vec![];
+        for record in self.table.range(ids) {
+            let claim = record.claim();
+            let is_news = match theirs.get(&claim.id) {
+                None => claim.state.is_live(),
+                Some(theirs) => claim.supersedes(theirs),
+            };
+            if !is_news {
+                continue;
+            }
+            let update = record.full_update();
+            let bytes = encoded_bytes(&update);
+            if bytes > room {
+                break;
+            }
+            room -= bytes;
+            records.push(update);
+        }
+        if !records.is_empty() || !wanted.is_empty() {
+            self.send(from.into(), Class::Bulk, vec![], Body::Records { records, wanted }, out);
+        }
+    }
+
+    pub(super) fn on_records(
+        &mut self,
+        now: Time,
+        from: Source,
+        records: Vec<Update>,
+        wanted: &[MemberId],
+        out: &mut Vec<Output>,
+    ) {
+        let mut verified = 0;
+        for update in records {
+            verified += usize::from(update.claim().state == State::Dead);
+            if verified <= VERIFIED_CLAIMS || update.claim().state != State::Dead {
+                // A record of the sender itself responds to `Identify` and is news.
+                let via = if update.claim().id == from.id { Via::Gossip } else { Via::Exchange };
+                self.apply(now, update, via, out);
+            }
+        }
+        let mut room = self.room(&Body::Records { records: vec![], wanted: vec![] });
+        let mut records = vec![];
+        for record in wanted.iter().take(WANTED_RECORDS).filter_map(|id| self.table.get(*id)) {
+            let update = record.full_update();
+            let bytes = encoded_bytes(&update);
+            if bytes > room {
+                break;
+            }
+            room -= bytes;
+            records.push(update);
+        }
+        if !records.is_empty() {
+            self.send(
+                from.into(),
+                Class::Bulk,
+                vec![],
+                Body::Records { records, wanted: vec![] },
+                out,
+            );
+        }
+    }
+}
+
+/// Any record fits a message: four names, three addresses of up to 20 bytes, and 20 bytes of other fields.
+const _: () =
+    assert!(4 * (super::NAME_BYTES + 1) + 3 * 20 + 20 < MESSAGE_BYTES - super::PAYLOAD_BYTES);
--- /dev/null
+++ b/src/membership/table.rs
@@ -0,0 +1,325 @@
+//! The members that this node knows, with tombstones and the queue of updates to spread.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+    ops::RangeInclusive,
+    time::Duration,
+};
+
+use rand::{Rng, rngs::SmallRng, seq::IndexedRandom};
+
+use super::message::{Claim, Member, State, Update, encoded_bytes};
+use crate::{keys::MemberId, time::Time};
+
+/// The largest number of records, tombstones included.
+///
+/// A region has 2,667 members on average (24,000 in 9 regions); three times that covers an uneven spread and the
+/// tombstones of a failed data centre.
+pub const TABLE_MEMBERS: usize = 8_192;
+
+/// How long a dead or left member is remembered. Regions lose contact for minutes, and a partition that lasts
+/// longer than this heals only through the contacts.
+pub const TOMBSTONE_TIME: Duration = Duration::from_secs(1_800);
+
+/// Sends of one update per member, multiplied by the logarithm of the group size.
+const SPREAD_FACTOR: u32 = 4;
+
+/// The slices of the id space in a digest: 64 hashes of at most 5 bytes take 320 bytes of a datagram.
+pub(super) const SLICES: usize = 64;
+
+const SLICE_SHIFT: u32 = 58;
+
+/// Marks a record that is not queued for spreading.
+const NOT_QUEUED: u8 = u8::MAX;
+
+#[derive(Debug)]
+pub(super) struct Record {
+    pub(super) member: Member,
+    pub(super) state: State,
+    /// When the state was entered.
+    pub(super) since: Time,
+    /// The position in `Table::live`, if the record is there.
+    slot: u32,
+    /// How often the update was sent, or [`NOT_QUEUED`].
+    sends: u8,
+}
+
+impl Record {
+    pub(super) fn claim(&self) -> Claim {
+        Claim { id: self.member.id, incarnation: self.member.incarnation, state: self.state }
+    }
+
+    /// Returns the record if the member is live, and a claim otherwise.
+    pub(super) fn full_update(&self) -> Update {
+        match self.state {
+            State::Alive => Update::Record { member: self.member.clone(), suspect: false },
+            State::Suspect => Update::Record { member: self.member.clone(), suspect: true },
+            State::Dead | State::Left => Update::Claim(self.claim()),
+        }
+    }
+
+    /// Returns the record if the member is alive, and a claim otherwise, because only news of a join or of a
+    /// refutation needs the record.
+    fn short_update(&self) -> Update {
+        match self.state {
+            State::Alive => self.full_update(),
+            _ => Update::Claim(self.claim()),
+        }
+    }
+}
+
+/// All records. The node's own record is among them but never in `live`.
+#[derive(Debug)]
+pub(super) struct Table {
+    me: MemberId,
+    records: BTreeMap<MemberId, Record>,
+    live: Vec<MemberId>,
+    /// The live member at each gossip address.
+    addresses: HashMap<SocketAddr, MemberId>,
+    queue: VecDeque<MemberId>,
+}
+
+impl Table {
+    pub(super) fn new(me: Member) -> Table {
+        let id = me.id;
+        let record = Record {
+            member: me,
+            state: State::Alive,
+            since: Time::ZERO,
+            slot: 0,
+            sends: NOT_QUEUED,
+        };
+        let records = BTreeMap::from([(id, record)]);
+        Table { me: id, records, live: vec![], addresses: HashMap::new(), queue: VecDeque::new() }
+    }
+
+    pub(super) fn get(&self, id: MemberId) -> Option<&Record> {
+        self.records.get(&id)
+    }
+
+    pub(super) fn me(&self) -> &Record {
+        &self.records[&self.me]
+    }
+
+    /// Applies a change to the node's own record under a new incarnation above `floor`, and queues it.
+    pub(super) fn renew_me(&mut self, floor: u32, change: impl FnOnce(&mut Record)) {
+        let record = self.records.get_mut(&self.me).expect("the own record is never removed");
+        change(record);
+        record.member.incarnation = record.member.incarnation.max(floor).saturating_add(1);
+        self.enqueue(self.me);
+    }
+
+    /// The live members other than this node.
+    pub(super) fn live(&self) -> &[MemberId] {
+        &self.live
+    }
+
+    /// The number of live members including this node.
+    pub(super) fn group(&self) -> usize {
+        self.live.len() + 1
+    }
+
+    /// The records in the order of their ids.
+    pub(super) fn range(&self, ids: RangeInclusive<MemberId>) -> impl Iterator<Item = &Record> {
+        // `BTreeMap::range` panics on an inverted range, which a peer could send.
+        let ids = if ids.start() > ids.end() { MemberId(0)..=MemberId(0) } else { ids };
+        self.records.range(ids).map(|(_, record)| record)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    pub(super) fn at_address(&self, address: SocketAddr) -> Option<MemberId> {
+        self.addresses.get(&address).copied()
+    }
+
+    /// Makes room for one more record, at the cost of the oldest tombstone, and returns whether there is room.
+    pub(super) fn make_room(&mut self) -> bool {
+        if self.records.len() < TABLE_MEMBERS {
+            return true;
+        }
+        let oldest = self
+            .iter()
+            .filter(|r| !r.state.is_live() && r.member.id != self.me)
+            .min_by_key(|r| r.since)
+            .map(|r| r.member.id);
+        oldest.is_some_and(|id| self.remove(id))
+    }
+
+    /// Stores the record of a live member.
+    pub(super) fn put(&mut self, now: Time, member: Member, state: State) {
+        let id = member.id;
+        self.unlink(id);
+        let sends = self.records.get(&id).map_or(NOT_QUEUED, |r| r.sends);
+        let slot = u32::try_from(self.live.len()).expect("the table is bounded");
+        self.live.push(id);
+        self.addresses.insert(member.gossip, id);
+        self.records.insert(id, Record { member, state, since: now, slot, sends });
+    }
+
+    /// Changes the state and the incarnation of a known member.
+    pub(super) fn mark(&mut self, now: Time, claim: Claim) {
+        let Some(record) = self.records.get_mut(&claim.id) else { return };
+        let was_live = record.state.is_live();
+        (record.state, record.since) = (claim.state, now);
+        record.member.incarnation = claim.incarnation;
+        if was_live && !claim.state.is_live() {
+            self.unlink(claim.id);
+        } else if !was_live && claim.state.is_live() {
+            let member = record.member.clone();
+            self.put(now, member, claim.state);
+        }
+    }
+
+    /// Removes a member from the list of live members and from the addresses.
+    fn unlink(&mut self, id: MemberId) {
+        let Some(record) = self.records.get(&id) else { return };
+        if self.addresses.get(&record.member.gossip) == Some(&id) {
+            self.addresses.remove(&record.member.gossip);
+        }
+        let slot = record.slot as usize;
+        if self.live.get(slot) != Some(&id) {
+            return;
+        }
+        self.live.swap_remove(slot);
+        if let Some(moved) = self.live.get(slot).and_then(|id| self.records.get_mut(id)) {
+            moved.slot = u32::try_from(slot).expect("the table is bounded");
+        }
+    }
+
+    fn remove(&mut self, id: MemberId) -> bool {
+        self.unlink(id);
+        self.queue.retain(|queued| *queued != id);
+        self.records.remove(&id).is_some()
+    }
+
+    /// Removes the tombstones that have expired.
+    pub(super) fn sweep(&mut self, now: Time) {
+        let expired: Vec<MemberId> = self
+            .iter()
+            .filter(|r| !r.state.is_live() && r.member.id != self.me)
+            .filter(|r| now.since(r.since) >= TOMBSTONE_TIME)
+            .map(|r| r.member.id)
+            .collect();
+        for id in expired {
+            self.remove(id);
+        }
+    }
+
+    /// Queues the newest state of a member for spreading.
+    pub(super) fn enqueue(&mut self, id: MemberId) {
+        let Some(record) = self.records.get_mut(&id) else { return };
+        if record.sends == NOT_QUEUED {
+            self.queue.push_front(id);
+        }
+        record.sends = 0;
+    }
+
+    pub(super) fn is_queued(&self, id: MemberId) -> bool {
+        self.records.get(&id).is_some_and(|r| r.sends != NOT_QUEUED)
+    }
+
+    pub(super) fn has_news(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// Takes queued updates up to `room` bytes and returns their size. Each is sent a number of times that grows with the logarithm of the
+    /// group size, which reaches all members with high probability.
+    pub(super) fn take_updates(&mut self, room: usize, updates: &mut Vec<Update>) -> usize {
+        let limit = SPREAD_FACTOR * ceil_log10(self.group());
+        let mut used = 0;
+        for _ in 0..self.queue.len() {
+            let Some(id) = self.queue.pop_front() else { break };
+            let Some(record) = self.records.get_mut(&id) else { continue };
+            let update = record.short_update();
+            let size = encoded_bytes(&update);
+            if size > room - used {
+                self.queue.push_front(id);
+                break;
+            }
+            used += size;
+            updates.push(update);
+            record.sends += 1;
+            if u32::from(record.sends) < limit {
+                self.queue.push_back(id);
+            } else {
+                record.sends = NOT_QUEUED;
+            }
+        }
+        used
+    }
+
+    /// Chooses up to `count` distinct live members other than `except`.
+    pub(super) fn choose(
+        &self,
+        rng: &mut SmallRng,
+        count: usize,
+        except: MemberId,
+    ) -> Vec<MemberId> {
+        let mut chosen: Vec<MemberId> =
+            self.live.choose_multiple(rng, count + 1).copied().filter(|id| *id != except).collect();
+        chosen.truncate(count);
+        chosen
+    }
+
+    /// Chooses a dead member. Left members are not chosen, because their state is final.
+    pub(super) fn choose_dead(&self, rng: &mut SmallRng) -> Option<MemberId> {
+        // A replaced member's address belongs to a live member, which responds in its place.
+        let dead =
+            |r: &&Record| r.state == State::Dead && !self.addresses.contains_key(&r.member.gossip);
+        let count = self.iter().filter(dead).count();
+        (count > 0)
+            .then(|| rng.random_range(0..count))
+            .and_then(|n| self.iter().filter(dead).nth(n))
+            .map(|r| r.member.id)
+    }
+
+    /// Hashes the live members in each slice of the id space. Suspicions and tombstones are left out, because
+    /// they are short-lived or expire at different times.
+    pub(super) fn digest(&self) -> Vec<u32> {
+        let mut slices = vec![0; SLICES];
+        for record in self.iter().filter(|r| r.state.is_live()) {
+            let id = record.member.id.0;
+            slices[(id >> SLICE_SHIFT) as usize] ^= mix(id, record.member.incarnation);
+        }
+        slices
+    }
+
+    /// Estimates the memory in bytes: records with their text, lists and indices.
+    pub(super) fn state_bytes(&self) -> usize {
+        // Nodes of a B-tree are two thirds full on average; a hash map has 8 slots for 7 entries, and one control
+        // byte for each.
+        let record = size_of::<(MemberId, Record)>() * 3 / 2;
+        let text = |r: &Record| {
+            let m = &r.member;
+            [&m.service, &m.version, &m.centre, &m.region]
+                .iter()
+                .map(|s| if s.is_heap_allocated() { s.capacity() } else { 0 })
+                .sum::<usize>()
+        };
+        self.iter().map(|r| record + text(r)).sum::<usize>()
+            + (self.live.capacity() + self.queue.capacity()) * size_of::<MemberId>()
+            + self.addresses.capacity() * 8 / 7 * (size_of::<(SocketAddr, MemberId)>() + 1)
+    }
+}
+
+/// The ids in slice `index` of a digest.
+pub(super) fn slice_ids(index: usize) -> RangeInclusive<MemberId> {
+    let first = (index as u64) << SLICE_SHIFT;
+    MemberId(first)..=MemberId(first | ((1 << SLICE_SHIFT) - 1))
+}
+
+/// The decimal logarithm of `group`, rounded up and at least 1.
+pub(super) fn ceil_log10(group: usize) -> u32 {
+    group.max(1).ilog10() + 1
+}
+
+/// The finaliser of SplitMix64 over the id and the incarnation.
+fn mix(id: u64, incarnation: u32) -> u32 {
+    let mut z = id ^ u64::from(incarnation).wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (z ^ (z >> 31)) as u32
+}
