Route, admit and retry through the policy modules

Cause: the first path chose by in-flight requests alone and admitted up to the number of slots. Change: the reducer uses the load views, the router, the admission gate, the retry budget and the ejector, and attaches load reports within the measuring budget. A hedge can be switched on for each service. A deadline that passes with an attempt open is refused as unknown.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -3,11 +3,17 @@
 use std::collections::HashMap;
 
 use compact_str::CompactString;
+use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 
 use crate::{
+    document::Service,
     event::MemberInfo,
     keys::{MemberId, MemberKey, ServiceKey},
+    load::TargetView,
+    retry::{Ejector, HedgeDelay, RetryBudget},
+    routing::{Candidate, Choice, NoChoice, Router, TargetState},
+    time::Time,
 };
 
 /// The largest number of members in the directory; beyond it new members are ignored and counted.
@@ -22,10 +28,14 @@
     ids: HashMap<MemberId, MemberKey>,
 }
 
-/// The members of one service.
-#[derive(Debug, Default)]
+/// The members of one service, and what its calls have in common.
+#[derive(Debug)]
 pub(crate) struct Group {
     pub(crate) members: Vec<MemberKey>,
+    pub(crate) router: Router,
+    pub(crate) budget: RetryBudget,
+    pub(crate) ejector: Ejector,
+    pub(crate) hedge: HedgeDelay,
 }
 
 /// One member.
@@ -33,7 +43,7 @@
 pub(crate) struct Member {
     pub(crate) info: MemberInfo,
     pub(crate) service: ServiceKey,
-    pub(crate) in_flight: u32,
+    pub(crate) view: TargetView,
 }
 
 /// What an announcement changed.
@@ -63,9 +73,9 @@
         if self.members.len() >= MAX_MEMBERS {
             return Change::Ignored;
         }
-        let service = self.service_or_insert(&info.service);
+        let service = self.service(&info.service);
         let id = info.id;
-        let key = self.members.insert(Member { info, service, in_flight: 0 });
+        let key = self.members.insert(Member { info, service, view: TargetView::new() });
         self.ids.insert(id, key);
         self.services[service].members.push(key);
         Change::Joined
@@ -75,15 +85,65 @@
     pub(crate) fn remove(&mut self, id: MemberId) -> Option<MemberInfo> {
         let key = self.ids.remove(&id)?;
         let member = self.members.remove(key)?;
-        self.services[member.service].members.retain(|&k| k != key);
+        let group = &mut self.services[member.service];
+        group.members.retain(|&k| k != key);
+        group.ejector.remove(key);
         Some(member.info)
     }
 
-    /// Returns the members of a service.
-    pub(crate) fn group(&self, service: &str) -> &[MemberKey] {
-        match self.names.get(service) {
-            Some(&key) => &self.services[key].members,
-            None => &[],
+    /// Returns the key of a service, which is created if no member has announced it.
+    pub(crate) fn service(&mut self, name: &CompactString) -> ServiceKey {
+        if let Some(&key) = self.names.get(name) {
+            return key;
+        }
+        let key = self.services.insert(Group::default());
+        self.names.insert(name.clone(), key);
+        key
+    }
+
+    /// Returns what the calls of a service have in common.
+    pub(crate) fn group_mut(&mut self, service: ServiceKey) -> &mut Group {
+        &mut self.services[service]
+    }
+
+    /// Iterates over all members.
+    pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Chooses a target of a service; `state` says which members may receive work.
+    pub(crate) fn choose(
+        &mut self,
+        now: Time,
+        service: ServiceKey,
+        tried: &[MemberKey],
+        rng: &mut SmallRng,
+        state: impl Fn(&Member) -> (bool, TargetState),
+    ) -> Result<Choice, NoChoice> {
+        let Group { members, router, ejector, .. } = &mut self.services[service];
+        let known = members.iter().filter_map(|&key| Some((key, self.members.get(key)?)));
+        let candidates: Vec<_> = known
+            .map(|(key, member)| {
+                let (local, state) = state(member);
+                let is_ejected = state == TargetState::InService && ejector.is_ejected(now, key);
+                let state = if is_ejected { TargetState::Ejected } else { state };
+                Candidate { key, view: &member.view, local, state }
+            })
+            .collect();
+        router.choose(now, &candidates, tried, rng)
+    }
+
+    /// Counts a failure of a target, and ejects the target if it keeps failing.
+    pub(crate) fn failed(&mut self, now: Time, key: MemberKey, limits: &Service) -> Option<Time> {
+        let service = self.members.get(key)?.service;
+        let group = &mut self.services[service];
+        group.ejector.failed(now, key, group.members.len(), limits.eject_percent)
+    }
+
+    /// Counts a success of a target.
+    pub(crate) fn succeeded(&mut self, now: Time, key: MemberKey) {
+        if let Some(member) = self.members.get(key) {
+            self.services[member.service].ejector.succeeded(now, key);
         }
     }
 
@@ -101,13 +161,16 @@
     pub(crate) fn key(&self, id: MemberId) -> Option<MemberKey> {
         self.ids.get(&id).copied()
     }
+}
 
-    fn service_or_insert(&mut self, name: &CompactString) -> ServiceKey {
-        if let Some(&key) = self.names.get(name) {
-            return key;
+impl Default for Group {
+    fn default() -> Group {
+        Group {
+            members: Vec::new(),
+            router: Router::default(),
+            budget: RetryBudget::new(Service::default().retry_percent, Time::ZERO),
+            ejector: Ejector::new(),
+            hedge: HedgeDelay::default(),
         }
-        let key = self.services.insert(Group::default());
-        self.names.insert(name.clone(), key);
-        key
     }
 }
--- a/src/document.rs
+++ b/src/document.rs
@@ -60,6 +60,8 @@
     pub retry_percent: u8,
     /// The largest share of the targets, in percent, that may be ejected at once.
     pub eject_percent: u8,
+    /// Whether a slow idempotent request is also sent to a second target, within the retry budget.
+    pub hedge: bool,
 }
 
 impl Default for Service {
@@ -70,6 +72,7 @@
             deadline_ms: 2_000,
             retry_percent: 10,
             eject_percent: 34,
+            hedge: false,
         }
     }
 }
--- a/src/document/read.rs
+++ b/src/document/read.rs
@@ -55,7 +55,10 @@
     object.number("deadline_ms", &mut service.deadline_ms, MAX_DEADLINE);
     object.number("retry_percent", &mut service.retry_percent, MAX_PERCENT);
     object.number("eject_percent", &mut service.eject_percent, MAX_EJECT);
-    object.close(&["routes", "versions", "deadline_ms", "retry_percent", "eject_percent"]);
+    if object.has("hedge") {
+        service.hedge = object.flag("hedge").unwrap_or_default();
+    }
+    object.close(&["routes", "versions", "deadline_ms", "retry_percent", "eject_percent", "hedge"]);
     service.routes = routes.into_iter().map(|(path, value)| route(path, value, out)).collect();
     service.versions =
         versions.into_iter().map(|(path, value)| version(path, value, out)).collect();
--- a/src/document/validate/tests.rs
+++ b/src/document/validate/tests.rs
@@ -19,6 +19,7 @@
         deadline_ms: 500,
         retry_percent: 5,
         eject_percent: 50,
+        hedge: true,
     };
     document.services.insert("payments".into(), service);
     document.budgets.claim_rate = 7;
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -115,9 +115,10 @@
         self.apply(&mut core, Event::Work(key, event));
     }
 
-    /// Returns the current load of the target beside this node.
-    pub(crate) fn load_report(&self) -> LoadReport {
-        self.lock().reducer.load_report()
+    /// Returns the load report for an answer, or `None` if the measuring budget is spent.
+    pub(crate) fn report_load(&self) -> Option<LoadReport> {
+        let now = self.now();
+        self.lock().reducer.report_load(now)
     }
 
     /// Reads the state of the reducer.
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -80,6 +80,8 @@
     Refuse { call: CallKey, service: CompactString, refusal: Refusal },
     /// The target's node decided about a request.
     Admit { work: WorkKey, from: MemberId, decision: &'static str, running: u16, limit: u16 },
+    /// A target that keeps failing receives no requests for a while.
+    Eject { member: MemberId, service: CompactString, pause: Duration },
     /// A member appeared, changed or was lost.
     Member { id: MemberId, service: CompactString, change: &'static str },
     /// A document came into force.
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -82,7 +82,8 @@
     }
 
     fn attach_load(&self, answer: &mut Response<Body>) {
-        let report = self.driver.load_report();
-        headers::set(answer.headers_mut(), headers::LOAD, &report.encode());
+        if let Some(report) = self.driver.report_load() {
+            headers::set(answer.headers_mut(), headers::LOAD, &report.encode());
+        }
     }
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -116,6 +116,8 @@
 pub(crate) enum Timer {
     /// The deadline of a caller's request.
     CallDeadline(CallKey),
+    /// The delay after which an idempotent request is also sent to another target.
+    Hedge(CallKey),
     /// The periodic work of all parts.
     Tick,
     /// The end of the time for a graceful stop.
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -130,10 +130,8 @@
         let path = req.uri().path().to_compact_string();
         let head = WorkHead { service, path, from: self.me, timeout: attempt.timeout };
         match self.worker.run(head, req).await {
-            Ok(answer) => Reply::Answer(answer, Some(self.driver.load_report())),
-            Err(WorkError::Refused(refusal)) => {
-                Reply::Refused(refusal, Some(self.driver.load_report()))
-            }
+            Ok(answer) => Reply::Answer(answer, self.driver.report_load()),
+            Err(WorkError::Refused(refusal)) => Reply::Refused(refusal, self.driver.report_load()),
             Err(WorkError::Failed(failure)) => Reply::Failed(failure),
         }
     }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -44,6 +44,8 @@
         Record::Admit { work, from, decision, running, limit } => info!(log, "admit";
             "work" => id(work.data()), "from" => %from, "decision" => decision,
             "running" => running, "limit" => limit),
+        Record::Eject { member, service, pause } => info!(log, "eject";
+            "member" => %member, "service" => service.as_str(), "pause_ms" => pause.as_millis() as u64),
         Record::Member { id, service, change } => info!(log, "member";
             "member" => %id, "service" => service.as_str(), "change" => change),
         Record::Document { revision, services } => info!(log, "document";
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,6 +42,7 @@
             Record::Refuse { refusal, .. } => return self.count_refusal(refusal.reason.as_str()),
             Record::Admit { decision: "refuse", .. } => "works.refused",
             Record::Admit { .. } => "works.admitted",
+            Record::Eject { .. } => "ejections",
             Record::Member { .. } => "members.changed",
             Record::Document { .. } => "documents",
             Record::Target { .. } => "targets.changed",
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -12,11 +12,13 @@
 use slotmap::SecondaryMap;
 
 use crate::{
+    admission::Gate,
     directory::{Change, Directory},
-    document::Document,
+    document::{Budgets, Document},
     effect::{Effect, Record},
     event::{Event, MemberInfo, Timer},
     keys::{CallKey, MemberId, WorkKey},
+    load::MeasureBudget,
     pool::Reach,
     time::{Time, Wall},
 };
@@ -44,7 +46,8 @@
     revision: u64,
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
-    running: u16,
+    gate: Gate,
+    measure: MeasureBudget,
     is_target_up: bool,
     is_stopping: bool,
     /// The difference between wall clock and monotonic time at the last reading.
@@ -56,6 +59,7 @@
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
         let mut directory = Directory::default();
         directory.upsert(me.info.clone());
+        let gate = Gate::new(me.slots, Time::ZERO);
         Reducer {
             me,
             rng: SmallRng::seed_from_u64(seed),
@@ -64,8 +68,10 @@
             revision: 0,
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
-            running: 0,
-            is_target_up: false,
+            gate,
+            measure: MeasureBudget::new(&Budgets::default(), Time::ZERO),
+            // Until a connection fails, requests may try the target; a failed connection proves "not run".
+            is_target_up: true,
             is_stopping: false,
             wall: None,
         }
@@ -83,8 +89,10 @@
             Event::Work(key, event) => self.apply_work(now, key, event, out),
             Event::MemberSeen(info) => self.member_seen(info, out),
             Event::MemberLost(id) => self.member_lost(id, out),
-            Event::Document { revision, document } => self.set_document(revision, document, out),
-            Event::Target(reach) => self.set_reach(reach, out),
+            Event::Document { revision, document } => {
+                self.set_document(now, revision, document, out)
+            }
+            Event::Target(reach) => self.set_reach(now, reach, out),
             Event::Timer(timer) => self.expire(now, timer, out),
             Event::Clock(wall) => self.wall = Some((now, wall)),
             Event::Stop => self.stop(out),
@@ -112,26 +120,40 @@
     }
 
     /// Puts a document in force unless it is older than the one in force.
-    fn set_document(&mut self, revision: u64, document: Arc<Document>, out: &mut Vec<Effect>) {
+    fn set_document(
+        &mut self,
+        now: Time,
+        revision: u64,
+        document: Arc<Document>,
+        out: &mut Vec<Effect>,
+    ) {
         if revision <= self.revision && self.document.is_some() {
             return;
         }
         self.revision = revision;
+        self.measure.set(&document.budgets, now);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
         self.document = Some(document);
     }
 
-    fn set_reach(&mut self, reach: Reach, out: &mut Vec<Effect>) {
+    fn set_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Effect>) {
         self.is_target_up = reach == Reach::Up;
+        if reach == Reach::Down {
+            let next = self.gate.crashed(now);
+            self.advance_queue(next, out);
+        }
         let change = if self.is_target_up { "reachable" } else { "unreachable" };
         out.push(Effect::Log(Record::Target { change }));
     }
 
     fn expire(&mut self, now: Time, timer: Timer, out: &mut Vec<Effect>) {
         match timer {
-            Timer::CallDeadline(key) => self.call_deadline(key, out),
+            Timer::CallDeadline(key) => self.call_deadline(now, key, out),
+            Timer::Hedge(key) => self.hedge(now, key, out),
             Timer::Tick => {
-                self.check_stopped(now, out);
+                let next = self.gate.tick(now);
+                self.advance_queue(next, out);
+                self.check_stopped(out);
                 out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
             }
             Timer::StopDeadline => self.exit("deadline", out),
@@ -143,13 +165,14 @@
             return;
         }
         self.is_stopping = true;
+        self.gate.drain();
         self.me.info.is_leaving = true;
         self.directory.upsert(self.me.info.clone());
         out.push(Effect::Log(self.stop_record("begin")));
         out.push(Effect::Arm { timer: Timer::StopDeadline, after: self.me.drain });
     }
 
-    fn check_stopped(&mut self, _now: Time, out: &mut Vec<Effect>) {
+    fn check_stopped(&mut self, out: &mut Vec<Effect>) {
         if self.is_stopping && self.calls.is_empty() && self.works.is_empty() {
             self.exit("idle", out);
         }
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -1,19 +1,20 @@
 //! Decisions of the entry node about callers' requests.
 
-use std::{fmt::Write, time::Duration};
+use std::time::Duration;
 
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use http::Method;
-use rand::Rng;
 
 use crate::{
     body::End,
-    document::Service,
+    document::{CentreState, Service},
     effect::{Attempt, CallStep, Effect, Hop, Record},
     event::{CallEvent, CallHead, Failure, Timer},
-    keys::{CallKey, MemberKey},
-    load::LoadReport,
+    keys::{CallKey, MemberKey, ServiceKey},
+    load::{LoadReport, Observed},
     refusal::{Outcome, Reason, Refusal},
+    retry::{Attempted, hop_time},
+    routing::TargetState,
     time::Time,
 };
 
@@ -22,24 +23,43 @@
 /// The deepest chain of calls that is served.
 pub(crate) const MAX_DEPTH: u32 = 11;
 
-/// The largest number of attempts for one request.
-const MAX_ATTEMPTS: u32 = 4;
-
 /// A caller's request in progress at its entry node.
 #[derive(Debug)]
 pub(super) struct Call {
-    service: CompactString,
+    pub(super) service: CompactString,
+    group: ServiceKey,
     is_idempotent: bool,
     deadline: Time,
-    attempts: u32,
+    depth: u8,
+    attempts: u8,
     /// The attempts whose end is not known yet.
-    open: Vec<(u32, MemberKey)>,
+    open: Vec<OpenAttempt>,
     tried: Vec<MemberKey>,
     /// Whether some attempt may have run; once set, a refusal must not say "not run".
     may_have_run: bool,
     is_answered: bool,
 }
 
+/// An attempt whose end is not known yet.
+#[derive(Copy, Clone, Debug)]
+struct OpenAttempt {
+    number: u32,
+    member: MemberKey,
+    sent: Time,
+}
+
+impl Call {
+    fn attempted(&self) -> Attempted {
+        Attempted {
+            idempotent: self.is_idempotent,
+            not_run: !self.may_have_run,
+            attempts: self.attempts,
+            deadline: self.deadline,
+            depth: self.depth,
+        }
+    }
+}
+
 impl Reducer {
     pub(super) fn apply_call(
         &mut self,
@@ -50,23 +70,23 @@
     ) {
         match event {
             CallEvent::Arrived(head) => self.call_arrived(now, key, head, out),
-            CallEvent::Answered { attempt, status: _, report } => {
-                self.call_answered(key, attempt, report, out);
+            CallEvent::Answered { attempt, status, report } => {
+                self.call_answered(now, key, attempt, status, report, out);
             }
             CallEvent::Refused { attempt, refusal, report } => {
-                self.close_attempt(key, attempt, report);
+                self.close_attempt(now, key, attempt, Observed::NotRun, report, out);
                 self.attempt_refused(now, key, refusal, true, out);
             }
             CallEvent::Failed { attempt, failure, can_replay } => {
-                self.close_attempt(key, attempt, None);
-                let refusal = match failure {
-                    Failure::NotSent => Refusal::not_run(Reason::Overloaded),
-                    Failure::Lost => Refusal::unknown(Reason::AnswerLost),
-                    Failure::BodyCut => Refusal::unknown(Reason::BodyCut),
+                let (observed, refusal) = match failure {
+                    Failure::NotSent => (Observed::Failure, Refusal::not_run(Reason::Overloaded)),
+                    Failure::Lost => (Observed::Failure, Refusal::unknown(Reason::AnswerLost)),
+                    Failure::BodyCut => (Observed::NotRun, Refusal::unknown(Reason::BodyCut)),
                 };
+                self.close_attempt(now, key, attempt, observed, None, out);
                 self.attempt_refused(now, key, refusal, can_replay, out);
             }
-            CallEvent::Ended(end) => self.call_ended(key, end),
+            CallEvent::Ended(end) => self.call_ended(now, key, end),
         }
     }
 
@@ -81,10 +101,20 @@
             }
         };
         let timeout = head.timeout.unwrap_or(Duration::from_millis(service.deadline_ms.into()));
+        let is_idempotent = is_idempotent(service, &head.method, &head.path);
+        let percent = service.retry_percent;
+        let depth = u8::try_from(head.depth).unwrap_or(u8::MAX);
+        let group = self.directory.service(&head.service);
+        let budget = &mut self.directory.group_mut(group).budget;
+        budget.set(percent);
+        budget.first(depth);
+        self.measure.call();
         let call = Call {
-            is_idempotent: is_idempotent(service, &head.method, &head.path),
             service: head.service,
+            group,
+            is_idempotent,
             deadline: now + timeout,
+            depth,
             attempts: 0,
             open: Vec::new(),
             tried: Vec::new(),
@@ -93,8 +123,9 @@
         };
         self.calls.insert(key, call);
         out.push(Effect::Arm { timer: Timer::CallDeadline(key), after: timeout });
-        if let Err(reason) = self.start_attempt(now, key, out) {
-            self.refuse_call(key, reason, out);
+        match self.start_attempt(now, key, out) {
+            Ok(()) => self.arm_hedge(key, out),
+            Err(reason) => self.refuse_call(now, key, reason, out),
         }
     }
 
@@ -120,73 +151,81 @@
         key: CallKey,
         out: &mut Vec<Effect>,
     ) -> Result<(), Reason> {
-        let call = self.calls.get(key).ok_or(Reason::Deadline)?;
-        let timeout = call.deadline.since(now);
-        if timeout.is_zero() {
-            return Err(Reason::Deadline);
-        }
-        let (service, tried) = (call.service.clone(), call.tried.clone());
-        let (chosen, candidates) = self.choose(&service, &tried).ok_or(Reason::NoTarget)?;
-        let me = self.me.info.id;
-        let member = self.directory.get_mut(chosen).ok_or(Reason::NoTarget)?;
-        member.in_flight += 1;
-        let hop = if member.info.id == me { Hop::Local } else { Hop::Peer(member.info.peer) };
-        let id = member.info.id;
-        let call = self.calls.get_mut(key).ok_or(Reason::Deadline)?;
+        let Some(call) = self.calls.get_mut(key) else { return Err(Reason::Deadline) };
+        let timeout = hop_time(now, call.deadline).ok_or(Reason::Deadline)?;
+        let (me, document) = (&self.me.info, &self.document);
+        let choice = self.directory.choose(now, call.group, &call.tried, &mut self.rng, |member| {
+            let centre =
+                document.as_ref().and_then(|document| document.centres.get(&member.info.centre));
+            let state = if member.info.is_leaving {
+                TargetState::Draining
+            } else if centre.is_none_or(|centre| centre.state == CentreState::Out) {
+                TargetState::OutOfService
+            } else {
+                TargetState::InService
+            };
+            (member.info.centre == me.centre, state)
+        });
+        let choice = choice.map_err(|none| none.refusal().reason)?;
+        let member = self.directory.get_mut(choice.key).ok_or(Reason::NoTarget)?;
+        member.view.sent(now);
+        let hop = if member.info.id == me.id { Hop::Local } else { Hop::Peer(member.info.peer) };
         call.attempts += 1;
-        call.open.push((call.attempts, chosen));
-        call.tried.push(chosen);
-        let number = call.attempts;
+        let number = call.attempts.into();
+        call.open.push(OpenAttempt { number, member: choice.key, sent: now });
+        call.tried.push(choice.key);
         out.push(Effect::Log(Record::Route {
             call: key,
-            service,
+            service: call.service.clone(),
             attempt: number,
-            member: id,
-            reason: "least-in-flight",
-            candidates,
+            member: member.info.id,
+            reason: choice.why.as_str(),
+            candidates: choice.scores.to_compact_string(),
         }));
-        let attempt = Attempt { number, member: id, hop, timeout };
+        let attempt = Attempt { number, member: member.info.id, hop, timeout };
         out.push(Effect::Call(key, CallStep::Attempt(attempt)));
         Ok(())
     }
 
-    fn choose(&mut self, service: &str, tried: &[MemberKey]) -> Option<(MemberKey, CompactString)> {
-        let mut candidates = CompactString::default();
-        let mut best: Option<(u32, u32, MemberKey)> = None;
-        for &key in self.directory.group(service) {
-            let Some(member) = self.directory.get(key) else { continue };
-            if member.info.is_leaving
-                || tried.contains(&key)
-                || !self.is_centre_in(&member.info.centre)
-            {
-                continue;
-            }
-            let _ = write!(candidates, "{}:{},", member.info.id, member.in_flight);
-            let score = (member.in_flight, self.rng.random(), key);
-            if best.is_none_or(|b| (score.0, score.1) < (b.0, b.1)) {
-                best = Some(score);
-            }
-        }
-        best.map(|(_, _, key)| (key, candidates))
-    }
-
-    fn is_centre_in(&self, centre: &str) -> bool {
-        let Some(document) = &self.document else { return false };
-        document.centres.get(centre).is_some_and(|c| c.state == crate::document::CentreState::In)
-    }
-
     fn call_answered(
         &mut self,
+        now: Time,
         key: CallKey,
         attempt: u32,
-        _report: Option<LoadReport>,
+        status: u16,
+        report: Option<LoadReport>,
         out: &mut Vec<Effect>,
     ) {
+        let Some(call) = self.calls.get(key) else { return };
+        let Some(opened) = call.open.iter().find(|open| open.number == attempt).copied() else {
+            return;
+        };
+        let is_failure = status >= 500;
+        let observed = if is_failure { Observed::Failure } else { Observed::Answer };
+        let group = call.group;
+        self.close_attempt(now, key, attempt, observed, report, out);
+        if !is_failure {
+            self.directory.group_mut(group).hedge.answered(now.since(opened.sent));
+        }
+        let Some(call) = self.calls.get_mut(key) else { return };
+        if call.is_answered {
+            return;
+        }
+        // The target ran something, or shed the request without proof that it did not.
+        call.may_have_run = true;
+        if is_shed(status) && call.is_idempotent {
+            let attempted = call.attempted();
+            let retry = self.directory.group_mut(group).budget.retry(now, &attempted);
+            if retry.is_ok() && self.start_attempt(now, key, out).is_ok() {
+                return;
+            }
+        }
         let Some(call) = self.calls.get_mut(key) else { return };
-        if !call.is_answered {
-            call.is_answered = true;
-            out.push(Effect::Call(key, CallStep::Deliver { attempt }));
+        call.is_answered = true;
+        for open in std::mem::take(&mut call.open) {
+            self.release(now, open, Observed::NotRun);
         }
+        out.push(Effect::Call(key, CallStep::Deliver { attempt }));
     }
 
     fn attempt_refused(
@@ -202,56 +241,128 @@
             return;
         }
         call.may_have_run |= refusal.outcome == Outcome::Unknown;
-        let may_repeat = refusal.outcome == Outcome::NotRun || call.is_idempotent;
-        let may_retry = can_replay && may_repeat && call.attempts < MAX_ATTEMPTS;
-        if may_retry && self.start_attempt(now, key, out).is_ok() {
-            return;
+        let (attempted, group) = (call.attempted(), call.group);
+        if can_replay {
+            let retry = self.directory.group_mut(group).budget.retry(now, &attempted);
+            if retry.is_ok() && self.start_attempt(now, key, out).is_ok() {
+                return;
+            }
         }
         if self.calls.get(key).is_some_and(|call| call.open.is_empty()) {
-            self.refuse_call(key, refusal.reason, out);
+            self.refuse_call(now, key, refusal.reason, out);
         }
     }
 
     /// Refuses a call; it says "not run" only if no attempt may have run.
-    fn refuse_call(&mut self, key: CallKey, reason: Reason, out: &mut Vec<Effect>) {
+    fn refuse_call(&mut self, now: Time, key: CallKey, reason: Reason, out: &mut Vec<Effect>) {
         let Some(call) = self.calls.remove(key) else { return };
         let may_have_run = call.may_have_run || !call.open.is_empty();
         let refusal =
             if may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
-        for (_, member) in &call.open {
-            self.release(*member);
+        for open in call.open {
+            // An attempt that outlasts its deadline counts as a failure, so that a stalled target is ejected.
+            self.release(now, open, Observed::Failure);
         }
         out.push(Effect::Log(Record::Refuse { call: key, service: call.service, refusal }));
         out.push(Effect::Call(key, CallStep::Refuse(refusal)));
     }
 
-    pub(super) fn call_deadline(&mut self, key: CallKey, out: &mut Vec<Effect>) {
+    pub(super) fn call_deadline(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
         if self.calls.get(key).is_some_and(|call| !call.is_answered) {
-            self.refuse_call(key, Reason::Deadline, out);
+            self.refuse_call(now, key, Reason::Deadline, out);
+        }
+    }
+
+    /// Sets the timer after which an idempotent request is also sent to another target.
+    fn arm_hedge(&mut self, key: CallKey, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get(key) else { return };
+        let Some(service) = self.service(&call.service) else { return };
+        if !service.hedge || !call.is_idempotent {
+            return;
+        }
+        if let Some(after) = self.directory.group_mut(call.group).hedge.get() {
+            out.push(Effect::Arm { timer: Timer::Hedge(key), after });
         }
     }
 
-    fn call_ended(&mut self, key: CallKey, _end: End) {
+    pub(super) fn hedge(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get(key) else { return };
+        let [open] = call.open[..] else { return };
+        if call.is_answered {
+            return;
+        }
+        let (attempted, elapsed) = (call.attempted(), now.since(open.sent));
+        let group = self.directory.group_mut(call.group);
+        let delay = group.hedge;
+        if group.budget.hedge(now, &attempted, elapsed, &delay) {
+            // Without another target the first attempt goes on alone.
+            let _ = self.start_attempt(now, key, out);
+        }
+    }
+
+    fn call_ended(&mut self, now: Time, key: CallKey, _end: End) {
         let Some(call) = self.calls.remove(key) else { return };
-        for (_, member) in call.open {
-            self.release(member);
+        for open in call.open {
+            self.release(now, open, Observed::NotRun);
         }
     }
 
-    fn close_attempt(&mut self, key: CallKey, attempt: u32, _report: Option<LoadReport>) {
+    fn close_attempt(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        attempt: u32,
+        observed: Observed,
+        report: Option<LoadReport>,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(call) = self.calls.get_mut(key) else { return };
-        let Some(index) = call.open.iter().position(|(number, _)| *number == attempt) else {
+        let Some(index) = call.open.iter().position(|open| open.number == attempt) else { return };
+        let open = call.open.swap_remove(index);
+        let service = call.service.clone();
+        self.release(now, open, observed);
+        if let Some(report) = report
+            && let Some(member) = self.directory.get_mut(open.member)
+        {
+            member.view.reported(now, report);
+        }
+        match observed {
+            Observed::Answer => self.directory.succeeded(now, open.member),
+            Observed::Failure => self.count_failure(now, &service, open.member, out),
+            Observed::NotRun => {}
+        }
+    }
+
+    fn count_failure(&mut self, now: Time, service: &str, key: MemberKey, out: &mut Vec<Effect>) {
+        let Some(limits) =
+            self.document.as_ref().and_then(|document| document.services.get(service))
+        else {
             return;
         };
-        let (_, member) = call.open.swap_remove(index);
-        self.release(member);
+        let Some(until) = self.directory.failed(now, key, limits) else { return };
+        let Some(member) = self.directory.get(key) else { return };
+        let pause = until.since(now);
+        out.push(Effect::Log(Record::Eject {
+            member: member.info.id,
+            service: service.into(),
+            pause,
+        }));
     }
 
-    fn release(&mut self, member: MemberKey) {
-        if let Some(member) = self.directory.get_mut(member) {
-            member.in_flight = member.in_flight.saturating_sub(1);
+    fn release(&mut self, now: Time, open: OpenAttempt, observed: Observed) {
+        if let Some(member) = self.directory.get_mut(open.member) {
+            member.view.finished(now, open.sent, observed);
         }
     }
+
+    pub(super) fn service(&self, name: &str) -> Option<&Service> {
+        self.document.as_ref()?.services.get(name)
+    }
+}
+
+/// Returns whether a status says that the target refused work that another target may take.
+fn is_shed(status: u16) -> bool {
+    matches!(status, 429 | 503)
 }
 
 /// Returns whether a request may run more than once: the longest matching route decides, else the method
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -1,10 +1,13 @@
 //! Decisions of the target's node about requests for its target.
 
 use crate::{
+    admission::{Decision, Finish, Next},
+    body::End,
+    document::CentreState,
     effect::{Effect, Record, WorkStep},
     event::{WorkEvent, WorkHead},
     keys::WorkKey,
-    load::LoadReport,
+    load::{LoadReport, Measure},
     refusal::{Reason, Refusal},
     time::Time,
 };
@@ -14,67 +17,120 @@
 /// A request in progress at the target's node.
 #[derive(Debug)]
 pub(super) struct Work {
-    is_running: bool,
+    status: Option<u16>,
 }
 
 impl Reducer {
     pub(super) fn apply_work(
         &mut self,
-        _now: Time,
+        now: Time,
         key: WorkKey,
         event: WorkEvent,
         out: &mut Vec<Effect>,
     ) {
         match event {
-            WorkEvent::Arrived(head) => self.work_arrived(key, &head, out),
-            WorkEvent::Answered { .. } => {}
-            WorkEvent::Failed(_) | WorkEvent::Ended(_) => self.work_ended(key),
+            WorkEvent::Arrived(head) => self.work_arrived(now, key, &head, out),
+            WorkEvent::Answered { status } => {
+                if let Some(work) = self.works.get_mut(key) {
+                    work.status = Some(status);
+                }
+            }
+            WorkEvent::Failed(_) => self.work_finished(now, key, Finish::Failure, out),
+            WorkEvent::Ended(end) => self.work_ended(now, key, end, out),
         }
     }
 
-    /// Returns the state of the target for the nodes that choose.
-    pub(crate) fn load_report(&self) -> LoadReport {
-        LoadReport { running: self.running, limit: self.me.slots, ..LoadReport::default() }
+    /// Returns the load report for an answer, or `None` if the measuring budget is spent.
+    pub(crate) fn report_load(&mut self, now: Time) -> Option<LoadReport> {
+        let report = self.gate.report();
+        self.measure.spend(now, Measure::Report, report.cost()).then_some(report)
     }
 
-    fn work_arrived(&mut self, key: WorkKey, head: &WorkHead, out: &mut Vec<Effect>) {
-        let refusal = self.refuse_work(head);
-        let decision = if refusal.is_some() { "refuse" } else { "run" };
+    fn work_arrived(&mut self, now: Time, key: WorkKey, head: &WorkHead, out: &mut Vec<Effect>) {
+        let decision = match self.refuse_work(head) {
+            Some(refusal) => Decision::Refuse(refusal),
+            None => self.gate.arrive(now, key, now + head.timeout),
+        };
+        let report = self.gate.report();
         out.push(Effect::Log(Record::Admit {
             work: key,
             from: head.from,
-            decision,
-            running: self.running,
-            limit: self.me.slots,
+            decision: match decision {
+                Decision::Run => "run",
+                Decision::Queue => "queue",
+                Decision::Refuse(_) => "refuse",
+            },
+            running: report.running,
+            limit: report.limit,
         }));
-        if let Some(refusal) = refusal {
-            out.push(Effect::Work(key, WorkStep::Refuse(refusal)));
-            return;
+        match decision {
+            Decision::Refuse(refusal) => out.push(Effect::Work(key, WorkStep::Refuse(refusal))),
+            Decision::Run => {
+                self.works.insert(key, Work { status: None });
+                out.push(Effect::Work(key, WorkStep::Run));
+            }
+            Decision::Queue => {
+                self.works.insert(key, Work { status: None });
+            }
         }
-        self.running += 1;
-        self.works.insert(key, Work { is_running: true });
-        out.push(Effect::Work(key, WorkStep::Run));
     }
 
     fn refuse_work(&self, head: &WorkHead) -> Option<Refusal> {
         let reason = if head.service != self.me.info.service {
             Reason::NoTarget
-        } else if self.is_stopping {
+        } else if !self.is_target_up {
+            Reason::NoTarget
+        } else if self.is_stopping || self.is_centre_out() {
             Reason::Draining
         } else if head.timeout.is_zero() {
             Reason::Deadline
-        } else if self.running >= self.me.slots {
-            Reason::Overloaded
         } else {
             return None;
         };
         Some(Refusal::not_run(reason))
     }
 
-    fn work_ended(&mut self, key: WorkKey) {
-        let Some(work) = self.works.remove(key) else { return };
-        if work.is_running {
-            self.running -= 1;
+    /// Returns whether operators have taken this data centre out of service.
+    ///
+    /// Checked here as well as by the choosing node, which may not have the document yet.
+    fn is_centre_out(&self) -> bool {
+        let centre = self.document.as_ref().and_then(|d| d.centres.get(&self.me.info.centre));
+        centre.is_some_and(|centre| centre.state == CentreState::Out)
+    }
+
+    fn work_ended(&mut self, now: Time, key: WorkKey, end: End, out: &mut Vec<Effect>) {
+        let status = self.works.get(key).and_then(|work| work.status);
+        match (end, status) {
+            (End::Complete, Some(status)) if status != 503 => {
+                self.work_finished(now, key, Finish::Answer, out);
+            }
+            (End::Complete | End::Cut, _) => self.work_finished(now, key, Finish::Failure, out),
+            (End::Dropped, _) => {
+                if self.works.remove(key).is_some() {
+                    let next = self.gate.cancel(now, key);
+                    self.advance_queue(next, out);
+                }
+            }
+        }
+    }
+
+    fn work_finished(&mut self, now: Time, key: WorkKey, finish: Finish, out: &mut Vec<Effect>) {
+        if self.works.remove(key).is_some() {
+            let next = self.gate.finish(now, key, finish);
+            self.advance_queue(next, out);
+        }
+    }
+
+    /// Carries out what the gate decided about requests that waited.
+    pub(super) fn advance_queue(&mut self, next: Vec<Next>, out: &mut Vec<Effect>) {
+        for next in next {
+            match next {
+                Next::Run(key) => out.push(Effect::Work(key, WorkStep::Run)),
+                Next::Refuse(key, refusal) => {
+                    self.works.remove(key);
+                    out.push(Effect::Work(key, WorkStep::Refuse(refusal)));
+                }
+            }
         }
     }
 }
