Add configuration store with content-addressed parts

A document of 4,700 services exceeds the platform's 1 MB limit, operators race with each other, and the answer to a write can be lost after the write took effect.

Unused parts are deleted in collections of at most 64; parts written after the present index are spared, because a commit in progress may need them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod platform;
 pub mod refusal;
 pub mod standin;
+pub mod store;
 pub mod time;
--- /dev/null
+++ b/src/store/collect.rs
@@ -0,0 +1,52 @@
+//! Deleting parts that no kept index names.
+
+use std::collections::BTreeSet;
+
+use compact_str::CompactString;
+use snafu::ResultExt;
+
+use super::{HISTORY_PREFIX, Index, PART_PREFIX, PlatformSnafu, StoreError, read_index};
+use crate::platform::{Expect, Platform, PlatformError};
+
+/// The commits from one collection to the next. A collection lists all parts (about 1 MB), so at 53,000 changes a
+/// day there are 3,300 of them a day.
+pub const COLLECT_EVERY: u64 = 16;
+
+/// The most parts that one collection deletes. A commit usually replaces one or two parts, so a collection can
+/// delete twice as many as have been added since the last.
+pub const COLLECT_LIMIT: usize = 64;
+
+/// Deletes up to [`COLLECT_LIMIT`] parts that neither the index nor the kept former indexes name, and returns
+/// their number.
+///
+/// It is safe beside commits and other collections: a commit writes each part that its base lacks after it read
+/// that base, so a part last written before the present index is needed by no commit that can still succeed;
+/// and the deletion expects that the part has not been written again.
+///
+/// # Errors
+///
+/// Fails if the platform does, or if an index has an unknown form; what was deleted until then stays deleted.
+pub async fn collect<P: Platform>(platform: &P) -> Result<usize, StoreError> {
+    let Some((index, entry)) = read_index(platform).await? else { return Ok(0) };
+    let mut kept = index.digests();
+    for (_, past) in platform.list(HISTORY_PREFIX).await.context(PlatformSnafu)?.entries {
+        kept.extend(Index::decode(&past.value)?.digests());
+    }
+    let kept: BTreeSet<CompactString> = kept.into_iter().map(|d| d.key()).collect();
+    let parts = platform.list(PART_PREFIX).await.context(PlatformSnafu)?;
+    let garbage = parts
+        .entries
+        .into_iter()
+        .filter(|(key, part)| part.revision < entry && !kept.contains(key))
+        .take(COLLECT_LIMIT);
+    let mut deleted = 0;
+    for (key, part) in garbage {
+        match platform.delete(&key, Expect::Revision(part.revision)).await {
+            Ok(_) => deleted += 1,
+            // Written again or already deleted; a lost answer is settled by the next collection.
+            Err(PlatformError::Conflict { .. } | PlatformError::Unknown { .. }) => {}
+            Err(source) => return Err(StoreError::Platform { source }),
+        }
+    }
+    Ok(deleted)
+}
--- /dev/null
+++ b/src/store/measure.rs
@@ -0,0 +1,69 @@
+//! The cost of storing a document of a given size.
+
+use bytes::Bytes;
+
+use super::{Index, StoreError, split};
+use crate::document::{Centre, CentreState, Document, Route, Service, Version};
+
+/// What a document takes in the platform.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct StoreCost {
+    /// The size of the index in bytes.
+    pub index: usize,
+    /// The size of the largest part in bytes.
+    pub largest: usize,
+    /// The size of all parts in bytes.
+    pub total: usize,
+    /// The parts that are written when one service changes; the index and its predecessor are written as well.
+    pub changed: usize,
+}
+
+/// Measures a document of 20 data centres and typical services with one route and two versions each.
+///
+/// # Errors
+///
+/// Fails if a part exceeds the platform's limit.
+pub fn measure(services: u32) -> Result<StoreCost, StoreError> {
+    let mut document = typical(services);
+    let parts = split(&document)?;
+    let index = Index {
+        revision: u64::MAX,
+        submission: "00112233445566778899aabbccddeeff".into(),
+        parts: parts.names,
+        globals: parts.globals,
+    };
+    if let Some(service) = document.services.values_mut().next() {
+        service.deadline_ms += 1;
+    }
+    let after = split(&document)?;
+    Ok(StoreCost {
+        index: index.encode().len(),
+        largest: parts.content.values().map(Bytes::len).max().unwrap_or_default(),
+        total: parts.content.values().map(Bytes::len).sum(),
+        changed: after.content.keys().filter(|d| !parts.content.contains_key(d)).count(),
+    })
+}
+
+fn typical(services: u32) -> Document {
+    let mut document = Document::default();
+    for i in 0..20 {
+        let region = format!("region-{}", i % 9).into();
+        let centre = Centre { region, state: CentreState::In };
+        document.centres.insert(format!("centre-{i}").into(), centre);
+    }
+    // The times of a real schedule, which have 13 digits.
+    let version = |name: &str, start_ms| Version {
+        name: name.into(),
+        start_ms,
+        end_ms: start_ms + 3_600_000,
+    };
+    for i in 0..services {
+        let service = Service {
+            routes: vec![Route { prefix: "/search".into(), method: None, idempotent: true }],
+            versions: vec![version("v41", 1_700_000_000_000), version("v42", 1_700_100_000_000)],
+            ..Service::default()
+        };
+        document.services.insert(format!("service-{i}").into(), service);
+    }
+    document
+}
