--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 mod server;
 pub mod settings;
 pub mod standin;
+pub mod store;
 pub mod time;
 mod timer;
 mod work;
