Test membership and gossip; refuse joins at members that are joining

The first run of the fault tests showed 29 members that start together without a complete table after 10 simulated seconds: they pulled from each other, and a chunk from a member that is itself joining neither advanced the pull nor shortened the retry, which backed off to 4 s.

A joining member now refuses a pull with an empty chunk, which makes the other side retry elsewhere after 100 ms, and serves what it has only to members that have waited for 5 s. The retry backs off to 2 s.

The tests cover each state transition, each kind of bad datagram, and joins, crashes, pauses, leaves, address takeovers and partitions among 30 members with 5% loss.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -188,6 +188,8 @@
 /// Binds the UDP socket and starts to read datagrams.
 pub async fn open(bind: SocketAddr, identity: Identity) -> io::Result<Gossip> {
     let socket = Arc::new(UdpSocket::bind(bind).await?);
+    // Until the runtime has seen the socket ready, sends without waiting would fail.
+    socket.writable().await?;
     let address = socket.local_addr()?;
     let counters = Arc::new(Counters::default());
     let (tx, messages) = mpsc::channel(RECEIVE_QUEUE);
--- a/src/gossip/codec.rs
+++ b/src/gossip/codec.rs
@@ -24,6 +24,11 @@
     pub fn derive(text: &str) -> Key {
         Key(blake3::derive_key(KEY_CONTEXT, text.as_bytes()))
     }
+
+    /// Computes the tag over the body of a datagram.
+    pub(super) fn tag(&self, body: &[u8]) -> blake3::Hash {
+        blake3::keyed_hash(&self.0, body)
+    }
 }
 
 /// The key stays out of logs.
@@ -34,10 +39,10 @@
 }
 
 #[derive(Serialize)]
-struct Outgoing<'a> {
-    sender: MemberId,
-    sequence: u64,
-    message: &'a Message,
+pub(super) struct Outgoing<'a> {
+    pub(super) sender: MemberId,
+    pub(super) sequence: u64,
+    pub(super) message: &'a Message,
 }
 
 #[derive(Deserialize)]
@@ -75,7 +80,7 @@
         let buffer = Vec::with_capacity(DATAGRAM_BYTES);
         let mut datagram =
             postcard::to_extend(&outgoing, buffer).map_err(|_| DropKind::Malformed)?;
-        let tag = blake3::keyed_hash(&self.identity.key.0, &datagram);
+        let tag = self.identity.key.tag(&datagram);
         datagram.extend_from_slice(tag.as_bytes());
         if datagram.len() > DATAGRAM_BYTES {
             return Err(DropKind::Oversize);
@@ -112,7 +117,7 @@
         let (body, tag) =
             datagram.split_last_chunk::<TAG_BYTES>().ok_or(DropKind::Unauthenticated)?;
         // `blake3::Hash` compares in constant time.
-        if blake3::keyed_hash(&self.identity.key.0, body) != blake3::Hash::from_bytes(*tag) {
+        if self.identity.key.tag(body) != blake3::Hash::from_bytes(*tag) {
             return Err(DropKind::Unauthenticated);
         }
         let (incoming, rest) =
--- a/src/gossip/tests.rs
+++ b/src/gossip/tests.rs
@@ -1,1 +1,160 @@
+use std::net::SocketAddr;
 
+use test_case::test_case;
+
+use super::{codec::Outgoing, *};
+use crate::membership::{Body, PAYLOAD_BYTES};
+
+const INSIDE: &str = "10.1.2.3:7002";
+
+fn identity(id: u64, key: &str) -> Identity {
+    let ranges = vec!["10.0.0.0/8".parse().unwrap(), "127.0.0.0/8".parse().unwrap()];
+    Identity { id: MemberId(id), key: Key::derive(key), ranges }
+}
+
+fn message(payload: usize) -> Message {
+    Message { revision: 7, payload: vec![1; payload], updates: vec![], body: Body::Gossip }
+}
+
+fn address(text: &str) -> SocketAddr {
+    text.parse().unwrap()
+}
+
+/// A datagram with a valid tag over an arbitrary body.
+fn tagged(body: &[u8]) -> Vec<u8> {
+    let tag = Key::derive("k").tag(body);
+    [body, tag.as_bytes()].concat()
+}
+
+fn body(payload: usize) -> Vec<u8> {
+    let outgoing = Outgoing { sender: MemberId(1), sequence: 1, message: &message(payload) };
+    postcard::to_stdvec(&outgoing).unwrap()
+}
+
+fn valid() -> Vec<u8> {
+    tagged(&body(5))
+}
+
+fn flipped(position: usize) -> Vec<u8> {
+    let mut datagram = valid();
+    datagram[position] ^= 1;
+    datagram
+}
+
+/// Guards against accepting a datagram that fails any one check.
+#[test_case(INSIDE, valid(), None; "valid")]
+#[test_case(INSIDE, tagged(&body(PAYLOAD_BYTES)), None; "largest payload")]
+#[test_case("192.0.2.1:7002", valid(), Some(DropKind::Foreign); "outside the ranges")]
+#[test_case("[::1]:7002", valid(), Some(DropKind::Foreign); "other address family")]
+#[test_case(INSIDE, vec![0; 1_201], Some(DropKind::Oversize); "oversize")]
+#[test_case(INSIDE, vec![], Some(DropKind::Unauthenticated); "empty")]
+#[test_case(INSIDE, vec![0; 31], Some(DropKind::Unauthenticated); "shorter than a tag")]
+#[test_case(INSIDE, flipped(0), Some(DropKind::Unauthenticated); "changed sender")]
+#[test_case(INSIDE, flipped(1), Some(DropKind::Unauthenticated); "changed sequence number")]
+#[test_case(INSIDE, flipped(valid().len() - 1), Some(DropKind::Unauthenticated); "changed tag")]
+#[test_case(INSIDE, valid()[..valid().len() - 1].to_vec(), Some(DropKind::Unauthenticated); "cut")]
+#[test_case(INSIDE, tagged(&[]), Some(DropKind::Malformed); "no body")]
+#[test_case(INSIDE, tagged(&[0xff; 40]), Some(DropKind::Malformed); "no valid body")]
+#[test_case(INSIDE, tagged(&body(5)[..5]), Some(DropKind::Malformed); "body cut before the tag")]
+#[test_case(INSIDE, tagged(&[&body(5)[..], &[0]].concat()), Some(DropKind::Malformed); "trailing byte")]
+#[test_case(INSIDE, tagged(&body(PAYLOAD_BYTES + 1)), Some(DropKind::Malformed); "payload too large")]
+#[test_case(INSIDE, tagged(&[1, 1, 7, 0xff, 0xff, 0xff, 0xff, 0x0f]), Some(DropKind::Malformed); "length beyond the body")]
+fn decode_checks(from: &str, datagram: Vec<u8>, expected: Option<DropKind>) {
+    let decoded = Decoder::new(identity(2, "k")).decode(address(from), &datagram);
+    assert_eq!(decoded.err(), expected);
+}
+
+/// Guards against nodes with different keys accepting each other.
+#[test]
+fn decode_rejects_other_key() {
+    let datagram = Encoder::new(identity(1, "other")).encode(address(INSIDE), &message(0)).unwrap();
+    let decoded = Decoder::new(identity(2, "k")).decode(address(INSIDE), &datagram);
+    assert_eq!(decoded.err(), Some(DropKind::Unauthenticated));
+}
+
+/// Guards against datagrams that receivers would drop.
+#[test_case(INSIDE, 200, Ok(()); "fits")]
+#[test_case(INSIDE, 1_200, Err(DropKind::Oversize); "oversize")]
+#[test_case("192.0.2.1:7002", 0, Err(DropKind::Foreign); "outside the ranges")]
+fn encode_checks(to: &str, payload: usize, expected: Result<(), DropKind>) {
+    let encoded = Encoder::new(identity(1, "k")).encode(address(to), &message(payload));
+    assert_eq!(encoded.map(|_| ()), expected);
+}
+
+/// Guards against accepting a datagram twice, and against rejecting reordered ones.
+#[test_case(&[1, 2, 3], &[]; "in order")]
+#[test_case(&[3, 1, 2], &[]; "reordered")]
+#[test_case(&[1, 1], &[1]; "repeated at once")]
+#[test_case(&[5, 4, 9, 4, 5, 9], &[3, 4, 5]; "repeated later")]
+#[test_case(&[64, 1], &[]; "oldest in the window")]
+#[test_case(&[65, 1], &[1]; "below the window")]
+#[test_case(&[1, 65, 2, 2], &[3]; "window moved by its size")]
+#[test_case(&[1, u64::MAX, 1], &[2]; "window moved by the maximum")]
+#[test_case(&[0, 0], &[1]; "zero")]
+fn replay_window(sequence: &[u64], rejected: &[usize]) {
+    let mut replay = replay::Replay::default();
+    let results: Vec<_> = sequence.iter().map(|s| replay.check(MemberId(1), *s)).collect();
+    for (i, result) in results.into_iter().enumerate() {
+        let expected = if rejected.contains(&i) { Err(DropKind::Replayed) } else { Ok(()) };
+        assert_eq!(result, expected, "datagram {i}");
+    }
+}
+
+/// Guards against unbounded memory, and against a full table that never recovers.
+#[test]
+fn replay_tracks_bounded_senders() {
+    let mut replay = replay::Replay::default();
+    for id in 0..SENDERS as u64 {
+        replay.check(MemberId(id), 1).unwrap();
+    }
+    let newcomer = MemberId(u64::MAX);
+    assert_eq!(replay.check(newcomer, 1), Err(DropKind::Untracked));
+    assert_eq!(replay.check(MemberId(0), 1), Err(DropKind::Replayed), "windows are kept");
+    for sequence in 2..70_000 {
+        replay.check(MemberId(0), sequence).unwrap();
+    }
+    assert_eq!(replay.check(newcomer, 1), Ok(()), "silent senders are forgotten");
+    assert_eq!(replay.check(MemberId(0), 2), Err(DropKind::Replayed), "active senders are kept");
+}
+
+/// Guards against a key that appears in logs.
+#[test]
+fn key_is_not_printed() {
+    assert_eq!(format!("{:?}", Key::derive("secret")), "Key(..)");
+}
+
+/// Guards against an edge that loses valid datagrams, passes on bad ones or fails to count them.
+#[tokio::test]
+async fn edge_passes_valid_datagrams_and_counts_the_others() {
+    let bind = address("127.0.0.1:0");
+    let mut a = open(bind, identity(1, "k")).await.unwrap();
+    let mut b = open(bind, identity(2, "k")).await.unwrap();
+    let stranger = UdpSocket::bind(bind).await.unwrap();
+    stranger.send_to(&[0; 2_000], b.address).await.unwrap();
+    stranger.send_to(&[0; 100], b.address).await.unwrap();
+    stranger.send_to(&valid(), b.address).await.unwrap();
+    stranger.send_to(&valid(), b.address).await.unwrap();
+    let (source, first) = b.messages.recv().await.unwrap();
+    assert_eq!(source, Source { id: MemberId(1), address: stranger.local_addr().unwrap() });
+    assert_eq!(first, message(5));
+
+    b.sender.send(a.address, &message(3));
+    let (source, second) = a.messages.recv().await.unwrap();
+    assert_eq!(source, Source { id: MemberId(2), address: b.address });
+    assert_eq!(second, message(3));
+
+    a.sender.send(address("192.0.2.1:9"), &message(0));
+    assert_eq!(a.counters.dropped(DropKind::Foreign), 1);
+
+    // A last valid datagram arrives after all others have been counted.
+    let mut last = Encoder::starting_at(identity(3, "k"), 0);
+    stranger.send_to(&last.encode(b.address, &message(1)).unwrap(), b.address).await.unwrap();
+    assert_eq!(b.messages.recv().await.unwrap().1, message(1));
+    let dropped = DropKind::ALL.map(|kind| b.counters.dropped(kind));
+    assert_eq!(dropped, [1, 0, 1, 0, 1, 0, 0, 0]);
+    assert_eq!(b.counters.received().0, 2);
+    assert_eq!(b.counters.sent().0, 1);
+
+    drop(b.messages);
+    b.task.await.unwrap();
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -255,7 +255,9 @@
             Body::Ack { probe, subject } => self.on_ack(now, from, probe, subject, out),
             Body::Gossip => {}
             Body::Identify => self.on_identify(from, out),
-            Body::Pull { pull, first, services } => self.on_pull(from, pull, first, &services, out),
+            Body::Pull { pull, first, services, partial } => {
+                self.on_pull(from, pull, first, &services, partial, out);
+            }
             Body::Chunk { pull, synced, next, records } => {
                 for record in records {
                     self.apply(now, record, Via::Exchange, out);
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -227,6 +227,8 @@
         first: MemberId,
         /// The services to which the request is limited; all if empty.
         services: Vec<CompactString>,
+        /// Whether a table that is not complete will do.
+        partial: bool,
     },
     /// Responds to a pull.
     Chunk {
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -16,7 +16,7 @@
 /// the 17 KB/s for control.
 const CHUNK_PERIOD: Duration = Duration::from_millis(100);
 
-/// The wait before a chunk is requested again from another member; it doubles up to eightfold.
+/// The wait before a chunk is requested again from another member; it doubles up to fourfold.
 const CHUNK_RETRY: Duration = Duration::from_millis(500);
 
 /// The time after which a joining member accepts chunks from members that are themselves joining. Without it, a
@@ -113,10 +113,14 @@
         let use_contact = join.attempts % 2 == 1;
         let known = self.table.live().choose(&mut self.rng).filter(|_| !use_contact).copied();
         let contact = join.contacts.choose(&mut self.rng).copied();
-        join.next = now + CHUNK_RETRY * (1 << join.attempts.min(3));
+        join.next = now + CHUNK_RETRY * (1 << join.attempts.min(2));
         join.attempts += 1;
-        let body =
-            Body::Pull { pull: join.number, first: join.first, services: join.services.clone() };
+        let body = Body::Pull {
+            pull: join.number,
+            first: join.first,
+            services: join.services.clone(),
+            partial: now.since(join.started) >= JOIN_PATIENCE,
+        };
         let to = known
             .and_then(|id| self.receiver(id))
             .or_else(|| contact.map(|address| Receiver { address, id: None }));
@@ -132,9 +136,15 @@
         pull: u32,
         first: MemberId,
         services: &[CompactString],
+        partial: bool,
         out: &mut Vec<Output>,
     ) {
         let synced = self.is_synced();
+        if !synced && !partial {
+            let refusal = Body::Chunk { pull, synced, next: Some(first), records: vec![] };
+            self.send(from.into(), Class::Bulk, vec![], refusal, out);
+            return;
+        }
         let empty = Body::Chunk { pull, synced, next: Some(first), records: vec![] };
         let mut room = self.room(&empty);
         let (mut records, mut next) = (vec![], None);
@@ -166,12 +176,12 @@
         out: &mut Vec<Output>,
     ) {
         let Some(join) = self.sync.join.as_mut().filter(|join| join.number == pull) else { return };
+        join.number = join.number.wrapping_add(1);
+        join.next = now + CHUNK_PERIOD;
         if !synced && now.since(join.started) < JOIN_PATIENCE {
             return;
         }
-        join.number = join.number.wrapping_add(1);
         join.attempts = 0;
-        join.next = now + CHUNK_PERIOD;
         match next {
             Some(next) => join.first = next.max(join.first),
             None if !join.services.is_empty() => {
--- /dev/null
+++ b/src/membership/tests/faults.rs
@@ -0,0 +1,276 @@
+//! Faults of processes and of the network among a few dozen members.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use test_case::test_case;
+
+use super::*;
+
+/// A planned stop, a join or a crash has to be known within a few seconds (design section 5.1).
+const FEW_SECONDS: u64 = 5;
+
+/// The share of datagrams lost, and of those duplicated.
+const LOSS: f64 = 0.05;
+const DUPLICATES: f64 = 0.02;
+
+struct Region {
+    nodes: BTreeMap<MemberId, Node>,
+    /// Datagrams in flight by arrival; the number keeps arrivals at the same time apart.
+    flight: BTreeMap<(Time, u64), (SocketAddr, Source, Message)>,
+    now: Time,
+    rng: SmallRng,
+    number: u64,
+    delivered: usize,
+    /// Whether even and odd addresses are separated.
+    split: bool,
+}
+
+struct Node {
+    membership: Membership,
+    paused: bool,
+    lost: BTreeSet<MemberId>,
+    suspected: BTreeSet<MemberId>,
+}
+
+impl Region {
+    /// A region whose members joined through the first of them.
+    fn joined(members: u32, seed: u64) -> Region {
+        let mut region = Region {
+            nodes: BTreeMap::new(),
+            flight: BTreeMap::new(),
+            now: Time::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            number: 0,
+            delivered: 0,
+            split: false,
+        };
+        let ids: Vec<MemberId> = (0..members).map(|n| region.start(n)).collect();
+        region.run(10);
+        for id in ids {
+            assert!(region.nodes[&id].membership.is_synced(), "{id} is not synced");
+        }
+        region.assert_complete();
+        region
+    }
+
+    /// Starts a process at address `n`, in place of any that runs there.
+    fn start(&mut self, n: u32) -> MemberId {
+        let me = member(MemberId(self.rng.random()), n);
+        self.nodes.retain(|_, node| node.membership.me().gossip != me.gossip);
+        let (id, seed) = (me.id, self.rng.random());
+        let mut membership = Membership::new(me, Settings::default(), seed);
+        let contacts = if n == 0 { vec![] } else { vec![member(MemberId(0), 0).gossip] };
+        membership.join(self.now, contacts, &mut vec![]);
+        let node =
+            Node { membership, paused: false, lost: BTreeSet::new(), suspected: BTreeSet::new() };
+        self.nodes.insert(id, node);
+        id
+    }
+
+    fn id_at(&self, n: u32) -> MemberId {
+        let address = member(MemberId(0), n).gossip;
+        self.nodes.values().find(|n| n.membership.me().gossip == address).unwrap().membership.id
+    }
+
+    fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds * 10 {
+            self.now += TICK;
+            while let Some(entry) = self.flight.first_entry().filter(|e| e.key().0 <= self.now) {
+                let ((at, _), (to, source, message)) = entry.remove_entry();
+                self.deliver(at, to, source, message);
+            }
+            let ids: Vec<MemberId> = self.nodes.keys().copied().collect();
+            for id in ids {
+                self.step(id, |m, now, out| m.tick(now, out));
+            }
+        }
+    }
+
+    fn deliver(&mut self, at: Time, to: SocketAddr, source: Source, message: Message) {
+        let id =
+            self.nodes.values().map(|n| &n.membership).find(|m| m.me().gossip == to).map(|m| m.id);
+        if let Some(id) = id {
+            self.delivered += 1;
+            self.step(id, |m, _, out| m.handle(at, source, message, out));
+        }
+    }
+
+    /// Runs one step of a node that is not paused; what arrives meanwhile is lost.
+    fn step(&mut self, id: MemberId, f: impl FnOnce(&mut Membership, Time, &mut Vec<Output>)) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        if node.paused {
+            return;
+        }
+        let mut out = vec![];
+        f(&mut node.membership, self.now, &mut out);
+        let source = Source { id, address: node.membership.me().gossip };
+        for output in out {
+            match output {
+                Output::Lost { id, .. } => {
+                    node.lost.insert(id);
+                }
+                Output::Joined(member) => {
+                    node.lost.remove(&member.id);
+                }
+                Output::Suspected { id, suspected: true } => {
+                    node.suspected.insert(id);
+                }
+                Output::Send { to, message } => {
+                    let crosses = to.ip().is_even() != source.address.ip().is_even();
+                    if (self.split && crosses) || self.rng.random_bool(LOSS) {
+                        continue;
+                    }
+                    for _ in 0..1 + usize::from(self.rng.random_bool(DUPLICATES)) {
+                        // Delays between 1 and 50 ms reorder datagrams.
+                        let delay = Duration::from_micros(self.rng.random_range(1_000..50_000));
+                        self.number += 1;
+                        self.flight
+                            .insert((self.now + delay, self.number), (to, source, message.clone()));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The nodes that hold `id` live.
+    fn holders(&self, id: MemberId) -> usize {
+        let holds = |n: &&Node| n.membership.member(id).is_some_and(|(_, s)| s.is_live());
+        self.nodes.values().filter(holds).count()
+    }
+
+    /// Asserts that each node holds exactly the running nodes live.
+    fn assert_complete(&self) {
+        let running: Vec<MemberId> = self.nodes.keys().copied().collect();
+        for (id, node) in &self.nodes {
+            let live: Vec<MemberId> =
+                node.membership.members().filter(|(_, s)| s.is_live()).map(|(m, _)| m.id).collect();
+            assert_eq!(live, running, "members at {id}");
+        }
+    }
+}
+
+trait Parity {
+    fn is_even(&self) -> bool;
+}
+
+impl Parity for std::net::IpAddr {
+    fn is_even(&self) -> bool {
+        matches!(self, std::net::IpAddr::V4(ip) if ip.octets()[3].is_multiple_of(2))
+    }
+}
+
+/// Guards against a join that some members do not hear of.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn join_is_known_to_all(seed: u64) {
+    let mut region = Region::joined(30, seed);
+    let id = region.start(30);
+    region.run(FEW_SECONDS);
+    assert_eq!(region.holders(id), 31);
+    assert!(region.nodes[&id].membership.is_synced());
+    region.assert_complete();
+}
+
+/// Guards against a crash that callers notice late, and against live members lost with it.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn crash_is_known_to_all(seed: u64) {
+    let mut region = Region::joined(30, seed);
+    let id = region.id_at(7);
+    region.nodes.remove(&id);
+    region.run(FEW_SECONDS);
+    for (at, node) in &region.nodes {
+        assert!(node.suspected.contains(&id) || node.lost.contains(&id), "not suspected at {at}");
+    }
+    region.run(FEW_SECONDS);
+    assert_eq!(region.holders(id), 0);
+    region.assert_complete();
+}
+
+/// Guards against false deaths under loss, delay and duplication.
+#[test_case(1)]
+#[test_case(2)]
+fn lossy_network_causes_no_death(seed: u64) {
+    let mut region = Region::joined(30, seed);
+    region.run(300);
+    assert!(region.nodes.values().all(|n| n.lost.is_empty()));
+}
+
+/// Guards against a paused member that stays dead after its return, or that declares others dead.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn paused_member_refutes_its_death(seed: u64) {
+    let mut region = Region::joined(30, seed);
+    let id = region.id_at(7);
+    region.nodes.get_mut(&id).unwrap().paused = true;
+    region.run(2 * FEW_SECONDS);
+    assert_eq!(region.holders(id), 1, "only the paused member itself");
+    region.nodes.get_mut(&id).unwrap().paused = false;
+    region.run(2 * FEW_SECONDS);
+    assert!(region.nodes[&id].membership.me().incarnation > 0);
+    assert!(region.nodes[&id].lost.is_empty(), "the paused member lost others");
+    region.assert_complete();
+}
+
+/// Guards against a planned stop that is taken for a failure, or is known late.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn leave_is_known_to_all(seed: u64) {
+    let mut region = Region::joined(30, seed);
+    let id = region.id_at(7);
+    region.step(id, |m, now, out| m.leave(now, out));
+    region.run(FEW_SECONDS);
+    assert!(region.nodes[&id].membership.has_left());
+    region.nodes.remove(&id);
+    for node in region.nodes.values() {
+        assert_eq!(node.membership.member(id).map(|(_, s)| s), Some(Left));
+    }
+    region.run(60);
+    region.assert_complete();
+}
+
+/// Guards against a new process that is confused with the one whose address it took.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn address_takeover_replaces_member(seed: u64) {
+    let mut region = Region::joined(30, seed);
+    let old = region.id_at(7);
+    let new = region.start(7);
+    region.run(FEW_SECONDS);
+    assert_eq!((region.holders(old), region.holders(new)), (0, 30));
+    region.run(60);
+    region.assert_complete();
+}
+
+/// Guards against a partition that does not heal, and against a flood of messages when it does.
+#[test_case(1, 30)]
+#[test_case(2, 300)]
+fn partition_heals_without_flood(seed: u64, seconds: u64) {
+    let members = 30;
+    let mut region = Region::joined(members, seed);
+    region.split = true;
+    region.run(seconds);
+    for node in region.nodes.values() {
+        assert_eq!(node.membership.group(), 15);
+    }
+    region.split = false;
+    region.delivered = 0;
+    let healing = 30;
+    region.run(healing);
+    region.assert_complete();
+    // The smallest datagram costs over 80 bytes of the budget, in which two seconds may have accumulated.
+    let bound = u64::from(members) * u64::from(GOSSIP_BYTES) * (healing + 2) / 80;
+    assert!(region.delivered as u64 <= bound, "{} messages", region.delivered);
+    region.delivered = 0;
+    region.run(60);
+    // A second of steady state takes a ping and an ack, and each member starts an exchange in 5 s; twice that
+    // covers indirect probes after losses.
+    let steady = u64::from(members) * 60 * 5;
+    assert!(region.delivered as u64 <= steady, "{} messages after healing", region.delivered);
+}
