Connect membership, configuration and platform to the node

Cause: nodes had to be introduced to each other and given a document by hand. Change: the reducer owns the membership of the region; the directory follows it. Conclusion: a node needs only its settings and the platform.

--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,206 @@
+//! Control calls between nodes, by `tarpc` over TCP; see `docs/design.md`, section 4.2.
+
+use std::{
+    collections::BTreeMap,
+    future::ready,
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use ipnet::IpNet;
+use serde::{Deserialize, Serialize};
+use slog::Logger;
+use snafu::{OptionExt, ResultExt, Snafu};
+use tarpc::{
+    client::{self, RpcError},
+    context::{self, Context},
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+
+use crate::{
+    auth::RequestKey,
+    config::{PARTS_PER_CALL, Replica},
+    identity::Handover,
+    keys::MemberId,
+    store::{Digest, Index, StoreError},
+};
+
+/// The largest control message in bytes; a handover of 256 KiB fits.
+const MAX_FRAME: usize = 512 * 1024;
+
+/// The largest number of control connections at the same time; nodes open them for single calls.
+const MAX_CONNECTIONS: usize = 64;
+
+/// The largest number of calls in progress on one connection.
+const MAX_CALLS: usize = 4;
+
+/// The longest time of one control call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Proves that a control call comes from a node that holds the cluster key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Seal(String);
+
+/// The control calls that a node answers.
+#[tarpc::service]
+pub(crate) trait Control {
+    /// Returns the encoded index of the document in force.
+    async fn index(seal: Seal) -> Option<Vec<u8>>;
+
+    /// Returns those of the named parts that the node holds, at most [`PARTS_PER_CALL`].
+    async fn parts(seal: Seal, digests: Vec<Digest>) -> Vec<(Digest, Vec<u8>)>;
+
+    /// Takes over the outcomes of a member that leaves; returns whether they were accepted.
+    async fn hand_over(seal: Seal, handover: Handover) -> bool;
+}
+
+/// A control call failed.
+#[derive(Debug, Snafu)]
+pub(crate) enum ControlError {
+    #[snafu(display("cannot connect: {source}"))]
+    Connect { source: io::Error },
+    #[snafu(display("the call failed: {source}"))]
+    Call { source: RpcError },
+    #[snafu(display("the other node has no document"))]
+    NoDocument,
+    #[snafu(display("{source}"))]
+    Store { source: StoreError },
+}
+
+/// Answers control calls.
+#[derive(Clone)]
+pub(crate) struct Server<H> {
+    pub(crate) me: MemberId,
+    pub(crate) key: RequestKey,
+    pub(crate) replica: Replica,
+    pub(crate) log: Logger,
+    /// Receives handovers and returns whether they are accepted.
+    pub(crate) on_handover: H,
+}
+
+impl<H: Fn(Handover) -> bool + Clone + Send + Sync + 'static> Server<H> {
+    /// Binds the listener and returns its address and the task that serves it.
+    pub(crate) async fn listen(
+        self,
+        addr: SocketAddr,
+        networks: Vec<IpNet>,
+    ) -> io::Result<(SocketAddr, impl Future<Output = ()> + Send)> {
+        let mut incoming = tcp::listen(addr, Bincode::default).await?;
+        incoming.config_mut().max_frame_length(MAX_FRAME);
+        let bound = incoming.local_addr();
+        let serve = async move {
+            incoming
+                .filter_map(|transport| ready(transport.ok()))
+                .filter(move |transport| {
+                    let allowed = transport.peer_addr().is_ok_and(|addr| {
+                        networks.iter().any(|network| network.contains(&addr.ip()))
+                    });
+                    ready(allowed)
+                })
+                .map(|transport| {
+                    let channel = BaseChannel::with_defaults(transport);
+                    let server = self.clone();
+                    channel.execute(server.serve()).for_each_concurrent(MAX_CALLS, |call| call)
+                })
+                .for_each_concurrent(MAX_CONNECTIONS, |connection| connection)
+                .await;
+        };
+        Ok((bound, serve))
+    }
+
+    fn verify(&self, seal: &Seal, call: &str) -> bool {
+        let is_valid = self.key.verify(&seal.0, self.me, &["control", call]);
+        if !is_valid {
+            slog::warn!(self.log, "event"; "event" => "control-rejected", "call" => call, "reason" => "seal");
+        }
+        is_valid
+    }
+}
+
+impl<H: Fn(Handover) -> bool + Clone + Send + Sync + 'static> Control for Server<H> {
+    async fn index(self, _: Context, seal: Seal) -> Option<Vec<u8>> {
+        if !self.verify(&seal, "index") {
+            return None;
+        }
+        Some(self.replica.get()?.index.encode().to_vec())
+    }
+
+    async fn parts(self, _: Context, seal: Seal, digests: Vec<Digest>) -> Vec<(Digest, Vec<u8>)> {
+        let Some(held) = self.replica.get().filter(|_| self.verify(&seal, "parts")) else {
+            return Vec::new();
+        };
+        let wanted = digests.into_iter().take(PARTS_PER_CALL);
+        wanted.filter_map(|digest| Some((digest, held.parts.get(&digest)?.to_vec()))).collect()
+    }
+
+    async fn hand_over(self, _: Context, seal: Seal, handover: Handover) -> bool {
+        self.verify(&seal, "hand-over") && (self.on_handover)(handover)
+    }
+}
+
+/// Calls the control server of another node.
+pub(crate) struct Client {
+    client: ControlClient,
+    to: MemberId,
+    key: RequestKey,
+}
+
+impl Client {
+    /// Connects to the control server of the member `to`.
+    pub(crate) async fn connect(
+        addr: SocketAddr,
+        to: MemberId,
+        key: RequestKey,
+    ) -> Result<Client, ControlError> {
+        let mut connect = tcp::connect(addr, Bincode::default);
+        connect.config_mut().max_frame_length(MAX_FRAME);
+        let transport = match tokio::time::timeout(CALL_TIMEOUT, connect).await {
+            Ok(connected) => connected.context(ConnectSnafu)?,
+            Err(_) => return Err(io::Error::from(io::ErrorKind::TimedOut)).context(ConnectSnafu),
+        };
+        let client = ControlClient::new(client::Config::default(), transport).spawn();
+        Ok(Client { client, to, key })
+    }
+
+    /// Reads the index of the document that the other node has in force.
+    pub(crate) async fn index(&self) -> Result<Index, ControlError> {
+        let encoded =
+            self.client.index(call_context(), self.seal("index")).await.context(CallSnafu)?;
+        Index::decode(&encoded.context(NoDocumentSnafu)?).context(StoreSnafu)
+    }
+
+    /// Reads parts of the document; parts that the other node lacks are absent from the result.
+    pub(crate) async fn parts(
+        &self,
+        wanted: &[Digest],
+    ) -> Result<BTreeMap<Digest, Bytes>, ControlError> {
+        let mut found = BTreeMap::new();
+        for chunk in wanted.chunks(PARTS_PER_CALL) {
+            let call = self.client.parts(call_context(), self.seal("parts"), chunk.to_vec());
+            let parts = call.await.context(CallSnafu)?;
+            found.extend(parts.into_iter().map(|(digest, part)| (digest, Bytes::from(part))));
+        }
+        Ok(found)
+    }
+
+    /// Hands the outcomes of this node's identities over.
+    pub(crate) async fn hand_over(&self, handover: Handover) -> Result<bool, ControlError> {
+        let call = self.client.hand_over(call_context(), self.seal("hand-over"), handover);
+        call.await.context(CallSnafu)
+    }
+
+    fn seal(&self, call: &str) -> Seal {
+        Seal(self.key.tag(self.to, &["control", call]).to_string())
+    }
+}
+
+fn call_context() -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + CALL_TIMEOUT;
+    context
+}
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -8,9 +8,9 @@
 
 use crate::{
     document::Service,
-    event::MemberInfo,
     keys::{MemberId, MemberKey, ServiceKey},
     load::TargetView,
+    membership,
     retry::{Ejector, HedgeDelay, RetryBudget},
     routing::{Candidate, Choice, NoChoice, Router, TargetState},
     time::Time,
@@ -41,7 +41,7 @@
 /// One member.
 #[derive(Debug)]
 pub(crate) struct Member {
-    pub(crate) info: MemberInfo,
+    pub(crate) info: membership::Member,
     pub(crate) service: ServiceKey,
     pub(crate) view: TargetView,
 }
@@ -58,7 +58,7 @@
 
 impl Directory {
     /// Records what a member announced.
-    pub(crate) fn upsert(&mut self, info: MemberInfo) -> Change {
+    pub(crate) fn upsert(&mut self, info: membership::Member) -> Change {
         if let Some(&key) = self.ids.get(&info.id) {
             let member = &mut self.members[key];
             if member.info == info {
@@ -82,7 +82,7 @@
     }
 
     /// Forgets a member that left or failed, and returns what it had announced.
-    pub(crate) fn remove(&mut self, id: MemberId) -> Option<MemberInfo> {
+    pub(crate) fn remove(&mut self, id: MemberId) -> Option<membership::Member> {
         let key = self.ids.remove(&id)?;
         let member = self.members.remove(key)?;
         let group = &mut self.services[member.service];
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -1,8 +1,11 @@
 //! Applies events to the reducer and carries out the effects.
 
-use std::sync::{
-    Mutex, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use slog::Logger;
@@ -15,10 +18,12 @@
 use crate::{
     effect::{CallStep, Effect, WorkStep},
     event::{CallEvent, Event, WorkEvent},
-    keys::{CallKey, WorkKey},
+    gossip,
+    keys::{CallKey, MemberId, WorkKey},
     load::LoadReport,
     logging,
     metrics::Metrics,
+    peer::Peers,
     reducer::Reducer,
     time::Time,
     timer::Timers,
@@ -31,15 +36,31 @@
 pub(crate) struct Driver {
     core: Mutex<Core>,
     started: Instant,
-    timers: std::sync::OnceLock<Timers>,
     log: Logger,
     metrics: Metrics,
     exit: watch::Sender<bool>,
     rejected: AtomicU64,
 }
 
+/// What the parts of a process do for the reducer besides serving requests.
+pub(crate) struct Outlets {
+    pub(crate) gossip: gossip::Sender,
+    pub(crate) pulls: mpsc::UnboundedSender<Pull>,
+    pub(crate) seat: watch::Sender<Option<usize>>,
+    pub(crate) peers: Peers,
+    pub(crate) timers: Timers,
+}
+
+/// A pull of the document from another member.
+#[derive(Copy, Clone, Debug)]
+pub(crate) struct Pull {
+    pub(crate) from: MemberId,
+    pub(crate) control: SocketAddr,
+}
+
 struct Core {
     reducer: Reducer,
+    outlets: Option<Outlets>,
     calls: SlotMap<CallKey, mpsc::UnboundedSender<CallStep>>,
     works: SlotMap<WorkKey, mpsc::UnboundedSender<WorkStep>>,
     effects: Vec<Effect>,
@@ -49,6 +70,7 @@
     pub(crate) fn new(reducer: Reducer, log: Logger, metrics: Metrics) -> Driver {
         let core = Core {
             reducer,
+            outlets: None,
             calls: SlotMap::with_key(),
             works: SlotMap::with_key(),
             effects: Vec::new(),
@@ -56,7 +78,6 @@
         Driver {
             core: Mutex::new(core),
             started: Instant::now(),
-            timers: std::sync::OnceLock::new(),
             log,
             metrics,
             exit: watch::Sender::new(false),
@@ -64,11 +85,11 @@
         }
     }
 
-    /// Connects the timer service and starts the reducer.
-    pub(crate) fn start(&self, timers: Timers) {
-        let _ = self.timers.set(timers);
+    /// Connects the other parts of the process and starts the reducer.
+    pub(crate) fn start(&self, outlets: Outlets) {
         let mut core = self.lock();
         let core = &mut *core;
+        core.outlets = Some(outlets);
         core.reducer.start(&mut core.effects);
         self.carry_out(core);
     }
@@ -161,11 +182,6 @@
                         let _ = steps.send(step);
                     }
                 }
-                Effect::Arm { timer, after } => {
-                    if let Some(timers) = self.timers.get() {
-                        timers.arm(timer, after);
-                    }
-                }
                 Effect::Log(record) => {
                     self.metrics.record(&record);
                     logging::write(&self.log, &record);
@@ -173,6 +189,11 @@
                 Effect::Exit => {
                     self.exit.send_replace(true);
                 }
+                effect => {
+                    if let Some(outlets) = &mut core.outlets {
+                        outlets.carry_out(effect);
+                    }
+                }
             }
         }
     }
@@ -186,3 +207,21 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Outlets {
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.gossip.send(to, &message),
+            Effect::Pull { from, control } => {
+                // The receiver ends with the node.
+                let _ = self.pulls.send(Pull { from, control });
+            }
+            Effect::Forget(peer) => self.peers.forget(peer),
+            Effect::Seat(seat) => {
+                self.seat.send_replace(seat);
+            }
+            Effect::Arm { timer, after } => self.timers.arm(timer, after),
+            Effect::Call(..) | Effect::Work(..) | Effect::Log(_) | Effect::Exit => {}
+        }
+    }
+}
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -7,6 +7,7 @@
 use crate::{
     event::Timer,
     keys::{CallKey, MemberId, WorkKey},
+    membership::Message,
     refusal::Refusal,
 };
 
@@ -17,6 +18,14 @@
     Call(CallKey, CallStep),
     /// The next step of a request at the target's node.
     Work(WorkKey, WorkStep),
+    /// Sends a datagram to another member.
+    Send { to: SocketAddr, message: Box<Message> },
+    /// Pulls the document from another member.
+    Pull { from: MemberId, control: SocketAddr },
+    /// Closes the connections to a member that is gone.
+    Forget(SocketAddr),
+    /// Gives this node a seat, or takes it away.
+    Seat(Option<usize>),
     /// Sets a timer.
     Arm { timer: Timer, after: Duration },
     /// Writes a log line.
@@ -84,6 +93,14 @@
     Eject { member: MemberId, service: CompactString, pause: Duration },
     /// A member appeared, changed or was lost.
     Member { id: MemberId, service: CompactString, change: &'static str },
+    /// The whole table of members has been pulled.
+    Synced { members: usize },
+    /// The table of members is full.
+    TableFull { refused: u64 },
+    /// The node talks to the platform for its data centre, or no longer does.
+    Seat { seat: Option<usize> },
+    /// A newer document is pulled from a member.
+    Pull { from: MemberId, revision: u64 },
     /// A document came into force.
     Document { revision: u64, services: usize },
     /// The target became reachable or unreachable.
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that the reducer reacts to.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use compact_str::CompactString;
 use http::Method;
@@ -10,8 +10,10 @@
     document::Document,
     keys::{CallKey, MemberId, WorkKey},
     load::LoadReport,
+    membership::{Message, Source},
     pool::Reach,
     refusal::Refusal,
+    seat::Contact,
     time::Wall,
 };
 
@@ -22,10 +24,12 @@
     Call(CallKey, CallEvent),
     /// Concerns a request at the target's node.
     Work(WorkKey, WorkEvent),
-    /// A member of the system appeared or changed.
-    MemberSeen(MemberInfo),
-    /// A member of the system left or failed.
-    MemberLost(MemberId),
+    /// An authentic datagram arrived.
+    Gossip(Source, Box<Message>),
+    /// The contact keys in the platform were read.
+    Contacts(Vec<Contact>),
+    /// A pull of a document ended; if it succeeded, the document arrived before.
+    PullEnded,
     /// A document came into force.
     Document { revision: u64, document: Arc<Document> },
     /// The target became reachable or unreachable.
@@ -100,17 +104,6 @@
     pub(crate) timeout: Duration,
 }
 
-/// What members announce about themselves.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct MemberInfo {
-    pub(crate) id: MemberId,
-    pub(crate) service: CompactString,
-    pub(crate) version: CompactString,
-    pub(crate) centre: CompactString,
-    pub(crate) peer: SocketAddr,
-    pub(crate) is_leaving: bool,
-}
-
 /// A timer that the reducer sets; an expired timer of a request that is gone is ignored.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Timer {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod admission;
 mod auth;
 mod body;
+mod config;
+mod control;
 mod directory;
 pub mod document;
 mod driver;
@@ -29,6 +31,7 @@
 pub mod refusal;
 pub mod retry;
 pub mod routing;
+mod seat;
 mod server;
 pub mod settings;
 pub mod standin;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,7 +4,7 @@
 
 use std::io;
 
-use slog::{Drain, Level, Logger, info, o};
+use slog::{Drain, Level, Logger, info, o, warn};
 use slog_logfmt::Logfmt;
 use slotmap::{Key, KeyData};
 
@@ -48,6 +48,15 @@
             "member" => %member, "service" => service.as_str(), "pause_ms" => pause.as_millis() as u64),
         Record::Member { id, service, change } => info!(log, "member";
             "member" => %id, "service" => service.as_str(), "change" => change),
+        Record::Synced { members } => info!(log, "synced"; "members" => members),
+        Record::TableFull { refused } => warn!(log, "table-full"; "refused" => refused),
+        Record::Seat { seat: Some(seat) } => {
+            info!(log, "seat"; "change" => "taken", "seat" => seat)
+        }
+        Record::Seat { seat: None } => info!(log, "seat"; "change" => "given-up"),
+        Record::Pull { from, revision } => {
+            info!(log, "pull"; "from" => %from, "revision" => revision)
+        }
         Record::Document { revision, services } => info!(log, "document";
             "revision" => revision, "services" => services),
         Record::Target { change } => info!(log, "target"; "change" => change),
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,16 +16,21 @@
 
 use crate::{
     auth::RequestKey,
-    document::Document,
-    driver::Driver,
+    config::{PULL_TIMEOUT, Replica},
+    control::{self, ControlError},
+    driver::{Driver, Outlets, Pull},
     egress::Egress,
-    event::{Event, MemberInfo},
+    event::Event,
+    gossip,
     ingress::Ingress,
     keys::MemberId,
+    membership::{Member, Message, Source},
     metrics::Metrics,
     peer::Peers,
-    pool::Pool,
+    platform::{Http, Platform, http::Limits},
+    pool::{Pool, Reach},
     reducer::{Me, Reducer},
+    seat::{Contact, Seat},
     server,
     settings::Settings,
     time::Wall,
@@ -64,59 +69,118 @@
     pub callers: SocketAddr,
     /// Requests from other nodes.
     pub peers: SocketAddr,
+    /// Control calls from other nodes.
+    pub control: SocketAddr,
+    /// Membership datagrams.
+    pub gossip: SocketAddr,
 }
 
 /// A running node.
 pub struct Node {
     driver: Arc<Driver>,
+    id: MemberId,
     addresses: Addresses,
-    info: MemberInfo,
     stop: watch::Sender<bool>,
     tasks: JoinSet<()>,
 }
 
 impl Node {
-    /// Starts a node and returns when its listeners are open.
+    /// Starts a node that meets the platform of the settings over HTTP.
     ///
     /// # Errors
     ///
     /// Fails if an address cannot be used.
     pub async fn start(settings: Settings, log: Logger) -> Result<Node, NodeError> {
+        let platform = Http::new(settings.platform, Limits::default());
+        Node::start_with(settings, platform, log).await
+    }
+
+    /// Starts a node that meets the given platform, and returns when its listeners are open.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be used.
+    pub async fn start_with<P: Platform>(
+        settings: Settings,
+        platform: P,
+        log: Logger,
+    ) -> Result<Node, NodeError> {
         let metrics = Metrics::new(settings.metrics).context(MetricsSnafu)?;
-        let callers = listen("callers", settings.listen.callers).await?;
-        let peers = listen("peers", settings.listen.peers).await?;
-        let addresses = Addresses { callers: local(&callers), peers: local(&peers) };
-        let seed = settings.seed.unwrap_or_else(|| rand::rng().random());
+        let key = RequestKey::new(&settings.key);
         // The id must differ between starts even if the seed of the decisions does not.
         let id = MemberId(rand::rng().random());
-        let info = MemberInfo {
+
+        let callers = listen("callers", settings.listen.callers).await?;
+        let peers = listen("peers", settings.listen.peers).await?;
+        let replica = Replica::default();
+        let server = control::Server {
+            me: id,
+            key: key.clone(),
+            replica: replica.clone(),
+            log: log.clone(),
+            on_handover: |_| false,
+        };
+        let addr = settings.listen.control;
+        let opened = server.listen(addr, settings.networks.clone()).await;
+        let (control, serve_control) = opened.context(ListenSnafu { field: "control", addr })?;
+        let identity = gossip::Identity {
             id,
-            service: settings.service.clone(),
-            version: settings.version.clone(),
-            centre: settings.centre.clone(),
+            key: gossip::Key::derive(&settings.key),
+            ranges: settings.networks.clone(),
+        };
+        let addr = settings.listen.gossip;
+        let opened = gossip::open(addr, identity).await;
+        let gossip = opened.context(ListenSnafu { field: "gossip", addr })?;
+        let addresses = Addresses {
+            callers: local(&callers),
+            peers: local(&peers),
+            control,
+            gossip: gossip.address,
+        };
+
+        let me = me(&settings, id, addresses);
+        let contact = Contact {
+            id,
+            region: me.info.region.clone(),
+            gossip: addresses.gossip,
             peer: addresses.peers,
-            is_leaving: false,
         };
-        let drain = Duration::from_millis(settings.drain_ms.into());
-        let me = Me { info: info.clone(), slots: settings.target.slots, drain };
-        let driver = Arc::new(Driver::new(Reducer::new(me, seed), log, metrics));
+        let seed = settings.seed.unwrap_or_else(|| rand::rng().random());
+        let driver = Arc::new(Driver::new(Reducer::new(me, seed), log.clone(), metrics));
 
         let mut tasks = JoinSet::new();
         let (reach, reached) = mpsc::unbounded_channel();
         let target = &settings.target;
         let pool = Pool::new(target.address, target.connections, target.slots, reach);
         tasks.spawn(pool.clone().keep_warm());
-        tasks.spawn(forward(reached, driver.clone(), Event::Target));
+        tasks.spawn(forward(reached, driver.clone()));
+        tasks.spawn(receive(gossip.messages, driver.clone()));
         tasks.spawn(read_clock(driver.clone()));
+        tasks.spawn(serve_control);
+
+        let (pulls, wanted) = mpsc::unbounded_channel();
+        let puller = Puller { driver: driver.clone(), replica: replica.clone(), key: key.clone() };
+        tasks.spawn(puller.run(wanted));
+        let (seat, rank) = watch::channel(None);
+        let duties = Arc::new(Seat {
+            platform: Arc::new(platform),
+            driver: driver.clone(),
+            replica,
+            me: contact,
+            centre: settings.centre.clone(),
+            rank,
+            log: log.clone(),
+        });
+        tasks.spawn(duties.clone().keep_contact());
+        tasks.spawn(duties.watch_index());
 
         let stop = watch::Sender::new(false);
-        let key = RequestKey::new(&settings.key);
+        let connections = Peers::default();
         let worker = Worker::new(driver.clone(), pool);
         let egress =
             Egress { driver: driver.clone(), me: id, key: key.clone(), worker: worker.clone() };
         let ingress =
-            Ingress { driver: driver.clone(), me: id, key, peers: Peers::default(), worker };
-        let log = driver.log().clone();
+            Ingress { driver: driver.clone(), me: id, key, peers: connections.clone(), worker };
         let handle = move |req: Request<Body>| {
             let ingress = ingress.clone();
             async move { ingress.serve(req).await }
@@ -129,8 +193,14 @@
         tasks.spawn(server::serve(peers, settings.networks, stop.subscribe(), log, handle));
 
         let fire = driver.clone();
-        driver.start(Timers::start(move |timer| fire.dispatch(Event::Timer(timer))));
-        Ok(Node { driver, addresses, info, stop, tasks })
+        let timers = Timers::start(move |timer| fire.dispatch(Event::Timer(timer)));
+        driver.start(Outlets { gossip: gossip.sender, pulls, seat, peers: connections, timers });
+        Ok(Node { driver, id, addresses, stop, tasks })
+    }
+
+    /// Returns the id of this process lifetime.
+    pub fn id(&self) -> MemberId {
+        self.id
     }
 
     /// Returns the addresses on which the node listens.
@@ -153,17 +223,67 @@
         let _ = time::timeout(Duration::from_millis(500), close).await;
     }
 
-    /// Puts a document in force at this node.
-    pub fn set_document(&self, revision: u64, document: Arc<Document>) {
-        self.driver.dispatch(Event::Document { revision, document });
+    /// Returns the revision of the document in force at this node, or 0 without one.
+    pub fn revision(&self) -> u64 {
+        self.driver.inspect(Reducer::revision)
     }
 
-    /// Makes a node known to another one.
-    pub fn introduce(&self, other: &Node) {
-        self.driver.dispatch(Event::MemberSeen(other.info.clone()));
+    /// Returns the number of members of a service that this node knows.
+    pub fn known(&self, service: &str) -> usize {
+        self.driver.inspect(|reducer| reducer.known(service))
     }
 }
 
+/// Pulls newer documents from other members.
+struct Puller {
+    driver: Arc<Driver>,
+    replica: Replica,
+    key: RequestKey,
+}
+
+impl Puller {
+    async fn run(self, mut wanted: mpsc::UnboundedReceiver<Pull>) {
+        while let Some(pull) = wanted.recv().await {
+            let pulled = time::timeout(PULL_TIMEOUT, self.pull(pull)).await;
+            if let Ok(Err(error)) = pulled {
+                slog::warn!(self.driver.log(), "event"; "event" => "pull-failed", "from" => %pull.from,
+                    "error" => %error);
+            }
+            self.driver.dispatch(Event::PullEnded);
+        }
+    }
+
+    async fn pull(&self, pull: Pull) -> Result<(), ControlError> {
+        let client = control::Client::connect(pull.control, pull.from, self.key.clone()).await?;
+        let index = client.index().await?;
+        let revision = index.revision;
+        let parts = client.parts(&self.replica.missing(&index)).await?;
+        let installed = self.replica.install(index, parts);
+        if let Some(document) = installed.map_err(|source| ControlError::Store { source })? {
+            self.driver.dispatch(Event::Document { revision, document });
+        }
+        Ok(())
+    }
+}
+
+fn me(settings: &Settings, id: MemberId, addresses: Addresses) -> Me {
+    let info = Member {
+        id,
+        incarnation: 0,
+        service: settings.service.clone(),
+        version: settings.version.clone(),
+        centre: settings.centre.clone(),
+        region: settings.region.clone(),
+        peer: addresses.peers,
+        control: addresses.control,
+        gossip: addresses.gossip,
+        leaving: false,
+        cold: true,
+    };
+    let drain = Duration::from_millis(settings.drain_ms.into());
+    Me { info, slots: settings.target.slots, contacts: settings.contacts.clone(), drain }
+}
+
 async fn listen(field: &'static str, addr: SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(addr).await.context(ListenSnafu { field, addr })
 }
@@ -172,13 +292,15 @@
     listener.local_addr().expect("a bound listener has an address")
 }
 
-async fn forward<T>(
-    mut from: mpsc::UnboundedReceiver<T>,
-    driver: Arc<Driver>,
-    event: impl Fn(T) -> Event,
-) {
-    while let Some(item) = from.recv().await {
-        driver.dispatch(event(item));
+async fn forward(mut reached: mpsc::UnboundedReceiver<Reach>, driver: Arc<Driver>) {
+    while let Some(reach) = reached.recv().await {
+        driver.dispatch(Event::Target(reach));
+    }
+}
+
+async fn receive(mut messages: mpsc::Receiver<(Source, Message)>, driver: Arc<Driver>) {
+    while let Some((from, message)) = messages.recv().await {
+        driver.dispatch(Event::Gossip(from, Box::new(message)));
     }
 }
 
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -4,26 +4,28 @@
 //! same effects again. See `docs/design.md`, section 3.
 
 mod calls;
+mod members;
 mod works;
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SecondaryMap;
 
 use crate::{
     admission::Gate,
-    directory::{Change, Directory},
+    directory::Directory,
     document::{Budgets, Document},
     effect::{Effect, Record},
-    event::{Event, MemberInfo, Timer},
-    keys::{CallKey, MemberId, WorkKey},
+    event::{Event, Timer},
+    keys::{CallKey, WorkKey},
     load::MeasureBudget,
+    membership::{self, Member, Membership},
     pool::Reach,
     time::{Time, Wall},
 };
 
-use self::{calls::Call, works::Work};
+use self::{calls::Call, members::Pull, works::Work};
 
 /// The interval of periodic work.
 const TICK: Duration = Duration::from_millis(100);
@@ -31,8 +33,10 @@
 /// What a node knows about itself.
 #[derive(Clone, Debug)]
 pub(crate) struct Me {
-    pub(crate) info: MemberInfo,
+    pub(crate) info: Member,
     pub(crate) slots: u16,
+    /// Gossip addresses from the settings, for starts while the platform is down.
+    pub(crate) contacts: Vec<SocketAddr>,
     /// The time that a graceful stop waits for requests in progress.
     pub(crate) drain: Duration,
 }
@@ -42,6 +46,11 @@
     me: Me,
     rng: SmallRng,
     directory: Directory,
+    membership: Membership,
+    has_joined: bool,
+    next_seat: Time,
+    seat: Option<usize>,
+    pull: Option<Pull>,
     document: Option<Arc<Document>>,
     revision: u64,
     calls: SecondaryMap<CallKey, Call>,
@@ -60,10 +69,16 @@
         let mut directory = Directory::default();
         directory.upsert(me.info.clone());
         let gate = Gate::new(me.slots, Time::ZERO);
+        let membership = Membership::new(me.info.clone(), membership::Settings::default(), seed);
         Reducer {
             me,
             rng: SmallRng::seed_from_u64(seed),
             directory,
+            membership,
+            has_joined: false,
+            next_seat: Time::ZERO,
+            seat: None,
+            pull: None,
             document: None,
             revision: 0,
             calls: SecondaryMap::new(),
@@ -82,40 +97,31 @@
         out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
     }
 
+    /// Returns the revision of the document in force, or 0 without one.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the number of known members of a service.
+    pub(crate) fn known(&self, service: &str) -> usize {
+        self.directory.members().filter(|member| member.info.service == service).count()
+    }
+
     /// Applies one event that happened at `now` and appends its effects to `out`.
     pub(crate) fn apply(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Call(key, event) => self.apply_call(now, key, event, out),
             Event::Work(key, event) => self.apply_work(now, key, event, out),
-            Event::MemberSeen(info) => self.member_seen(info, out),
-            Event::MemberLost(id) => self.member_lost(id, out),
+            Event::Gossip(from, message) => self.gossip(now, from, *message, out),
+            Event::Contacts(contacts) => self.contacts(now, &contacts, out),
+            Event::PullEnded => self.pull_ended(),
             Event::Document { revision, document } => {
-                self.set_document(now, revision, document, out)
+                self.set_document(now, revision, document, out);
             }
             Event::Target(reach) => self.set_reach(now, reach, out),
             Event::Timer(timer) => self.expire(now, timer, out),
             Event::Clock(wall) => self.wall = Some((now, wall)),
-            Event::Stop => self.stop(out),
-        }
-    }
-
-    fn member_seen(&mut self, info: MemberInfo, out: &mut Vec<Effect>) {
-        let (id, service) = (info.id, info.service.clone());
-        let change = match self.directory.upsert(info) {
-            Change::Joined => "joined",
-            Change::Changed => "changed",
-            Change::Ignored => "ignored-full",
-            Change::Unchanged => return,
-        };
-        out.push(Effect::Log(Record::Member { id, service, change }));
-    }
-
-    fn member_lost(&mut self, id: MemberId, out: &mut Vec<Effect>) {
-        if id == self.me.info.id {
-            return;
-        }
-        if let Some(info) = self.directory.remove(id) {
-            out.push(Effect::Log(Record::Member { id, service: info.service, change: "lost" }));
+            Event::Stop => self.stop(now, out),
         }
     }
 
@@ -131,6 +137,7 @@
             return;
         }
         self.revision = revision;
+        self.membership.set_revision(revision);
         self.measure.set(&document.budgets, now);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
         self.document = Some(document);
@@ -153,6 +160,7 @@
             Timer::Tick => {
                 let next = self.gate.tick(now);
                 self.advance_queue(next, out);
+                self.tick_members(now, out);
                 self.check_stopped(out);
                 out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
             }
@@ -160,20 +168,22 @@
         }
     }
 
-    fn stop(&mut self, out: &mut Vec<Effect>) {
+    fn stop(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.is_stopping {
             return;
         }
         self.is_stopping = true;
         self.gate.drain();
-        self.me.info.is_leaving = true;
+        self.me.info.leaving = true;
         self.directory.upsert(self.me.info.clone());
+        self.announce_leave(now, out);
         out.push(Effect::Log(self.stop_record("begin")));
         out.push(Effect::Arm { timer: Timer::StopDeadline, after: self.me.drain });
     }
 
     fn check_stopped(&mut self, out: &mut Vec<Effect>) {
-        if self.is_stopping && self.calls.is_empty() && self.works.is_empty() {
+        let is_idle = self.calls.is_empty() && self.works.is_empty();
+        if self.is_stopping && is_idle && self.membership.has_left() {
             self.exit("idle", out);
         }
     }
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -157,7 +157,7 @@
         let choice = self.directory.choose(now, call.group, &call.tried, &mut self.rng, |member| {
             let centre =
                 document.as_ref().and_then(|document| document.centres.get(&member.info.centre));
-            let state = if member.info.is_leaving {
+            let state = if member.info.leaving {
                 TargetState::Draining
             } else if centre.is_none_or(|centre| centre.state == CentreState::Out) {
                 TargetState::OutOfService
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -76,9 +76,7 @@
     }
 
     fn refuse_work(&self, head: &WorkHead) -> Option<Refusal> {
-        let reason = if head.service != self.me.info.service {
-            Reason::NoTarget
-        } else if !self.is_target_up {
+        let reason = if head.service != self.me.info.service || !self.is_target_up {
             Reason::NoTarget
         } else if self.is_stopping || self.is_centre_out() {
             Reason::Draining
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -1,37 +1,39 @@
-//! Requests through nodes in one process.
-
-use std::{net::SocketAddr, sync::Arc};
+//! Requests through nodes in one process that find each other through a platform.
 
 use poplarbarrow::{
+    document::Document,
     logging,
     node::Node,
+    platform::Memory,
     standin::target::{Config, Target},
+    store,
 };
 
 #[path = "utils/client.rs"]
+#[allow(dead_code)] // Each test program uses a part of it.
 mod client;
 #[path = "utils/fleet.rs"]
 mod fleet;
 
-const NO_PLATFORM: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
+use fleet::{eventually, settings};
 
 #[tokio::test]
 async fn request_reaches_the_target_of_another_node() {
-    let target = Target::start(Config::default()).await.expect("a target");
-    let other = Target::start(Config::default()).await.expect("a target");
-    let log = logging::silent();
-    let a = Node::start(fleet::settings("catalogue", target.addr(), NO_PLATFORM), log.clone());
-    let b = Node::start(fleet::settings("orders", other.addr(), NO_PLATFORM), log);
-    let (a, b) = (a.await.expect("a node"), b.await.expect("a node"));
-    let document = Arc::new(fleet::document(&["catalogue", "orders"]));
-    for node in [&a, &b] {
-        node.set_document(1, document.clone());
+    let platform = Memory::new();
+    let document: Document = fleet::document(&["catalogue", "orders"]);
+    store::commit(&platform, 0, &document, "first").await.expect("a commit");
+    let mut fleet = Vec::new();
+    for service in ["catalogue", "orders"] {
+        let target = Target::start(Config::default()).await.expect("a target");
+        let node =
+            Node::start_with(settings(service, target.addr()), platform.clone(), logging::silent());
+        fleet.push((target, node.await.expect("a node")));
     }
-    a.introduce(&b);
-    b.introduce(&a);
+    let node = &fleet[0].1;
+    eventually("the nodes know each other", || node.known("orders") == 1 && node.revision() == 1)
+        .await;
     for service in ["catalogue", "orders"] {
-        let answer = client::get(a.addresses().callers, service, "/stock").await;
+        let answer = client::get(node.addresses().callers, service, "/stock").await;
         assert_eq!(answer.status, 200, "{service}: {answer:?}");
     }
 }
--- a/tests/utils/client.rs
+++ b/tests/utils/client.rs
@@ -9,22 +9,22 @@
 
 /// A whole answer.
 #[derive(Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub headers: HeaderMap,
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
     /// The body, or `None` if it was cut short.
-    pub body: Option<Vec<u8>>,
+    pub(crate) body: Option<Vec<u8>>,
 }
 
 impl Answer {
     /// Returns a header as text, empty if it is absent.
-    pub fn header(&self, name: &str) -> &str {
+    pub(crate) fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
     }
 }
 
 /// Sends a request to the node at `addr` and reads the whole answer; `None` if the connection broke.
-pub async fn send(addr: SocketAddr, service: &str, req: Request<Body>) -> Option<Answer> {
+pub(crate) async fn send(addr: SocketAddr, service: &str, req: Request<Body>) -> Option<Answer> {
     let (mut parts, body) = req.into_parts();
     let path = parts.uri.path_and_query().expect("a path");
     parts.uri = format!("http://{addr}{path}").parse().expect("a URI");
@@ -39,7 +39,7 @@
 }
 
 /// Sends a GET request.
-pub async fn get(addr: SocketAddr, service: &str, path: &str) -> Answer {
+pub(crate) async fn get(addr: SocketAddr, service: &str, path: &str) -> Answer {
     let req = Request::get(path).body(Body::empty()).expect("a request");
     send(addr, service, req).await.expect("an answer")
 }
