Add the open-loop load driver

Latency through nodes must be compared with direct access without coordinated omission. The sending times are a Poisson process fixed by a seed, latency counts from the planned time, and rounds interleave the routes. One thread sends and spins, because tokio's timer has a resolution of 1 ms. Only loopback addresses are accepted, and count, rate and duration are bounded.

--- /dev/null
+++ b/src/bin/poplarbarrow-load/main.rs
@@ -0,0 +1,112 @@
+//! The open-loop load driver as a program.
+
+use std::{
+    error::Error,
+    io::{self, Write},
+    process::ExitCode,
+};
+
+use compact_str::{CompactString, format_compact};
+use gumdrop::Options;
+use http::Method;
+use poplarbarrow::openloop::{self, Loopback, LoopbackError, Plan, Route};
+
+/// Sends requests at times fixed beforehand and compares routes. An address may be a list separated by
+/// commas, whose members get requests in turn.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version", no_short)]
+    version: bool,
+    #[options(help = "address of the target, the baseline", meta = "ADDR", no_short)]
+    direct: Option<String>,
+    #[options(help = "address of a node; may be repeated", meta = "ADDR", no_short)]
+    through: Vec<String>,
+    #[options(help = "service in the Host header", no_short, default = "catalogue")]
+    service: String,
+    #[options(help = "method", no_short, default = "GET")]
+    method: Method,
+    #[options(help = "path", no_short, default = "/")]
+    path: String,
+    #[options(help = "give each request a unique x-request-id", no_short)]
+    ids: bool,
+    #[options(help = "poplarbarrow-deadline-ms of each request", meta = "MS", no_short)]
+    deadline_ms: Option<u64>,
+    #[options(help = "mean requests per second", no_short, default = "1000")]
+    rate: f64,
+    #[options(help = "requests per route and round", no_short, default = "5000")]
+    count: u32,
+    #[options(help = "size of request and answer bodies", no_short, default = "0")]
+    bytes: usize,
+    #[options(help = "rounds, at least 5", no_short, default = "5")]
+    rounds: u32,
+    #[options(help = "most connections to each address", no_short, default = "64")]
+    connections: usize,
+    #[options(help = "seed of the sending times", no_short, default = "1")]
+    seed: u64,
+    #[options(help = "print one JSON document instead of lines", no_short)]
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    let mut out = io::stdout();
+    match run(&args, &mut out) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            let _ = writeln!(io::stderr(), "error: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args, out: &mut impl Write) -> Result<(), Box<dyn Error>> {
+    if args.version {
+        writeln!(out, "poplarbarrow-load {}", env!("CARGO_PKG_VERSION"))?;
+        return Ok(());
+    }
+    let mut written = Ok(());
+    let report = openloop::run(&plan(args)?, |round| {
+        if !args.json && written.is_ok() {
+            written = write!(out, "{round}").and_then(|()| out.flush());
+        }
+    })?;
+    written?;
+    if args.json {
+        writeln!(out, "{}", serde_json::to_string_pretty(&report)?)?;
+    } else {
+        write!(out, "{report}")?;
+    }
+    Ok(())
+}
+
+fn plan(args: &Args) -> Result<Plan, LoopbackError> {
+    let mut routes = Vec::new();
+    if let Some(list) = &args.direct {
+        routes.push(route("direct".into(), list)?);
+    }
+    for (n, list) in args.through.iter().enumerate() {
+        let name = if n == 0 { "through".into() } else { format_compact!("through{}", n + 1) };
+        routes.push(route(name, list)?);
+    }
+    Ok(Plan {
+        routes,
+        service: args.service.as_str().into(),
+        method: args.method.clone(),
+        path: args.path.as_str().into(),
+        ids: args.ids,
+        deadline_ms: args.deadline_ms,
+        rate: args.rate,
+        count: args.count,
+        bytes: args.bytes,
+        rounds: args.rounds,
+        connections: args.connections,
+        seed: args.seed,
+    })
+}
+
+fn route(name: CompactString, list: &str) -> Result<Route, LoopbackError> {
+    let addrs = list.split(',').map(str::parse::<Loopback>).collect::<Result<_, _>>()?;
+    Ok(Route { name, addrs })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod keys;
 pub mod load;
+pub mod openloop;
 pub mod refusal;
 pub mod time;
 pub mod standin;
