Compare HTTP/2 streams with tarpc as transports between nodes

The design chose HTTP/2 for calls between nodes without a figure for its cost. poplarbarrow-load transports measures latency and processor time per call of both over loopback, in interleaved rounds.

--- a/src/bin/poplarbarrow-load/main.rs
+++ b/src/bin/poplarbarrow-load/main.rs
@@ -9,7 +9,10 @@
 use compact_str::{CompactString, format_compact};
 use gumdrop::Options;
 use http::Method;
-use poplarbarrow::openloop::{self, Loopback, LoopbackError, Plan, Route};
+use poplarbarrow::{
+    openloop::{self, Loopback, LoopbackError, Plan, Route},
+    transports::{self, Sample, Trial},
+};
 
 /// Sends requests at times fixed beforehand and compares routes. An address may be a list separated by
 /// commas, whose members get requests in turn.
@@ -47,6 +50,28 @@
     seed: u64,
     #[options(help = "print one JSON document instead of lines", no_short)]
     json: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "compare HTTP/2 streams with tarpc as transports between nodes")]
+    Transports(TransportArgs),
+}
+
+#[derive(Debug, Options)]
+struct TransportArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "calls per transport, size and round", no_short, default = "20000")]
+    count: u32,
+    #[options(help = "concurrent calls", no_short, default = "8")]
+    width: u32,
+    #[options(help = "rounds, at least 5", no_short, default = "5")]
+    rounds: u32,
+    #[options(help = "seed of the bodies and of the order", no_short, default = "1")]
+    seed: u64,
 }
 
 fn main() -> ExitCode {
@@ -66,6 +91,9 @@
         writeln!(out, "poplarbarrow-load {}", env!("CARGO_PKG_VERSION"))?;
         return Ok(());
     }
+    if let Some(Command::Transports(args)) = &args.command {
+        return compare_transports(args, out);
+    }
     let mut written = Ok(());
     let report = openloop::run(&plan(args)?, |round| {
         if !args.json && written.is_ok() {
@@ -81,6 +109,24 @@
     Ok(())
 }
 
+fn compare_transports(args: &TransportArgs, out: &mut impl Write) -> Result<(), Box<dyn Error>> {
+    let TransportArgs { count, width, rounds, seed, .. } = *args;
+    let mut written = Ok(());
+    let table = transports::run(&Trial { count, width, rounds, seed }, |round, sample| {
+        let Sample { transport, bytes, p50, p99, cpu } = sample;
+        if written.is_ok() {
+            written = writeln!(
+                out,
+                "round={round} transport={transport} bytes={bytes} p50_us={p50:.1} p99_us={p99:.1} \
+                 cpu_us={cpu:.1}"
+            );
+        }
+    })?;
+    written?;
+    write!(out, "\n{table}")?;
+    Ok(())
+}
+
 fn plan(args: &Args) -> Result<Plan, LoopbackError> {
     let mut routes = Vec::new();
     if let Some(list) = &args.direct {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod load;
 pub mod openloop;
 pub mod refusal;
-pub mod time;
 pub mod standin;
+pub mod time;
+pub mod transports;
