--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,3 +39,8 @@
 pub mod time;
 mod timer;
 mod work;
+pub mod openloop;
+pub mod refusal;
+pub mod standin;
+pub mod time;
+pub mod transports;
