--- /dev/null
+++ b/tests/utils/process.rs
@@ -0,0 +1,57 @@
+//! Programs of the project as child processes.
+
+use std::{
+    io::{BufRead, BufReader},
+    path::Path,
+    process::{Child, Command, Stdio},
+};
+
+/// A running program, which is killed when the test ends early.
+pub(crate) struct Process {
+    child: Child,
+    /// The first line of its output, which names its addresses.
+    pub(crate) greeting: String,
+}
+
+impl Process {
+    /// Starts a program and reads the first line of its output.
+    pub(crate) fn start(program: &str, args: &[&str], log: &Path) -> Process {
+        let log = std::fs::File::create(log).expect("a log file");
+        let mut child = Command::new(program)
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .expect("the program starts");
+        let mut greeting = String::new();
+        let out = child.stdout.take().expect("piped output");
+        BufReader::new(out).read_line(&mut greeting).expect("a line of output");
+        Process { child, greeting }
+    }
+
+    /// Returns the value of a key in the greeting, or its last word.
+    pub(crate) fn address(&self, key: &str) -> String {
+        let words = || self.greeting.split_whitespace();
+        let value = words().find_map(|word| word.strip_prefix(key)?.strip_prefix('='));
+        value.or_else(|| words().last()).expect("an address").to_owned()
+    }
+
+    /// Sends a signal to this process only.
+    pub(crate) fn signal(&self, signal: &str) {
+        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Asks the program to stop and returns its exit code.
+    pub(crate) fn stop(mut self) -> Option<i32> {
+        self.signal("-TERM");
+        self.child.wait().expect("the program ends").code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
