Add operator commands check, diff and apply

Operators need to check a document offline, see what it changes and apply it without overwriting each other.

apply expects a revision, prints what changed in between if another revision is in force, and repeats a submission whose outcome was unknown.

--- a/src/bin/poplarbarrow-platform/main.rs
+++ b/src/bin/poplarbarrow-platform/main.rs
@@ -7,7 +7,7 @@
 };
 
 use gumdrop::Options;
-use poplarbarrow::{platform::Memory, standin};
+use poplarbarrow::{cli, platform::Memory, standin};
 use tokio::{
     net::TcpListener,
     signal::{
@@ -34,7 +34,10 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let args = Args::parse_args_default_or_exit();
+    let args: Args = match cli::parse("poplarbarrow-platform") {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     if args.version {
         let _ = writeln!(io::stdout(), "poplarbarrow-platform {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
--- a/src/bin/poplarbarrow/main.rs
+++ b/src/bin/poplarbarrow/main.rs
@@ -1,3 +1,138 @@
 //! The operator program.
 
-fn main() {}
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+};
+
+use gumdrop::Options;
+use poplarbarrow::{
+    cli,
+    operator::{self, OperatorError},
+    platform::{Http, http::Limits},
+};
+
+/// Checks, compares and applies the configuration document.
+///
+/// Example: poplarbarrow check document.json
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this help, or that of a command")]
+    help: bool,
+
+    #[options(no_short, help = "print the version")]
+    version: bool,
+
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "check a document offline and print every problem")]
+    Check(Check),
+
+    #[options(help = "print what a document would change")]
+    Diff(Diff),
+
+    #[options(help = "put a document in force")]
+    Apply(Apply),
+}
+
+/// Checks a document offline and prints every problem; exits with 1 if there are any.
+///
+/// Example: poplarbarrow check document.json
+#[derive(Debug, Options)]
+struct Check {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(free, required, help = "the document as JSON")]
+    file: PathBuf,
+}
+
+/// Prints the revision in force and what a document would change in it.
+///
+/// Example: poplarbarrow diff document.json --platform 127.0.0.1:7400
+#[derive(Debug, Options)]
+struct Diff {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(free, required, help = "the document as JSON")]
+    file: PathBuf,
+
+    #[options(meta = "ADDR", required, help = "address of the platform")]
+    platform: Option<SocketAddr>,
+
+    #[options(no_short, help = "print one line of JSON")]
+    json: bool,
+}
+
+/// Puts a document in force as the revision after the expected one; prints what changed if another came first.
+///
+/// Example: poplarbarrow apply document.json --platform 127.0.0.1:7400 --expect 41
+#[derive(Debug, Options)]
+struct Apply {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(free, required, help = "the document as JSON")]
+    file: PathBuf,
+
+    #[options(meta = "ADDR", required, help = "address of the platform")]
+    platform: Option<SocketAddr>,
+
+    #[options(meta = "REVISION", required, help = "revision in force; 0 if there is none")]
+    expect: u64,
+
+    #[options(no_short, meta = "ID", help = "repeat a submission whose outcome was unknown")]
+    submission: Option<String>,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args: Args = match cli::parse("poplarbarrow") {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    let mut out = io::stdout().lock();
+    if args.version {
+        let _ = writeln!(out, "poplarbarrow {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(command) = args.command else {
+        let _ = writeln!(io::stderr(), "poplarbarrow: a command is needed; see --help");
+        return ExitCode::from(2);
+    };
+    match run(command, &mut out).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            let _ = writeln!(io::stderr(), "poplarbarrow: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command, out: &mut impl Write) -> Result<(), OperatorError> {
+    match command {
+        Command::Check(args) => operator::check(&args.file, out),
+        Command::Diff(args) => {
+            operator::diff(&args.file, &client(args.platform), args.json, out).await
+        }
+        Command::Apply(args) => {
+            let platform = client(args.platform);
+            let expect = args.expect;
+            let submission = args.submission.as_deref();
+            operator::apply(&args.file, &platform, expect, submission, out).await
+        }
+    }
+}
+
+fn client(address: Option<SocketAddr>) -> Http {
+    // `gumdrop` needs a default for each field, which an address does not have.
+    let address = address.expect("the option is required");
+    Http::new(address, Limits::default())
+}
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,157 @@
+//! What operators do with the document: check, compare and apply it.
+
+use std::{
+    fs::File,
+    io::{self, Read, Write},
+    path::{Path, PathBuf},
+};
+
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    document::{
+        Document,
+        diff::{Change, diff as compare},
+        validate::{MAX_TEXT, parse, warnings},
+    },
+    platform::Platform,
+    store::{COLLECT_EVERY, CommitError, StoreError, collect, commit, load},
+};
+
+/// An operator's command failed.
+#[derive(Debug, Snafu)]
+pub enum OperatorError {
+    /// The file cannot be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    File {
+        /// The path of the file.
+        path: PathBuf,
+        /// The failure.
+        source: io::Error,
+    },
+    /// The document is not valid; the problems have been printed.
+    #[snafu(display("{}: {count} problems", path.display()))]
+    Document {
+        /// The path of the file.
+        path: PathBuf,
+        /// The number of problems.
+        count: usize,
+    },
+    /// The document in force cannot be loaded.
+    #[snafu(display("{source}"))]
+    Load {
+        /// The failure.
+        source: StoreError,
+    },
+    /// The document was not applied, or its outcome is unknown.
+    #[snafu(display("{source}"))]
+    Apply {
+        /// The failure.
+        source: CommitError,
+    },
+    /// The output cannot be written.
+    #[snafu(display("output: {source}"))]
+    Output {
+        /// The failure.
+        source: io::Error,
+    },
+}
+
+/// Checks a file without the platform and prints every problem and warning, one per line.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read or has problems.
+pub fn check(file: &Path, out: &mut impl Write) -> Result<(), OperatorError> {
+    let document = read(file, out)?;
+    let (centres, services) = (document.centres.len(), document.services.len());
+    writeln!(out, "valid: {centres} data centres, {services} services").context(OutputSnafu)
+}
+
+/// Prints what a file would change in the document in force, as one JSON line or as one line per change.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read or has problems, or if the document in force cannot be loaded.
+pub async fn diff<P: Platform>(
+    file: &Path,
+    platform: &P,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<(), OperatorError> {
+    let to = read(file, &mut io::sink())?;
+    let (revision, from) = match load(platform).await.context(LoadSnafu)? {
+        None => (0, Document::default()),
+        Some((index, document)) => (index.revision, document),
+    };
+    let changes = compare(&from, &to);
+    if json {
+        let line = serde_json::json!({ "revision": revision, "changes": changes });
+        return writeln!(out, "{line}").context(OutputSnafu);
+    }
+    writeln!(out, "revision {revision}, {} changes", changes.len()).context(OutputSnafu)?;
+    print(&changes, out)
+}
+
+/// Applies a file as the revision after `expected`. A lost race prints what changed in between.
+///
+/// `submission` repeats an earlier call whose outcome was unknown.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read or has problems, if another revision is in force, or if the platform fails.
+pub async fn apply<P: Platform>(
+    file: &Path,
+    platform: &P,
+    expected: u64,
+    submission: Option<&str>,
+    out: &mut impl Write,
+) -> Result<(), OperatorError> {
+    let document = read(file, out)?;
+    let fresh = format!("{:032x}", rand::random::<u128>());
+    let submission = submission.unwrap_or(&fresh);
+    let committed = match commit(platform, expected, &document, submission).await {
+        Ok(committed) => committed,
+        Err(source) => {
+            if let CommitError::Conflict { changes: Some(changes), .. } = &source {
+                print(changes, out)?;
+            }
+            return Err(OperatorError::Apply { source });
+        }
+    };
+    let (revision, written) = (committed.index.revision, committed.written);
+    writeln!(out, "applied: revision {revision}, {written} parts written").context(OutputSnafu)?;
+    if revision.is_multiple_of(COLLECT_EVERY)
+        && let Err(e) = collect(platform).await
+    {
+        // The document is in force; a later call deletes the unused parts.
+        writeln!(out, "warning: unused parts were not deleted: {e}").context(OutputSnafu)?;
+    }
+    Ok(())
+}
+
+fn read(path: &Path, out: &mut impl Write) -> Result<Document, OperatorError> {
+    let mut text = String::new();
+    // One byte more than allowed, so that a longer file is refused and not cut.
+    File::open(path)
+        .and_then(|file| file.take(MAX_TEXT as u64 + 1).read_to_string(&mut text))
+        .context(FileSnafu { path })?;
+    match parse(&text) {
+        Ok(document) => {
+            for warning in warnings(&document) {
+                writeln!(out, "warning: {warning}").context(OutputSnafu)?;
+            }
+            Ok(document)
+        }
+        Err(problems) => {
+            for problem in &problems {
+                writeln!(out, "{problem}").context(OutputSnafu)?;
+            }
+            DocumentSnafu { path, count: problems.len() }.fail()
+        }
+    }
+}
+
+fn print(changes: &[Change], out: &mut impl Write) -> Result<(), OperatorError> {
+    changes.iter().try_for_each(|c| writeln!(out, "{c}")).context(OutputSnafu)
+}
