Print listening addresses as key=value in all programs

Cause: the fake platform printed its address in another form than the fake target. Change: both print listening=ADDRESS. Conclusion: one parser serves all programs.

--- a/src/bin/poplarbarrow-platform/main.rs
+++ b/src/bin/poplarbarrow-platform/main.rs
@@ -55,7 +55,7 @@
     let listen = args.listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
     let mut terminate = signal(SignalKind::terminate())?;
     let listener = TcpListener::bind(listen).await?;
-    writeln!(io::stdout(), "listening on {}", listener.local_addr()?)?;
+    writeln!(io::stdout(), "listening={}", listener.local_addr()?)?;
     let stop = CancellationToken::new();
     let guard = stop.clone().drop_guard();
     let server = tokio::spawn(standin::platform::serve(listener, Memory::new(), stop));
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -37,8 +37,9 @@
 async fn request_passes_through_separate_processes() {
     let folder = folder("processes");
     let log = |name: &str| folder.join(format!("{name}.log"));
-    let platform = Process::start(env!("CARGO_BIN_EXE_poplarbarrow-platform"), &[], &log("platform"));
-    let platform_addr = platform.address("address");
+    let platform =
+        Process::start(env!("CARGO_BIN_EXE_poplarbarrow-platform"), &[], &log("platform"));
+    let platform_addr = platform.value("listening");
     let document = folder.join("document.json");
     fs::write(&document, DOCUMENT).expect("a file");
     let applied = Command::new(env!("CARGO_BIN_EXE_poplarbarrow"))
@@ -53,14 +54,15 @@
     for service in ["catalogue", "orders"] {
         let target = Process::start(env!("CARGO_BIN_EXE_poplarbarrow-target"), &[], &log(service));
         let path = folder.join(format!("{service}.json"));
-        fs::write(&path, settings(service, &target.address("address"), &platform_addr)).expect("a file");
+        fs::write(&path, settings(service, &target.value("listening"), &platform_addr))
+            .expect("a file");
         let path = path.to_str().expect("a path");
         let node = format!("node-{service}");
         nodes.push(Process::start(env!("CARGO_BIN_EXE_poplarbarrow-node"), &[path], &log(&node)));
         targets.push(target);
     }
 
-    let entry: SocketAddr = nodes[0].address("callers").parse().expect("an address");
+    let entry: SocketAddr = nodes[0].value("callers").parse().expect("an address");
     for service in ["catalogue", "orders"] {
         let answer = first_answer(entry, service).await;
         assert_eq!(answer.body.as_deref(), Some(b"hello".as_slice()));
--- a/tests/utils/process.rs
+++ b/tests/utils/process.rs
@@ -29,11 +29,11 @@
         Process { child, greeting }
     }
 
-    /// Returns the value of a key in the greeting, or its last word.
-    pub(crate) fn address(&self, key: &str) -> String {
-        let words = || self.greeting.split_whitespace();
-        let value = words().find_map(|word| word.strip_prefix(key)?.strip_prefix('='));
-        value.or_else(|| words().last()).expect("an address").to_owned()
+    /// Returns the value of a key in the greeting.
+    pub(crate) fn value(&self, key: &str) -> String {
+        let mut words = self.greeting.split_whitespace();
+        let value = words.find_map(|word| word.strip_prefix(key)?.strip_prefix('='));
+        value.unwrap_or_else(|| panic!("no {key} in {}", self.greeting)).to_owned()
     }
 
     /// Sends a signal to this process only.
