Write logs as key=value pairs throughout and end a stop once

Cause: log lines began with free text, a stop was logged with each tick, and the last node of a region waited for its whole stop time because nobody could hear that it leaves. Change: each line has time, level and event as pairs; exit happens once; a node alone in its region does not wait. Conclusion: planned stops are quick and logs can be parsed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -116,7 +116,7 @@
     fn verify(&self, seal: &Seal, call: &str) -> bool {
         let is_valid = self.key.verify(&seal.0, self.me, &["control", call]);
         if !is_valid {
-            slog::warn!(self.log, "event"; "event" => "control-rejected", "call" => call, "reason" => "seal");
+            slog::warn!(self.log, "control-rejected"; "call" => call, "reason" => "seal");
         }
         is_valid
     }
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -200,7 +200,7 @@
 
     fn count_rejected(&self) {
         let total = self.rejected.fetch_add(1, Ordering::Relaxed) + 1;
-        slog::warn!(self.log, "event"; "event" => "too-many-requests", "limit" => MAX_REQUESTS, "total" => total);
+        slog::warn!(self.log, "too-many-requests"; "limit" => MAX_REQUESTS, "total" => total);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Core> {
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -33,7 +33,7 @@
     /// Serves one request; answers carry the load report, and refusals a mark that targets cannot set.
     pub(crate) async fn serve(&self, req: Request<Body>) -> Response<Body> {
         let Some(head) = self.read_head(&req) else {
-            slog::warn!(self.driver.log(), "event"; "event" => "request-rejected", "reason" => "tag");
+            slog::warn!(self.driver.log(), "request-rejected"; "reason" => "tag");
             return self.refuse(Refusal::not_run(Reason::Malformed));
         };
         match self.worker.run(head, req).await {
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,7 +2,10 @@
 //!
 //! The lines are listed in `docs/logs.md`.
 
-use std::io;
+use std::{
+    io,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use slog::{Drain, Level, Logger, info, o, warn};
 use slog_logfmt::Logfmt;
@@ -15,7 +18,7 @@
 
 /// Creates a logger that writes to standard error from a thread of its own.
 pub fn logger(level: LogLevel) -> Logger {
-    let lines = Logfmt::new(io::stderr()).build().fuse();
+    let lines = Logfmt::new(io::stderr()).set_prefix(write_prefix).build().fuse();
     let level = match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warning => Level::Warning,
@@ -65,6 +68,14 @@
     }
 }
 
+/// Starts a line with the time in milliseconds since the Unix epoch, the severity and the event.
+fn write_prefix(out: &mut dyn io::Write, record: &slog::Record<'_>) -> slog::Result {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let level = record.level().as_str().to_ascii_lowercase();
+    write!(out, "time={now} level={level} event={} ", record.msg())?;
+    Ok(())
+}
+
 fn id(data: KeyData) -> u64 {
     data.as_ffi()
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -246,7 +246,7 @@
         while let Some(pull) = wanted.recv().await {
             let pulled = time::timeout(PULL_TIMEOUT, self.pull(pull)).await;
             if let Ok(Err(error)) = pulled {
-                slog::warn!(self.driver.log(), "event"; "event" => "pull-failed", "from" => %pull.from,
+                slog::warn!(self.driver.log(), "pull-failed"; "from" => %pull.from,
                     "error" => %error);
             }
             self.driver.dispatch(Event::PullEnded);
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -59,6 +59,7 @@
     measure: MeasureBudget,
     is_target_up: bool,
     is_stopping: bool,
+    has_exited: bool,
     /// The difference between wall clock and monotonic time at the last reading.
     wall: Option<(Time, Wall)>,
 }
@@ -88,6 +89,7 @@
             // Until a connection fails, requests may try the target; a failed connection proves "not run".
             is_target_up: true,
             is_stopping: false,
+            has_exited: false,
             wall: None,
         }
     }
@@ -183,12 +185,17 @@
 
     fn check_stopped(&mut self, out: &mut Vec<Effect>) {
         let is_idle = self.calls.is_empty() && self.works.is_empty();
-        if self.is_stopping && is_idle && self.membership.has_left() {
+        let has_told = self.membership.has_left() || self.membership.group() <= 1;
+        if self.is_stopping && is_idle && has_told {
             self.exit("idle", out);
         }
     }
 
     fn exit(&mut self, phase: &'static str, out: &mut Vec<Effect>) {
+        if self.has_exited {
+            return;
+        }
+        self.has_exited = true;
         out.push(Effect::Log(self.stop_record(phase)));
         out.push(Effect::Exit);
     }
--- a/src/seat.rs
+++ b/src/seat.rs
@@ -181,7 +181,7 @@
     }
 
     fn warn(&self, event: &str, error: &dyn std::error::Error) {
-        slog::warn!(self.log, "event"; "event" => event, "error" => %error);
+        slog::warn!(self.log, "platform"; "failure" => event, "error" => %error);
     }
 }
 
--- a/src/server.rs
+++ b/src/server.rs
@@ -67,17 +67,17 @@
         let (stream, remote) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
-                slog::warn!(log, "event"; "event" => "accept-failed", "error" => %error);
+                slog::warn!(log, "accept-failed"; "error" => %error);
                 time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
         let Ok(permit) = permits.clone().try_acquire_owned() else {
-            slog::warn!(log, "event"; "event" => "too-many-connections", "limit" => MAX_CONNECTIONS);
+            slog::warn!(log, "too-many-connections"; "limit" => MAX_CONNECTIONS);
             continue;
         };
         if !is_allowed(&networks, remote.ip()) {
-            slog::warn!(log, "event"; "event" => "connection-rejected", "remote" => %remote);
+            slog::warn!(log, "connection-rejected"; "remote" => %remote);
             continue;
         }
         let _ = stream.set_nodelay(true);
@@ -96,7 +96,7 @@
     }
     drop(listener);
     if time::timeout(CLOSE_TIMEOUT, graceful.shutdown()).await.is_err() {
-        slog::warn!(log, "event"; "event" => "connections-aborted");
+        slog::warn!(log, "connections-aborted");
     }
 }
 
