Test racing commits with lost, late and refused writes

A commit must be told the truth while operators and the collector race; fixed cases cover single losses only.

A further test covers a part that is written again between its listing and its deletion. A failed commit now says that this call committed nothing, because an earlier call with the same submission may have.

--- a/src/store/commit.rs
+++ b/src/store/commit.rs
@@ -43,7 +43,7 @@
     /// The submission identity is empty or too long; nothing was written.
     #[snafu(display("a submission identity has 1 to {MAX_SUBMISSION} bytes"))]
     Submission,
-    /// Another revision than the expected one is in force; this document is not.
+    /// Another revision than the expected one is in force; this call committed nothing.
     #[snafu(display("revision {current} is in force, not the expected revision {expected}"))]
     Conflict {
         /// The expected revision.
@@ -53,8 +53,9 @@
         /// What changed from the expected revision to the one in force, if the expected one is still kept.
         changes: Option<Vec<Change>>,
     },
-    /// A platform call or a check failed before the document could come into force.
-    #[snafu(display("not committed: {source}"))]
+    /// A platform call or a check failed, and this call committed nothing. It says nothing about an earlier call
+    /// with the same submission identity whose outcome was unknown.
+    #[snafu(display("this call committed nothing: {source}"))]
     Failed {
         /// The failure.
         source: StoreError,
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,7 +1,4 @@
-use std::{
-    io::{Write, stderr},
-    time::Duration,
-};
+use std::io::{Write, stderr};
 
 use bytes::Bytes;
 use test_case::test_case;
@@ -12,12 +9,14 @@
 };
 use crate::{
     document::{Centre, CentreState, Document, Service},
-    platform::{
-        Entry, Expect, LeaseId, Listing, MAX_VALUE, Memory, Platform, PlatformError, Watched,
-        memory::Faults,
-    },
+    platform::{Expect, MAX_VALUE, Memory, Platform, memory::Faults},
 };
 
+use self::lossy::{Loss, Lossy};
+
+mod lossy;
+mod races;
+
 fn document(deadline_ms: u32) -> Document {
     let mut document = Document::default();
     let centre = Centre { region: "r".into(), state: CentreState::In };
@@ -86,78 +85,6 @@
     assert_eq!(in_force(&p).await, (1, document(1)));
 }
 
-/// What happens to the next write of the index.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-enum Loss {
-    /// It takes effect, and its answer is lost.
-    After,
-    /// It takes no effect, and the answer is that this is unknown.
-    Before,
-    /// It takes effect, its answer is lost, and another operator commits at once.
-    Replaced,
-    /// It takes no effect, its answer is lost, and another operator commits at once.
-    Overtaken,
-    /// It takes effect, its answer is lost, and an outage begins.
-    Outage,
-}
-
-/// A platform that loses the first write of the index after revision 1.
-struct Lossy {
-    inner: Memory,
-    loss: std::sync::Mutex<Option<Loss>>,
-}
-
-impl Platform for Lossy {
-    async fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
-        self.inner.get(key).await
-    }
-
-    async fn put(
-        &self,
-        key: &str,
-        value: Bytes,
-        expect: Expect,
-        lease: Option<LeaseId>,
-    ) -> Result<u64, PlatformError> {
-        let loss = if key == INDEX_KEY { self.loss.lock().unwrap().take() } else { None };
-        let Some(loss) = loss else { return self.inner.put(key, value, expect, lease).await };
-        if !matches!(loss, Loss::Before | Loss::Overtaken) {
-            self.inner.put(key, value, expect, lease).await.unwrap();
-        }
-        match loss {
-            Loss::Replaced => drop(commit(&self.inner, 2, &document(8), "other").await.unwrap()),
-            Loss::Overtaken => drop(commit(&self.inner, 1, &document(8), "other").await.unwrap()),
-            Loss::Outage => self.inner.set_faults(Faults { outage: true, ..Faults::default() }),
-            Loss::After | Loss::Before => {}
-        }
-        Err(PlatformError::Unknown { reason: "test".into() })
-    }
-
-    async fn delete(&self, key: &str, expect: Expect) -> Result<u64, PlatformError> {
-        self.inner.delete(key, expect).await
-    }
-
-    async fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
-        self.inner.list(prefix).await
-    }
-
-    async fn watch(&self, k: &str, after: u64, wait: Duration) -> Result<Watched, PlatformError> {
-        self.inner.watch(k, after, wait).await
-    }
-
-    async fn lease(&self, ttl: Duration) -> Result<LeaseId, PlatformError> {
-        self.inner.lease(ttl).await
-    }
-
-    async fn renew(&self, lease: LeaseId) -> Result<(), PlatformError> {
-        self.inner.renew(lease).await
-    }
-
-    async fn revoke(&self, lease: LeaseId) -> Result<(), PlatformError> {
-        self.inner.revoke(lease).await
-    }
-}
-
 /// Guards against every way in which a lost answer to the write of the index can be misjudged.
 #[test_case(Loss::After, "committed", 2; "took effect")]
 #[test_case(Loss::Before, "committed", 2; "took no effect")]
@@ -168,7 +95,7 @@
 async fn a_lost_index_write_is_judged_truthfully(loss: Loss, outcome: &str, revision: u64) {
     let inner = Memory::new();
     commit(&inner, 0, &document(1), "a").await.unwrap();
-    let p = Lossy { inner: inner.clone(), loss: Some(loss).into() };
+    let p = Lossy::once(&inner, loss);
     let name = |result: &Result<_, CommitError>| match result {
         Ok(_) => "committed",
         Err(CommitError::Conflict { .. }) => "conflict",
@@ -240,6 +167,17 @@
     assert_eq!(in_force(&p).await, (commits + 1, document(1)));
 }
 
+/// Guards against the deletion of a part that a commit has written again since it was listed.
+#[tokio::test]
+async fn collection_spares_a_part_that_is_written_meanwhile() {
+    let memory = Memory::new();
+    let old = format!("{PART_PREFIX}old");
+    memory.put(&old, "{}".into(), Expect::Any, None).await.unwrap();
+    commit(&memory, 0, &document(1), "a").await.unwrap();
+    assert_eq!(collect(&Lossy::once(&memory, Loss::Rewritten)).await.unwrap(), 0);
+    assert!(memory.get(&old).await.unwrap().is_some());
+}
+
 /// Guards against a planned document that exceeds the platform's limit for one value, and against a change of one
 /// service that rewrites much of the document.
 #[test]
