--- a/src/node.rs
+++ b/src/node.rs
@@ -270,6 +270,7 @@
     let info = Member {
         id,
         incarnation: 0,
+        revised: 0,
         service: settings.service.clone(),
         version: settings.version.clone(),
         centre: settings.centre.clone(),
