Explore the end of a claim's lease

A claim written after the lease of an earlier one looks like a first send. The search now ends the lease while claims are pending, and finds a double run within 150,000 states when late claims are used.

--- a/src/identity/explore.rs
+++ b/src/identity/explore.rs
@@ -43,6 +43,8 @@
     Nonce,
     /// A claim with an unknown result is taken as written.
     ReadBack,
+    /// The result of a claim is used however late it arrives.
+    LateClaim,
     /// A successor runs the identities whose outcomes it doesn't have.
     Successor,
 }
@@ -64,6 +66,8 @@
     pub(super) outages: u8,
     /// Whether the retention time may pass.
     pub(super) expiry: bool,
+    /// Whether the lease of the claim may end, after which the caller sends nothing more.
+    pub(super) lease: bool,
     /// Whether the first node may leave as planned.
     pub(super) leave: bool,
     pub(super) without: Without,
@@ -99,6 +103,7 @@
     BreakAttempt { node: usize, attempt: usize },
     ClaimTimeout { node: usize, send: usize },
     Expire,
+    EndLease,
     Leave,
     HandOver,
 }
--- a/src/identity/explore/tests.rs
+++ b/src/identity/explore/tests.rs
@@ -19,14 +19,23 @@
     crashes: 1,
     outages: 0,
     expiry: false,
+    lease: false,
     leave: false,
     without: Without::Nothing,
 };
 
 const KEY: Setup = Setup { key: true, outages: 1, ..BASE };
 
-const ALL: Setup =
-    Setup { other: true, expiry: true, leave: true, duplicates: 2, crashes: 2, outages: 2, ..KEY };
+const ALL: Setup = Setup {
+    other: true,
+    expiry: true,
+    lease: true,
+    leave: true,
+    duplicates: 2,
+    crashes: 2,
+    outages: 2,
+    ..KEY
+};
 
 /// Levels to add to the depth of each search, for a longer run by hand.
 fn extra_depth() -> usize {
@@ -42,6 +51,7 @@
 #[test_case(Setup { crashes: 0, duplicates: 0, entries: [0, 1, 0], ..KEY }, 14; "key outages")]
 #[test_case(Setup { crashes: 0, outages: 0, ..KEY }, 11; "key duplicates")]
 #[test_case(Setup { outages: 0, duplicates: 0, entries: [0, 0, 1], ..KEY }, 10; "key crashes")]
+#[test_case(Setup { lease: true, crashes: 0, outages: 0, ..KEY }, 10; "key lease")]
 #[test_case(ALL, 6; "key all faults")]
 fn invariants_hold(setup: Setup, depth: usize) {
     let depth = depth + extra_depth();
@@ -67,11 +77,12 @@
 #[test_case(Without::Fingerprint, Setup { other: true, ..BASE }, Violation::ForeignAnswer; "explorer finds foreign answer when fingerprints are off")]
 #[test_case(Without::Nonce, Setup { entries: [0, 0, 1], crashes: 0, duplicates: 0, outages: 0, ..KEY }, Violation::DoubleRun; "explorer finds double run when the nonce is ignored")]
 #[test_case(Without::ReadBack, Setup { crashes: 0, duplicates: 0, ..KEY }, Violation::DoubleRun; "explorer finds double run when an unknown claim counts as written")]
+#[test_case(Without::LateClaim, Setup { lease: true, crashes: 0, duplicates: 0, outages: 0, ..KEY }, Violation::DoubleRun; "explorer finds double run when late claims are used")]
 #[test_case(Without::Successor, Setup { leave: true, duplicates: 0, crashes: 0, entries: [0, 1, 1], ..BASE }, Violation::DoubleRun; "explorer finds double run when a successor runs requests")]
 fn finds_violation(without: Without, setup: Setup, expected: Violation) {
     let setup = Setup { without, ..setup };
     // The search stops at the shortest violation, which may be another one than the walk is asked for.
-    let found = search(&setup, 16, 60_000, None);
+    let found = search(&setup, 17, 150_000, None);
     let walked = walk(&setup, SEED, 400_000, LENGTH, Some(expected));
     for (kind, report) in [("search", found), ("walk", walked)] {
         println!("explore: {kind} {without:?} states={} {:?}", report.states, report.violation);
--- a/src/identity/explore/world.rs
+++ b/src/identity/explore/world.rs
@@ -14,7 +14,8 @@
 };
 use crate::{
     identity::{
-        AttemptResult, AttemptTag, Begin, Claim, ClaimEvent, Fingerprint, Identity, Key, Stamp,
+        AttemptResult, AttemptTag, Begin, CLAIM_LEASE, Claim, ClaimEvent, Fingerprint, Identity,
+        Key, REMEMBER, Stamp,
     },
     keys::MemberId,
     refusal::Outcome,
@@ -63,6 +64,7 @@
     crashes: u8,
     outages: u8,
     expired: bool,
+    lease_ended: bool,
     left: bool,
     handed: bool,
 }
@@ -115,6 +117,7 @@
             crashes: setup.crashes,
             outages: setup.outages,
             expired: !setup.expiry,
+            lease_ended: !setup.lease,
             left: !setup.leave,
             handed: !setup.leave,
         }
@@ -162,6 +165,9 @@
         if !self.expired && self.runs > 0 {
             events.push(Event::Expire);
         }
+        if !self.lease_ended && self.claim.is_some() {
+            events.push(Event::EndLease);
+        }
         if !self.left {
             events.push(Event::Leave);
         } else if !self.handed {
@@ -224,15 +230,15 @@
             }
             Event::Expire => {
                 self.expired = true;
-                self.now += Duration::from_secs(700);
-                for n in 0..NODES {
-                    let now = self.now;
-                    let owner = &mut self.node(n).owner;
-                    owner.sweep(now);
-                    if setup.without == Without::Floor {
-                        owner.floor = 0;
-                    }
+                self.advance(setup, REMEMBER + Duration::from_secs(1));
+            }
+            Event::EndLease => {
+                self.lease_ended = true;
+                self.claim = None;
+                for send in &mut self.sends {
+                    send.sent = true;
                 }
+                self.advance(setup, CLAIM_LEASE);
             }
             Event::Leave => {
                 self.left = true;
@@ -256,6 +262,18 @@
         Ok(())
     }
 
+    fn advance(&mut self, setup: &Setup, time: Duration) {
+        self.now += time;
+        let now = self.now;
+        for n in 0..NODES {
+            let owner = &mut self.node(n).owner;
+            owner.sweep(now);
+            if setup.without == Without::Floor {
+                owner.floor = 0;
+            }
+        }
+    }
+
     fn node(&mut self, n: usize) -> &mut Node {
         Arc::make_mut(&mut self.nodes[n])
     }
--- a/src/identity/explore/world/deliver.rs
+++ b/src/identity/explore/world/deliver.rs
@@ -10,7 +10,7 @@
         node::{Route, Step},
     },
 };
-use crate::refusal::Outcome;
+use crate::{refusal::Outcome, time::Time};
 
 impl World {
     pub(super) fn deliver(
@@ -155,7 +155,8 @@
             (Without::ReadBack, ClaimEvent::WriteUnknown) => event = ClaimEvent::Written,
             _ => {}
         }
-        let action = claim.apply(now, event);
+        let observed = if setup.without == Without::LateClaim { Time::ZERO } else { now };
+        let action = claim.apply(observed, event);
         match action {
             ClaimAction::Nothing => return Ok(()),
             ClaimAction::Write => self.messages.push(Message::Write { from, send, identity: own }),
