--- a/src/identity.rs
+++ b/src/identity.rs
@@ -64,6 +64,10 @@
 /// each claim that conflicts costs one of its about 2,000 reads as well.
 pub const FLEET_CLAIMS: u64 = 200;
 
+/// Claimed keys that a node remembers, to answer repeats without the platform: 600 s at 27 claims a second,
+/// which exceeds the default `claim_rate`.
+pub const MAX_KEYS: usize = 16_384;
+
 /// Senders whose sequence numbers a node remembers; a region has 2,667 nodes on average.
 pub const MAX_SENDERS: usize = 4_096;
 
--- a/src/identity/owner.rs
+++ b/src/identity/owner.rs
@@ -9,7 +9,7 @@
     identity::{
         ANONYMOUS, Answer, AttemptResult, AttemptTag, Begin, Fingerprint, Finished,
         FinishedOutcome, HANDOVER_BYTES, Handover, Identity, ImportError, Key, MAX_ANSWER,
-        MAX_ANSWERS, MAX_ENTRIES, REMEMBER, Settled, Stamp, handover::Imports,
+        MAX_ANSWERS, MAX_ENTRIES, MAX_KEYS, REMEMBER, Settled, Stamp, handover::Imports,
     },
     keys::MemberId,
     time::Time,
@@ -214,12 +214,12 @@
     /// Remembers that the platform holds a claim of `key` that names `identity`.
     ///
     /// This saves the platform calls of repeats through this node. Nothing rests on it for safety, so the
-    /// oldest keys are dropped beyond [`MAX_ENTRIES`].
+    /// oldest keys are dropped beyond [`MAX_KEYS`].
     pub fn claimed(&mut self, now: Time, key: Key, identity: Identity) {
         if identity.owner != self.member || self.keys.contains_key(&key) {
             return;
         }
-        if self.keys.len() >= MAX_ENTRIES
+        if self.keys.len() >= MAX_KEYS
             && let Some((_, oldest)) = self.key_order.pop_front()
         {
             self.keys.remove(&oldest);
--- a/src/identity/tests.rs
+++ b/src/identity/tests.rs
@@ -284,6 +284,14 @@
     owner.claimed(at(0), key, id(ME, 9));
     assert_eq!(owner.claimed_identity(at(600), key), Some(identity));
     assert_eq!(owner.claimed_identity(at(601), key), None);
+    let keys: Vec<_> =
+        (0..=MAX_KEYS).map(|n| Key::new("orders", &n.to_string()).unwrap()).collect();
+    for key in &keys {
+        let identity = owner.issue();
+        owner.claimed(at(601), *key, identity);
+    }
+    assert_eq!(owner.claimed_identity(at(601), keys[0]), None);
+    assert!(owner.claimed_identity(at(601), keys[1]).is_some());
 }
 
 // Guards against a table whose memory exceeds a quarter of the 32 MB of a node.
