--- /dev/null
+++ b/src/claims.rs
@@ -0,0 +1,85 @@
+//! Claims of callers' own keys, written to and read from the platform.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use tokio::{
+    sync::{Mutex, mpsc},
+    time::Instant,
+};
+
+use crate::{
+    driver::Driver,
+    effect::ClaimIo,
+    event::{CallEvent, Event},
+    identity::{CLAIM_LEASE, ClaimEvent, Identity},
+    keys::CallKey,
+    platform::{Expect, LeaseId, Platform, PlatformError},
+};
+
+/// The time for which claims share one lease, so that a claim costs one write and not two.
+const SHARE_TIME: Duration = Duration::from_secs(600);
+
+/// Carries out platform calls for claims.
+pub(crate) struct Claims<P> {
+    pub(crate) platform: Arc<P>,
+    pub(crate) driver: Arc<Driver>,
+    /// The lease of new claims and the time from which another one is opened.
+    pub(crate) lease: Mutex<Option<(LeaseId, Instant)>>,
+}
+
+impl<P: Platform> Claims<P> {
+    /// Carries out each wanted call; the reducer's budget bounds how many wait.
+    pub(crate) async fn run(
+        self: Arc<Self>,
+        mut wanted: mpsc::UnboundedReceiver<(CallKey, ClaimIo)>,
+    ) {
+        while let Some((call, io)) = wanted.recv().await {
+            let this = self.clone();
+            tokio::spawn(async move {
+                let event = match io {
+                    ClaimIo::Write { key, identity } => this.write(&key, identity).await,
+                    ClaimIo::Read { key } => this.read(&key).await,
+                };
+                this.driver.dispatch(Event::Call(call, CallEvent::Claim(event)));
+            });
+        }
+    }
+
+    async fn write(&self, key: &str, identity: Identity) -> ClaimEvent {
+        let Ok(lease) = self.lease().await else { return ClaimEvent::Unavailable };
+        let value = Bytes::from(identity.to_string());
+        match self.platform.put(key, value, Expect::Absent, Some(lease)).await {
+            Ok(_) => ClaimEvent::Written,
+            Err(PlatformError::Conflict { .. }) => ClaimEvent::Conflict,
+            Err(PlatformError::Unknown { .. }) => ClaimEvent::WriteUnknown,
+            Err(PlatformError::LeaseLost) => {
+                *self.lease.lock().await = None;
+                ClaimEvent::Unavailable
+            }
+            Err(_) => ClaimEvent::Unavailable,
+        }
+    }
+
+    async fn read(&self, key: &str) -> ClaimEvent {
+        match self.platform.get(key).await {
+            Ok(entry) => ClaimEvent::Read(entry.and_then(|entry| parse(&entry.value))),
+            Err(_) => ClaimEvent::Unavailable,
+        }
+    }
+
+    async fn lease(&self) -> Result<LeaseId, PlatformError> {
+        let mut lease = self.lease.lock().await;
+        if let Some((id, _)) = lease.filter(|(_, until)| Instant::now() < *until) {
+            return Ok(id);
+        }
+        let id = self.platform.lease(CLAIM_LEASE + SHARE_TIME).await?;
+        *lease = Some((id, Instant::now() + SHARE_TIME));
+        Ok(id)
+    }
+}
+
+fn parse(value: &[u8]) -> Option<Identity> {
+    CompactString::from_utf8(value).ok()?.parse().ok()
+}
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -16,9 +16,10 @@
 };
 
 use crate::{
-    effect::{CallStep, Effect, WorkStep},
+    effect::{CallStep, ClaimIo, Effect, WorkStep},
     event::{CallEvent, Event, WorkEvent},
     gossip,
+    identity::{Handover, Identity},
     keys::{CallKey, MemberId, WorkKey},
     load::LoadReport,
     logging,
@@ -46,6 +47,8 @@
 pub(crate) struct Outlets {
     pub(crate) gossip: gossip::Sender,
     pub(crate) pulls: mpsc::UnboundedSender<Pull>,
+    pub(crate) claims: mpsc::UnboundedSender<(CallKey, ClaimIo)>,
+    pub(crate) handovers: mpsc::UnboundedSender<HandOver>,
     pub(crate) seat: watch::Sender<Option<usize>>,
     pub(crate) peers: Peers,
     pub(crate) timers: Timers,
@@ -58,6 +61,14 @@
     pub(crate) control: SocketAddr,
 }
 
+/// A hand-over of outcomes to another member.
+#[derive(Clone, Debug)]
+pub(crate) struct HandOver {
+    pub(crate) to: MemberId,
+    pub(crate) control: SocketAddr,
+    pub(crate) handover: Handover,
+}
+
 struct Core {
     reducer: Reducer,
     outlets: Option<Outlets>,
@@ -142,6 +153,17 @@
         self.lock().reducer.report_load(now)
     }
 
+    /// Issues an identity for a caller.
+    pub(crate) fn issue_identity(&self) -> Identity {
+        self.lock().reducer.issue_identity()
+    }
+
+    /// Takes over the outcomes of a member that leaves; returns whether they were accepted.
+    pub(crate) fn import(&self, handover: Handover) -> bool {
+        let now = self.now();
+        self.lock().reducer.import(now, handover)
+    }
+
     /// Reads the state of the reducer.
     pub(crate) fn inspect<T>(&self, read: impl FnOnce(&Reducer) -> T) -> T {
         read(&self.lock().reducer)
@@ -216,6 +238,12 @@
                 // The receiver ends with the node.
                 let _ = self.pulls.send(Pull { from, control });
             }
+            Effect::Claim { call, io } => {
+                let _ = self.claims.send((call, io));
+            }
+            Effect::HandOver { to, control, handover } => {
+                let _ = self.handovers.send(HandOver { to, control, handover: *handover });
+            }
             Effect::Forget(peer) => self.peers.forget(peer),
             Effect::Seat(seat) => {
                 self.seat.send_replace(seat);
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -1,11 +1,12 @@
 //! Everything that the reducer asks the process to do.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use compact_str::CompactString;
 
 use crate::{
     event::Timer,
+    identity::{Answer, AttemptTag, Handover, Identity, Stamp},
     keys::{CallKey, MemberId, WorkKey},
     membership::Message,
     refusal::Refusal,
@@ -24,6 +25,10 @@
     Pull { from: MemberId, control: SocketAddr },
     /// Closes the connections to a member that is gone.
     Forget(SocketAddr),
+    /// Writes or reads the claim of a caller's own key.
+    Claim { call: CallKey, io: ClaimIo },
+    /// Hands the outcomes of this node's identities to another member.
+    HandOver { to: MemberId, control: SocketAddr, handover: Box<Handover> },
     /// Gives this node a seat, or takes it away.
     Seat(Option<usize>),
     /// Sets a timer.
@@ -40,7 +45,13 @@
     /// Sends the request to a target's node.
     Attempt(Attempt),
     /// Passes the answer of an attempt on to the caller.
-    Deliver { attempt: u32 },
+    Deliver {
+        attempt: u32,
+        /// Whether a small answer is kept for repeats under the same identity.
+        keep: bool,
+    },
+    /// Answers a repeat with the kept answer.
+    Replay(Arc<Answer>),
     /// Refuses the request.
     Refuse(Refusal),
 }
@@ -53,6 +64,25 @@
     pub(crate) hop: Hop,
     /// The time that is left for the attempt.
     pub(crate) timeout: Duration,
+    pub(crate) kind: AttemptKind,
+}
+
+/// What an attempt asks of the other node.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptKind {
+    /// To run an idempotent request.
+    Run,
+    /// To run a request at most once.
+    RunOnce(AttemptTag),
+    /// To decide on a request as the owner of its identity.
+    Relay { stamp: Stamp, identity: Identity },
+}
+
+/// A platform call for a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ClaimIo {
+    Write { key: CompactString, identity: Identity },
+    Read { key: CompactString },
 }
 
 /// The way to a target.
@@ -85,10 +115,25 @@
         reason: &'static str,
         candidates: CompactString,
     },
+    /// A request was forwarded to the owner of its identity.
+    Relay { call: CallKey, identity: Identity, to: MemberId },
+    /// A repeat was answered with the kept answer.
+    Replay { call: CallKey, identity: Identity },
+    /// The outcomes of this node's identities are handed over.
+    HandOver { to: MemberId, outcomes: usize },
     /// A request was refused.
     Refuse { call: CallKey, service: CompactString, refusal: Refusal },
     /// The target's node decided about a request.
-    Admit { work: WorkKey, from: MemberId, decision: &'static str, running: u16, limit: u16 },
+    Admit {
+        work: WorkKey,
+        from: MemberId,
+        path: CompactString,
+        decision: &'static str,
+        running: u16,
+        limit: u16,
+    },
+    /// A request got no answer from the target.
+    TargetFailed { work: WorkKey, failure: &'static str },
     /// A target that keeps failing receives no requests for a while.
     Eject { member: MemberId, service: CompactString, pause: Duration },
     /// A member appeared, changed or was lost.
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -1,20 +1,20 @@
 //! The entry of requests that other nodes send to the target beside this node.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use axum::body::Body;
-use compact_str::ToCompactString;
+use compact_str::{CompactString, ToCompactString};
 use http::{HeaderValue, Request, Response};
 
 use crate::{
-    auth::RequestKey,
     driver::Driver,
+    envelope::Envelope,
     event::{Failure, WorkHead},
     headers,
-    ingress::refuse,
-    keys::MemberId,
+    identity::{Identity, Stamp},
+    ingress::{Ingress, refuse},
     refusal::{Reason, Refusal},
-    work::{WorkError, Worker},
+    work::WorkError,
 };
 
 /// The time for a request whose entry node stated none.
@@ -23,20 +23,30 @@
 /// Serves requests of other nodes.
 #[derive(Clone)]
 pub(crate) struct Egress {
-    pub(crate) driver: Arc<Driver>,
-    pub(crate) me: MemberId,
-    pub(crate) key: RequestKey,
-    pub(crate) worker: Worker,
+    pub(crate) ingress: Ingress,
+}
+
+/// What a request between nodes asks for.
+enum Order {
+    Run(WorkHead),
+    Relay { service: CompactString, stamp: Stamp, identity: Identity },
 }
 
 impl Egress {
     /// Serves one request; answers carry the load report, and refusals a mark that targets cannot set.
     pub(crate) async fn serve(&self, req: Request<Body>) -> Response<Body> {
-        let Some(head) = self.read_head(&req) else {
-            slog::warn!(self.driver.log(), "request-rejected"; "reason" => "tag");
-            return self.refuse(Refusal::not_run(Reason::Malformed));
+        let head = match self.read_order(&req) {
+            Ok(Order::Run(head)) => head,
+            Ok(Order::Relay { service, stamp, identity }) => {
+                let served = self.ingress.serve_relayed(service, stamp, identity, req).await;
+                return served.unwrap_or_else(|refusal| self.refuse(refusal));
+            }
+            Err(refusal) => {
+                slog::warn!(self.driver().log(), "request-rejected"; "reason" => refusal.reason.as_str());
+                return self.refuse(refusal);
+            }
         };
-        match self.worker.run(head, req).await {
+        match self.ingress.worker.run(head, req).await {
             Ok(mut answer) => {
                 self.attach_load(&mut answer);
                 answer
@@ -54,24 +64,46 @@
         }
     }
 
-    /// Reads the internal headers, or returns `None` if the request is not authentic.
-    fn read_head(&self, req: &Request<Body>) -> Option<WorkHead> {
-        let text =
-            |name| req.headers().get(name).and_then(|value: &HeaderValue| value.to_str().ok());
-        let (tag, from) = (text(headers::TAG)?, text(headers::ATTEMPT)?);
+    /// Reads the internal headers; a request that is not authentic is refused.
+    ///
+    /// A tag covers the member id of its destination. A request for an earlier process at this address may have
+    /// run there, so the refusal says "unknown".
+    fn read_order(&self, req: &Request<Body>) -> Result<Order, Refusal> {
+        let malformed = Refusal::not_run(Reason::Malformed);
+        let text = |name| {
+            req.headers()
+                .get(name)
+                .and_then(|value: &HeaderValue| value.to_str().ok())
+                .ok_or(malformed)
+        };
+        let (tag, envelope) = (text(headers::TAG)?, text(headers::ATTEMPT)?);
         let service = text(headers::SERVICE)?;
         let path = req.uri().path();
-        if !self.key.verify(tag, self.me, &[req.method().as_str(), path, service, from]) {
-            return None;
+        let parts = [req.method().as_str(), path, service, envelope];
+        if !self.ingress.key.verify(tag, self.ingress.me, &parts) {
+            return Err(Refusal::unknown(Reason::Malformed));
         }
-        let timeout = headers::number(req.headers(), &headers::DEADLINE).ok()?;
+        let envelope: Envelope = envelope.parse().map_err(|_| malformed)?;
+        let timeout = headers::number(req.headers(), &headers::DEADLINE).map_err(|_| malformed)?;
         let timeout = timeout.map_or(DEFAULT_TIMEOUT, |ms| Duration::from_millis(ms.into()));
-        Some(WorkHead {
+        let tag = match envelope {
+            Envelope::Run { .. } => None,
+            Envelope::RunOnce(tag) => Some(tag),
+            Envelope::Relay { stamp, identity } => {
+                return Ok(Order::Relay { service: service.into(), stamp, identity });
+            }
+        };
+        Ok(Order::Run(WorkHead {
             service: service.into(),
             path: path.to_compact_string(),
-            from: from.parse().ok()?,
+            from: envelope.sender(),
+            tag,
             timeout,
-        })
+        }))
+    }
+
+    fn driver(&self) -> &Driver {
+        &self.ingress.driver
     }
 
     fn refuse(&self, refusal: Refusal) -> Response<Body> {
@@ -82,7 +114,7 @@
     }
 
     fn attach_load(&self, answer: &mut Response<Body>) {
-        if let Some(report) = self.driver.report_load() {
+        if let Some(report) = self.driver().report_load() {
             headers::set(answer.headers_mut(), headers::LOAD, &report.encode());
         }
     }
--- /dev/null
+++ b/src/envelope/tests.rs
@@ -0,0 +1,22 @@
+use test_case::test_case;
+
+use super::*;
+
+const IDENTITY: Identity = Identity { owner: MemberId(7), counter: 3 };
+
+#[test_case(Envelope::Run { from: MemberId(7) }; "run")]
+#[test_case(Envelope::RunOnce(AttemptTag { identity: IDENTITY, attempt: 2, sequence: 9, destination: MemberId(8) }); "once")]
+#[test_case(Envelope::Relay { stamp: Stamp { sender: MemberId(6), sequence: 4, destination: MemberId(7) }, identity: IDENTITY }; "relay")]
+fn text_form_is_read_back(envelope: Envelope) {
+    assert_eq!(envelope.to_string().parse(), Ok(envelope));
+}
+
+#[test_case(""; "empty")]
+#[test_case("run"; "no sender")]
+#[test_case("run;7"; "short sender")]
+#[test_case("once;0000000000000007.3;x;9;0000000000000008"; "attempt is no number")]
+#[test_case("once;0000000000000007.3;1;9;0000000000000008;0"; "too many fields")]
+#[test_case("walk;0000000000000007"; "unknown kind")]
+fn malformed_text_is_refused(text: &str) {
+    assert_eq!(text.parse::<Envelope>(), Err(ParseEnvelopeError));
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -8,10 +8,12 @@
 use crate::{
     body::End,
     document::Document,
+    identity::{Answer, AttemptTag, ClaimEvent, Fingerprint},
     keys::{CallKey, MemberId, WorkKey},
     load::LoadReport,
     membership::{Message, Source},
     pool::Reach,
+    reducer::Presentation,
     refusal::Refusal,
     seat::Contact,
     time::Wall,
@@ -30,6 +32,8 @@
     Contacts(Vec<Contact>),
     /// A pull of a document ended; if it succeeded, the document arrived before.
     PullEnded,
+    /// The hand-over of outcomes ended, with or without success.
+    HandedOver,
     /// A document came into force.
     Document { revision: u64, document: Arc<Document> },
     /// The target became reachable or unreachable.
@@ -53,6 +57,10 @@
     Refused { attempt: u32, refusal: Refusal, report: Option<LoadReport> },
     /// An attempt ended without an answer or refusal.
     Failed { attempt: u32, failure: Failure, can_replay: bool },
+    /// A platform call for the claim of the request's key ended.
+    Claim(ClaimEvent),
+    /// The whole answer was read; a small one is kept for repeats.
+    Kept(Option<Answer>),
     /// The answer's body ended, or the caller went away.
     Ended(End),
 }
@@ -68,6 +76,17 @@
     BodyCut,
 }
 
+impl Failure {
+    /// Returns the name used in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Failure::NotSent => "not-sent",
+            Failure::Lost => "lost",
+            Failure::BodyCut => "body-cut",
+        }
+    }
+}
+
 /// What the entry node knows about a caller's request from its head.
 #[derive(Clone, Debug)]
 pub(crate) struct CallHead {
@@ -78,6 +97,8 @@
     pub(crate) timeout: Option<Duration>,
     /// The number of calls above this one in its chain.
     pub(crate) depth: u32,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) presentation: Presentation,
 }
 
 /// A step of a request at the target's node.
@@ -100,6 +121,8 @@
     pub(crate) path: CompactString,
     /// The member that chose this target.
     pub(crate) from: MemberId,
+    /// The mark of an attempt that runs at most once.
+    pub(crate) tag: Option<AttemptTag>,
     /// The time that the entry node still waits.
     pub(crate) timeout: Duration,
 }
@@ -111,6 +134,10 @@
     CallDeadline(CallKey),
     /// The delay after which an idempotent request is also sent to another target.
     Hedge(CallKey),
+    /// The turn of a claim in the budget.
+    ClaimWrite(CallKey),
+    /// The longest time for a claim.
+    ClaimTimeout(CallKey),
     /// The periodic work of all parts.
     Tick,
     /// The end of the time for a graceful stop.
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -1,28 +1,45 @@
 //! The entry of callers' requests: chooses a target by way of the reducer and passes the answer back.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use axum::body::Body;
+use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
-use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use http::{HeaderValue, Request, Response, Uri, header, request::Parts};
+use futures::{
+    StreamExt,
+    future::{BoxFuture, ready},
+    stream::{self, FuturesUnordered},
+};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts};
+use http_body::Body as _;
+use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 
 use crate::{
     auth::RequestKey,
-    body::{End, Replay, Tracked},
+    body::{BodyCut, End, Replay, Tracked},
     driver::Driver,
-    effect::{Attempt, CallStep, Hop},
+    effect::{Attempt, AttemptKind, CallStep, Hop},
+    envelope::Envelope,
     event::{CallEvent, CallHead, Event, Failure, WorkHead},
     headers::{self, InvalidHeader},
+    identity::{Answer, Fingerprint, Identity, MAX_ANSWER, Presented, Stamp},
     keys::{CallKey, MemberId},
     load::LoadReport,
     peer::Peers,
     pool::SendError,
+    reducer::Presentation,
     refusal::{Outcome, Reason, Refusal},
     work::{WorkError, Worker},
 };
 
+/// The authority under which a node answers itself; the document cannot have a service of this name.
+const OWN_NAME: &str = "poplarbarrow";
+
 /// The longest deadline that a caller may state.
 const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
 
@@ -46,38 +63,72 @@
 impl Ingress {
     /// Serves one request; the answer is the target's own, or a refusal.
     pub(crate) async fn serve(&self, req: Request<Body>) -> Response<Body> {
-        match self.try_serve(req).await {
-            Ok(answer) => answer,
-            Err(refusal) => refuse(refusal),
+        if is_identity_request(&req) {
+            return Response::new(Body::from(self.driver.issue_identity().to_string()));
         }
+        let (parts, body) = req.into_parts();
+        let served = match read_head(&parts) {
+            Ok(head) => self.route(head, parts, body).await,
+            Err(InvalidHeader) => Err(Refusal::not_run(Reason::Malformed)),
+        };
+        served.unwrap_or_else(refuse)
     }
 
-    async fn try_serve(&self, req: Request<Body>) -> Result<Response<Body>, Refusal> {
-        let (mut parts, body) = req.into_parts();
-        let head =
+    /// Serves a request that another node forwarded because this node owns its identity.
+    pub(crate) async fn serve_relayed(
+        &self,
+        service: CompactString,
+        stamp: Stamp,
+        identity: Identity,
+        req: Request<Body>,
+    ) -> Result<Response<Body>, Refusal> {
+        let (parts, body) = req.into_parts();
+        let mut head =
             read_head(&parts).map_err(|InvalidHeader| Refusal::not_run(Reason::Malformed))?;
+        let length = headers::number(&parts.headers, &header::CONTENT_LENGTH).ok().flatten();
+        head.fingerprint = fingerprint(&service, &parts, length);
+        head.service = service;
+        head.presentation =
+            Presentation { identity: Some(Presented::Issued(identity)), relay: Some(stamp) };
+        self.route(head, parts, body).await
+    }
+
+    async fn route(
+        &self,
+        head: CallHead,
+        mut parts: Parts,
+        body: Body,
+    ) -> Result<Response<Body>, Refusal> {
+        let arrived = Instant::now();
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
         let overloaded = Refusal::not_run(Reason::Overloaded);
         let mut call = Handle::open(&self.driver).ok_or(overloaded)?;
-        let template = Template { depth: head.depth + 1, service: head.service.clone(), parts };
+        let template = Template { depth: head.depth, service: head.service.clone(), parts };
         let body = Replay::new(body);
         call.dispatch(CallEvent::Arrived(head));
 
         let mut attempts = FuturesUnordered::new();
-        let mut answers: Vec<(u32, Response<Body>)> = Vec::new();
+        let mut answers: Vec<(u32, Response<Body>, Instant)> = Vec::new();
         loop {
             tokio::select! {
                 biased;
                 step = call.steps.recv() => match step {
                     Some(CallStep::Attempt(attempt)) => {
+                        if attempt.number == 1 {
+                            self.driver.metrics().handed_on(arrived.elapsed());
+                        }
                         attempts.push(self.attempt(attempt, &template, body.reader()));
                     }
-                    Some(CallStep::Deliver { attempt }) => {
-                        let index = answers.iter().position(|(number, _)| *number == attempt);
+                    Some(CallStep::Deliver { attempt, keep }) => {
+                        let index = answers.iter().position(|(number, ..)| *number == attempt);
                         let Some(index) = index else { continue };
-                        return Ok(call.track(answers.swap_remove(index).1));
+                        let (_, answer, received) = answers.swap_remove(index);
+                        let answer = if keep { call.keep(answer).await } else { answer };
+                        self.driver.metrics().handed_back(received.elapsed());
+                        return Ok(call.track(answer));
                     }
+                    Some(CallStep::Replay(answer)) => return Ok(replay(&answer)),
                     Some(CallStep::Refuse(refusal)) => return Err(refusal),
                     None => return Err(Refusal::unknown(Reason::Draining)),
                 },
@@ -85,7 +136,7 @@
                     let event = match reply {
                         Reply::Answer(answer, report) => {
                             let status = answer.status().as_u16();
-                            answers.push((attempt, answer));
+                            answers.push((attempt, answer, Instant::now()));
                             CallEvent::Answered { attempt, status, report }
                         }
                         Reply::Refused(refusal, report) => CallEvent::Refused { attempt, refusal, report },
@@ -127,8 +178,12 @@
         attempt: Attempt,
         req: Request<Body>,
     ) -> Reply {
+        let tag = match attempt.kind {
+            AttemptKind::RunOnce(tag) => Some(tag),
+            AttemptKind::Run | AttemptKind::Relay { .. } => None,
+        };
         let path = req.uri().path().to_compact_string();
-        let head = WorkHead { service, path, from: self.me, timeout: attempt.timeout };
+        let head = WorkHead { service, path, from: self.me, tag, timeout: attempt.timeout };
         match self.worker.run(head, req).await {
             Ok(answer) => Reply::Answer(answer, self.driver.report_load()),
             Err(WorkError::Refused(refusal)) => Reply::Refused(refusal, self.driver.report_load()),
@@ -143,11 +198,16 @@
         attempt: Attempt,
         mut req: Request<Body>,
     ) -> Reply {
-        let from = self.me.to_string();
-        let parts = [req.method().as_str(), req.uri().path(), &service, &from];
+        let envelope = match attempt.kind {
+            AttemptKind::Run => Envelope::Run { from: self.me },
+            AttemptKind::RunOnce(tag) => Envelope::RunOnce(tag),
+            AttemptKind::Relay { stamp, identity } => Envelope::Relay { stamp, identity },
+        };
+        let envelope = envelope.to_compact_string();
+        let parts = [req.method().as_str(), req.uri().path(), &service, &envelope];
         let tag = self.key.tag(attempt.member, &parts).to_string();
         headers::set(req.headers_mut(), headers::TAG, &tag);
-        headers::set(req.headers_mut(), headers::ATTEMPT, &from);
+        headers::set(req.headers_mut(), headers::ATTEMPT, &envelope);
         headers::set(req.headers_mut(), headers::SERVICE, &service);
         match self.peers.send(addr, req).await {
             Ok(answer) => read_reply(answer.map(Body::new)),
@@ -169,7 +229,10 @@
         let mut parts = self.parts.clone();
         let timeout = attempt.timeout.as_millis().to_compact_string();
         headers::set(&mut parts.headers, headers::DEADLINE, &timeout);
-        headers::set(&mut parts.headers, headers::DEPTH, &self.depth.to_compact_string());
+        // The owner of an identity stands for the entry node, so a relay is no further call.
+        let is_relay = matches!(attempt.kind, AttemptKind::Relay { .. });
+        let depth = if is_relay { self.depth } else { self.depth + 1 };
+        headers::set(&mut parts.headers, headers::DEPTH, &depth.to_compact_string());
         headers::set(&mut parts.headers, header::HOST, &self.service);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         if let Ok(uri) =
@@ -199,6 +262,28 @@
         self.driver.dispatch(Event::Call(self.key, event));
     }
 
+    /// Reads a small answer whole, so that it is kept for repeats under the same identity.
+    async fn keep(&self, answer: Response<Body>) -> Response<Body> {
+        let size = answer.body().size_hint().exact();
+        if size.is_none_or(|size| size > MAX_ANSWER as u64) {
+            self.dispatch(CallEvent::Kept(None));
+            return answer;
+        }
+        let (parts, body) = answer.into_parts();
+        let Ok(whole) = body.collect().await else {
+            self.dispatch(CallEvent::Kept(None));
+            return Response::from_parts(parts, cut_body());
+        };
+        let whole = whole.to_bytes();
+        let content_type = parts.headers.get(header::CONTENT_TYPE);
+        let content_type =
+            content_type.and_then(|value| value.to_str().ok()).map(CompactString::from);
+        let kept =
+            Answer { status: parts.status.as_u16(), content_type, body: whole.to_vec().into() };
+        self.dispatch(CallEvent::Kept(Some(kept)));
+        Response::from_parts(parts, Body::from(whole))
+    }
+
     /// Keeps the request registered until the body of its answer has ended.
     fn track(self, answer: Response<Body>) -> Response<Body> {
         answer.map(|body| Body::new(Tracked::new(body, move |end| self.close(end))))
@@ -218,6 +303,21 @@
     }
 }
 
+/// Returns a body that ends early, so that the caller can tell that the answer is not whole.
+fn cut_body() -> Body {
+    Body::from_stream(stream::once(ready(Err::<Bytes, _>(BodyCut))))
+}
+
+/// Creates the answer to a repeat from the kept answer.
+fn replay(kept: &Answer) -> Response<Body> {
+    let mut answer = Response::new(Body::from(kept.body.to_vec()));
+    *answer.status_mut() = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK);
+    if let Some(content_type) = &kept.content_type {
+        headers::set(answer.headers_mut(), header::CONTENT_TYPE, content_type);
+    }
+    answer
+}
+
 /// Creates the response that refuses a request.
 pub(crate) fn refuse(refusal: Refusal) -> Response<Body> {
     let mut answer = Response::new(Body::empty());
@@ -233,8 +333,31 @@
     let timeout = headers::number(&parts.headers, &headers::DEADLINE)?;
     let timeout = timeout.map(|ms| Duration::from_millis(ms.into()).min(MAX_TIMEOUT));
     let depth = headers::number(&parts.headers, &headers::DEPTH)?.unwrap_or(0);
+    let length = headers::number(&parts.headers, &header::CONTENT_LENGTH)?;
+    let identity = match parts.headers.get(headers::IDENTITY) {
+        Some(value) => {
+            let text = value.to_str().map_err(|_| InvalidHeader)?;
+            Some(Presented::parse(&service, text).map_err(|_| InvalidHeader)?)
+        }
+        None => None,
+    };
     let path = parts.uri.path().to_compact_string();
-    Ok(CallHead { service, method: parts.method.clone(), path, timeout, depth })
+    let fingerprint = fingerprint(&service, parts, length);
+    let method = parts.method.clone();
+    let presentation = Presentation { identity, relay: None };
+    Ok(CallHead { service, method, path, timeout, depth, fingerprint, presentation })
+}
+
+fn fingerprint(service: &str, parts: &Parts, length: Option<u32>) -> Fingerprint {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Fingerprint::new(service, parts.method.as_str(), path, length.map(u64::from))
+}
+
+/// Returns whether a caller asks for an identity.
+fn is_identity_request(req: &Request<Body>) -> bool {
+    let host = req.uri().host().or_else(|| req.headers().get(header::HOST)?.to_str().ok());
+    let is_own = host.is_some_and(|host| host.split(':').next() == Some(OWN_NAME));
+    is_own && req.method() == Method::POST && req.uri().path() == "/identity"
 }
 
 /// Returns the service that the authority names, without a port.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 mod auth;
 mod body;
+mod claims;
 pub mod cli;
 mod config;
 mod control;
@@ -14,6 +15,7 @@
 mod driver;
 mod effect;
 mod egress;
+mod envelope;
 mod event;
 pub mod gossip;
 pub mod headers;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -41,24 +41,33 @@
         Record::Route { call, service, attempt, member, reason, candidates } => info!(log, "route";
             "call" => id(call.data()), "service" => service.as_str(), "attempt" => attempt,
             "member" => %member, "reason" => reason, "candidates" => candidates.as_str()),
+        Record::Relay { call, identity, to } => info!(log, "relay";
+            "call" => id(call.data()), "identity" => %identity, "to" => %to),
+        Record::Replay { call, identity } => info!(log, "replay";
+            "call" => id(call.data()), "identity" => %identity),
+        Record::HandOver { to, outcomes } => {
+            info!(log, "hand-over"; "to" => %to, "outcomes" => outcomes);
+        }
         Record::Refuse { call, service, refusal } => info!(log, "refuse";
             "call" => id(call.data()), "service" => service.as_str(),
             "reason" => refusal.reason.as_str(), "outcome" => refusal.outcome.as_str()),
-        Record::Admit { work, from, decision, running, limit } => info!(log, "admit";
-            "work" => id(work.data()), "from" => %from, "decision" => decision,
+        Record::Admit { work, from, path, decision, running, limit } => info!(log, "admit";
+            "work" => id(work.data()), "from" => %from, "path" => path.as_str(), "decision" => decision,
             "running" => running, "limit" => limit),
         Record::Eject { member, service, pause } => info!(log, "eject";
             "member" => %member, "service" => service.as_str(), "pause_ms" => pause.as_millis() as u64),
+        Record::TargetFailed { work, failure } => info!(log, "target-failed";
+            "work" => id(work.data()), "failure" => failure),
         Record::Member { id, service, change } => info!(log, "member";
             "member" => %id, "service" => service.as_str(), "change" => change),
         Record::Synced { members } => info!(log, "synced"; "members" => members),
         Record::TableFull { refused } => warn!(log, "table-full"; "refused" => refused),
         Record::Seat { seat: Some(seat) } => {
-            info!(log, "seat"; "change" => "taken", "seat" => seat)
+            info!(log, "seat"; "change" => "taken", "seat" => seat);
         }
         Record::Seat { seat: None } => info!(log, "seat"; "change" => "given-up"),
         Record::Pull { from, revision } => {
-            info!(log, "pull"; "from" => %from, "revision" => revision)
+            info!(log, "pull"; "from" => %from, "revision" => revision);
         }
         Record::Document { revision, services } => info!(log, "document";
             "revision" => revision, "services" => services),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,9 +2,14 @@
 //!
 //! The metrics are listed in `docs/metrics.md`.
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::{
+    net::{Ipv4Addr, SocketAddr, UdpSocket},
+    time::Duration,
+};
 
-use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{
+    Counted, Histogrammed, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink,
+};
 
 use crate::effect::Record;
 
@@ -40,8 +45,12 @@
         let name = match record {
             Record::Route { .. } => "routes",
             Record::Refuse { refusal, .. } => return self.count_refusal(refusal.reason.as_str()),
+            Record::Relay { .. } => "relays",
+            Record::Replay { .. } => "replays",
+            Record::HandOver { .. } => "handovers",
             Record::Admit { decision: "refuse", .. } => "works.refused",
             Record::Admit { .. } => "works.admitted",
+            Record::TargetFailed { .. } => "targets.failed",
             Record::Eject { .. } => "ejections",
             Record::Member { .. } => "members.changed",
             Record::Synced { .. } => "members.synced",
@@ -56,12 +65,21 @@
         let _ = self.client.count(name, 1);
     }
 
-    /// Records the microseconds that this node added to a call before it was handed on.
-    pub(crate) fn added(&self, micros: u64) {
-        let _ = self.client.time("call.added_us", micros);
+    /// Records the time that this node took to hand a request on to its target's node.
+    pub(crate) fn handed_on(&self, elapsed: Duration) {
+        let _ = self.client.histogram("call.request_us", micros(elapsed));
+    }
+
+    /// Records the time that this node took to hand the head of an answer on to the caller.
+    pub(crate) fn handed_back(&self, elapsed: Duration) {
+        let _ = self.client.histogram("call.answer_us", micros(elapsed));
     }
 
     fn count_refusal(&self, reason: &str) {
         let _ = self.client.count_with_tags("refusals", 1).with_tag("reason", reason).try_send();
     }
 }
+
+fn micros(elapsed: Duration) -> u64 {
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,11 @@
 //! A node: one small process beside each target.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use axum::body::Body;
 use http::Request;
@@ -16,9 +21,10 @@
 
 use crate::{
     auth::RequestKey,
+    claims::Claims,
     config::{PULL_TIMEOUT, Replica},
     control::{self, ControlError},
-    driver::{Driver, Outlets, Pull},
+    driver::{Driver, HandOver, Outlets, Pull},
     egress::Egress,
     event::Event,
     gossip,
@@ -113,12 +119,15 @@
         let callers = listen("callers", settings.listen.callers).await?;
         let peers = listen("peers", settings.listen.peers).await?;
         let replica = Replica::default();
+        // The control server starts before the driver, because the driver needs its address.
+        let importer: Arc<OnceLock<Arc<Driver>>> = Arc::default();
+        let taker = importer.clone();
         let server = control::Server {
             me: id,
             key: key.clone(),
             replica: replica.clone(),
             log: log.clone(),
-            on_handover: |_| false,
+            on_handover: move |handover| taker.get().is_some_and(|driver| driver.import(handover)),
         };
         let addr = settings.listen.control;
         let opened = server.listen(addr, settings.networks.clone()).await;
@@ -148,6 +157,8 @@
         let seed = settings.seed.unwrap_or_else(|| rand::rng().random());
         let driver = Arc::new(Driver::new(Reducer::new(me, seed), log.clone(), metrics));
 
+        let _ = importer.set(driver.clone());
+
         let mut tasks = JoinSet::new();
         let (reach, reached) = mpsc::unbounded_channel();
         let target = &settings.target;
@@ -162,8 +173,15 @@
         let puller = Puller { driver: driver.clone(), replica: replica.clone(), key: key.clone() };
         tasks.spawn(puller.run(wanted));
         let (seat, rank) = watch::channel(None);
+        let platform = Arc::new(platform);
+        let (claims, wanted) = mpsc::unbounded_channel();
+        let lease = tokio::sync::Mutex::new(None);
+        let clerk = Claims { platform: platform.clone(), driver: driver.clone(), lease };
+        tasks.spawn(Arc::new(clerk).run(wanted));
+        let (handovers, wanted) = mpsc::unbounded_channel();
+        tasks.spawn(hand_over(wanted, driver.clone(), key.clone()));
         let duties = Arc::new(Seat {
-            platform: Arc::new(platform),
+            platform,
             driver: driver.clone(),
             replica,
             me: contact,
@@ -177,10 +195,9 @@
         let stop = watch::Sender::new(false);
         let connections = Peers::default();
         let worker = Worker::new(driver.clone(), pool);
-        let egress =
-            Egress { driver: driver.clone(), me: id, key: key.clone(), worker: worker.clone() };
         let ingress =
             Ingress { driver: driver.clone(), me: id, key, peers: connections.clone(), worker };
+        let egress = Egress { ingress: ingress.clone() };
         let handle = move |req: Request<Body>| {
             let ingress = ingress.clone();
             async move { ingress.serve(req).await }
@@ -194,7 +211,15 @@
 
         let fire = driver.clone();
         let timers = Timers::start(move |timer| fire.dispatch(Event::Timer(timer)));
-        driver.start(Outlets { gossip: gossip.sender, pulls, seat, peers: connections, timers });
+        driver.start(Outlets {
+            gossip: gossip.sender,
+            pulls,
+            claims,
+            handovers,
+            seat,
+            peers: connections,
+            timers,
+        });
         Ok(Node { driver, id, addresses, stop, tasks })
     }
 
@@ -266,6 +291,27 @@
     }
 }
 
+async fn hand_over(
+    mut wanted: mpsc::UnboundedReceiver<HandOver>,
+    driver: Arc<Driver>,
+    key: RequestKey,
+) {
+    while let Some(HandOver { to, control, handover }) = wanted.recv().await {
+        let call = async {
+            let client = control::Client::connect(control, to, key.clone()).await?;
+            client.hand_over(handover).await
+        };
+        match call.await {
+            Ok(true) => {}
+            Ok(false) => slog::warn!(driver.log(), "hand-over-refused"; "to" => %to),
+            Err(error) => {
+                slog::warn!(driver.log(), "hand-over-failed"; "to" => %to, "error" => %error);
+            }
+        }
+        driver.dispatch(Event::HandedOver);
+    }
+}
+
 fn me(settings: &Settings, id: MemberId, addresses: Addresses) -> Me {
     let info = Member {
         id,
@@ -282,7 +328,13 @@
         cold: true,
     };
     let drain = Duration::from_millis(settings.drain_ms.into());
-    Me { info, slots: settings.target.slots, contacts: settings.contacts.clone(), drain }
+    Me {
+        info,
+        started: wall_clock(),
+        slots: settings.target.slots,
+        contacts: settings.contacts.clone(),
+        drain,
+    }
 }
 
 async fn listen(field: &'static str, addr: SocketAddr) -> Result<TcpListener, NodeError> {
@@ -309,9 +361,11 @@
     let mut interval = time::interval(CLOCK_INTERVAL);
     loop {
         interval.tick().await;
-        let now =
-            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        let wall = Wall::from_millis(u64::try_from(now.as_millis()).unwrap_or(u64::MAX));
-        driver.dispatch(Event::Clock(wall));
+        driver.dispatch(Event::Clock(wall_clock()));
     }
 }
+
+fn wall_clock() -> Wall {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Wall::from_millis(u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
+}
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -4,10 +4,11 @@
 //! same effects again. See `docs/design.md`, section 3.
 
 mod calls;
+mod identities;
 mod members;
 mod works;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SecondaryMap;
@@ -18,6 +19,7 @@
     document::{Budgets, Document},
     effect::{Effect, Record},
     event::{Event, Timer},
+    identity::{ClaimBudget, ClaimEvent, Owner, Receipts},
     keys::{CallKey, WorkKey},
     load::MeasureBudget,
     membership::{self, Member, Membership},
@@ -25,6 +27,8 @@
     time::{Time, Wall},
 };
 
+pub(crate) use self::identities::Presentation;
+
 use self::{calls::Call, members::Pull, works::Work};
 
 /// The interval of periodic work.
@@ -34,6 +38,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Me {
     pub(crate) info: Member,
+    /// The wall clock at the start; sequence numbers begin there.
+    pub(crate) started: Wall,
     pub(crate) slots: u16,
     /// Gossip addresses from the settings, for starts while the platform is down.
     pub(crate) contacts: Vec<SocketAddr>,
@@ -56,6 +62,11 @@
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
     gate: Gate,
+    owner: Owner,
+    receipts: Receipts,
+    claim_budget: ClaimBudget,
+    has_handed_over: bool,
+    is_handing_over: bool,
     measure: MeasureBudget,
     is_target_up: bool,
     is_stopping: bool,
@@ -69,6 +80,7 @@
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
         let mut directory = Directory::default();
         directory.upsert(me.info.clone());
+        let owner = Owner::new(me.info.id, me.started.as_millis().saturating_mul(1_000));
         let gate = Gate::new(me.slots, Time::ZERO);
         let membership = Membership::new(me.info.clone(), membership::Settings::default(), seed);
         Reducer {
@@ -85,6 +97,11 @@
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
             gate,
+            owner,
+            receipts: Receipts::new(),
+            claim_budget: ClaimBudget::new(Budgets::default().claim_rate, 1),
+            has_handed_over: false,
+            is_handing_over: false,
             measure: MeasureBudget::new(&Budgets::default(), Time::ZERO),
             // Until a connection fails, requests may try the target; a failed connection proves "not run".
             is_target_up: true,
@@ -117,6 +134,7 @@
             Event::Gossip(from, message) => self.gossip(now, from, *message, out),
             Event::Contacts(contacts) => self.contacts(now, &contacts, out),
             Event::PullEnded => self.pull_ended(),
+            Event::HandedOver => self.is_handing_over = false,
             Event::Document { revision, document } => {
                 self.set_document(now, revision, document, out);
             }
@@ -158,11 +176,15 @@
     fn expire(&mut self, now: Time, timer: Timer, out: &mut Vec<Effect>) {
         match timer {
             Timer::CallDeadline(key) => self.call_deadline(now, key, out),
+            Timer::ClaimWrite(key) => self.write_claim(key, out),
+            Timer::ClaimTimeout(key) => self.claim_result(now, key, ClaimEvent::Timeout, out),
             Timer::Hedge(key) => self.hedge(now, key, out),
             Timer::Tick => {
                 let next = self.gate.tick(now);
                 self.advance_queue(next, out);
                 self.tick_members(now, out);
+                self.owner.sweep(now);
+                self.share_claims();
                 self.check_stopped(out);
                 out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
             }
@@ -176,6 +198,7 @@
         }
         self.is_stopping = true;
         self.gate.drain();
+        self.owner.leave();
         self.me.info.leaving = true;
         self.directory.upsert(self.me.info.clone());
         self.announce_leave(now, out);
@@ -183,10 +206,18 @@
         out.push(Effect::Arm { timer: Timer::StopDeadline, after: self.me.drain });
     }
 
+    /// Divides the fleet's claims among the nodes, of which this node knows those of its own region.
+    fn share_claims(&mut self) {
+        let Some(document) = &self.document else { return };
+        let regions: BTreeSet<_> = document.centres.values().map(|centre| &centre.region).collect();
+        let nodes = self.membership.group() * regions.len().max(1);
+        self.claim_budget.set_rate(document.budgets.claim_rate, nodes as u64);
+    }
+
     fn check_stopped(&mut self, out: &mut Vec<Effect>) {
         let is_idle = self.calls.is_empty() && self.works.is_empty();
         let has_told = self.membership.has_left() || self.membership.group() <= 1;
-        if self.is_stopping && is_idle && has_told {
+        if self.is_stopping && is_idle && has_told && self.hand_over(out) {
             self.exit("idle", out);
         }
     }
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -8,8 +8,9 @@
 use crate::{
     body::End,
     document::{CentreState, Service},
-    effect::{Attempt, CallStep, Effect, Hop, Record},
+    effect::{Attempt, AttemptKind, CallStep, Effect, Hop, Record},
     event::{CallEvent, CallHead, Failure, Timer},
+    identity::{AttemptResult, AttemptTag, Claim, Fingerprint, Identity, Key},
     keys::{CallKey, MemberKey, ServiceKey},
     load::{LoadReport, Observed},
     refusal::{Outcome, Reason, Refusal},
@@ -29,12 +30,22 @@
     pub(super) service: CompactString,
     group: ServiceKey,
     is_idempotent: bool,
-    deadline: Time,
+    pub(super) deadline: Time,
     depth: u8,
-    attempts: u8,
+    pub(super) attempts: u8,
     /// The attempts whose end is not known yet.
     open: Vec<OpenAttempt>,
     tried: Vec<MemberKey>,
+    pub(super) fingerprint: Fingerprint,
+    /// The identity of a request that runs at most once, from its begin on.
+    pub(super) identity: Option<Identity>,
+    /// The mark of the attempt whose outcome the owner's table waits for.
+    pub(super) tag: Option<AttemptTag>,
+    /// The claim of the caller's own key, until it has ended.
+    pub(super) claim: Option<(Key, Claim)>,
+    pub(super) is_relayed: bool,
+    /// Whether another node decides on the request.
+    pub(super) is_relaying: bool,
     /// Whether some attempt may have run; once set, a refusal must not say "not run".
     may_have_run: bool,
     is_answered: bool,
@@ -73,6 +84,13 @@
             CallEvent::Answered { attempt, status, report } => {
                 self.call_answered(now, key, attempt, status, report, out);
             }
+            CallEvent::Refused { attempt: _, refusal, .. } if self.is_relaying(key) => {
+                // The owner has decided, and its refusal says what is known.
+                self.refuse_with(now, key, refusal, out);
+            }
+            CallEvent::Failed { .. } if self.is_relaying(key) => {
+                self.refuse_with(now, key, Refusal::unknown(Reason::OwnerLost), out);
+            }
             CallEvent::Refused { attempt, refusal, report } => {
                 self.close_attempt(now, key, attempt, Observed::NotRun, report, out);
                 self.attempt_refused(now, key, refusal, true, out);
@@ -86,6 +104,8 @@
                 self.close_attempt(now, key, attempt, observed, None, out);
                 self.attempt_refused(now, key, refusal, can_replay, out);
             }
+            CallEvent::Claim(event) => self.claim_result(now, key, event, out),
+            CallEvent::Kept(answer) => self.keep_answer(now, key, answer),
             CallEvent::Ended(end) => self.call_ended(now, key, end),
         }
     }
@@ -118,14 +138,29 @@
             attempts: 0,
             open: Vec::new(),
             tried: Vec::new(),
+            fingerprint: head.fingerprint,
+            identity: None,
+            tag: None,
+            claim: None,
+            is_relayed: head.presentation.relay.is_some(),
+            is_relaying: false,
             may_have_run: false,
             is_answered: false,
         };
         self.calls.insert(key, call);
         out.push(Effect::Arm { timer: Timer::CallDeadline(key), after: timeout });
-        match self.start_attempt(now, key, out) {
-            Ok(()) => self.arm_hedge(key, out),
-            Err(reason) => self.refuse_call(now, key, reason, out),
+        if is_idempotent {
+            self.start_or_refuse(now, key, out);
+            self.arm_hedge(key, out);
+        } else {
+            self.start_once(now, key, head.presentation, out);
+        }
+    }
+
+    /// Starts the first attempt of a call, or refuses the call.
+    pub(super) fn start_or_refuse(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
+        if let Err(reason) = self.start_attempt(now, key, out) {
+            self.refuse_call(now, key, reason, out);
         }
     }
 
@@ -168,6 +203,14 @@
         });
         let choice = choice.map_err(|none| none.refusal().reason)?;
         let member = self.directory.get_mut(choice.key).ok_or(Reason::NoTarget)?;
+        let kind = match call.identity {
+            None => AttemptKind::Run,
+            Some(identity) => {
+                let tag = self.owner.attempt(now, identity, member.info.id);
+                call.tag = Some(tag.ok_or(Reason::InProgress)?);
+                call.tag.map_or(AttemptKind::Run, AttemptKind::RunOnce)
+            }
+        };
         member.view.sent(now);
         let hop = if member.info.id == me.id { Hop::Local } else { Hop::Peer(member.info.peer) };
         call.attempts += 1;
@@ -182,7 +225,7 @@
             reason: choice.why.as_str(),
             candidates: choice.scores.to_compact_string(),
         }));
-        let attempt = Attempt { number, member: member.info.id, hop, timeout };
+        let attempt = Attempt { number, member: member.info.id, hop, timeout, kind };
         out.push(Effect::Call(key, CallStep::Attempt(attempt)));
         Ok(())
     }
@@ -196,7 +239,12 @@
         report: Option<LoadReport>,
         out: &mut Vec<Effect>,
     ) {
-        let Some(call) = self.calls.get(key) else { return };
+        let Some(call) = self.calls.get_mut(key) else { return };
+        if call.is_relaying {
+            call.is_answered = true;
+            out.push(Effect::Call(key, CallStep::Deliver { attempt, keep: false }));
+            return;
+        }
         let Some(opened) = call.open.iter().find(|open| open.number == attempt).copied() else {
             return;
         };
@@ -222,10 +270,14 @@
         }
         let Some(call) = self.calls.get_mut(key) else { return };
         call.is_answered = true;
+        let keep = call.identity.is_some_and(|identity| !identity.is_anonymous());
         for open in std::mem::take(&mut call.open) {
             self.release(now, open, Observed::NotRun);
         }
-        out.push(Effect::Call(key, CallStep::Deliver { attempt }));
+        if !keep {
+            self.settle(now, key, AttemptResult::Answered(None));
+        }
+        out.push(Effect::Call(key, CallStep::Deliver { attempt, keep }));
     }
 
     fn attempt_refused(
@@ -241,6 +293,15 @@
             return;
         }
         call.may_have_run |= refusal.outcome == Outcome::Unknown;
+        self.settle(
+            now,
+            key,
+            match refusal.outcome {
+                Outcome::NotRun => AttemptResult::NotRun,
+                Outcome::Unknown => AttemptResult::Lost,
+            },
+        );
+        let Some(call) = self.calls.get(key) else { return };
         let (attempted, group) = (call.attempted(), call.group);
         if can_replay {
             let retry = self.directory.group_mut(group).budget.retry(now, &attempted);
@@ -253,10 +314,30 @@
         }
     }
 
+    /// Refuses a call with a refusal that is known to be true.
+    pub(super) fn refuse_with(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        refusal: Refusal,
+        out: &mut Vec<Effect>,
+    ) {
+        if let Some(call) = self.calls.get_mut(key) {
+            call.is_relaying = false;
+            call.may_have_run |= refusal.outcome == Outcome::Unknown;
+            self.refuse_call(now, key, refusal.reason, out);
+        }
+    }
+
     /// Refuses a call; it says "not run" only if no attempt may have run.
     fn refuse_call(&mut self, now: Time, key: CallKey, reason: Reason, out: &mut Vec<Effect>) {
+        self.settle(now, key, AttemptResult::Lost);
         let Some(call) = self.calls.remove(key) else { return };
-        let may_have_run = call.may_have_run || !call.open.is_empty();
+        let may_have_run = call.may_have_run || call.is_relaying || !call.open.is_empty();
+        if let Some(identity) = call.identity {
+            // A request that did not run may be sent again under its identity.
+            self.owner.release(identity);
+        }
         let refusal =
             if may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) };
         for open in call.open {
@@ -301,12 +382,22 @@
     }
 
     fn call_ended(&mut self, now: Time, key: CallKey, _end: End) {
+        let is_answered = self.calls.get(key).is_some_and(|call| call.is_answered);
+        let result = if is_answered { AttemptResult::Answered(None) } else { AttemptResult::Lost };
+        self.settle(now, key, result);
         let Some(call) = self.calls.remove(key) else { return };
+        if let Some(identity) = call.identity {
+            self.owner.release(identity);
+        }
         for open in call.open {
             self.release(now, open, Observed::NotRun);
         }
     }
 
+    fn is_relaying(&self, key: CallKey) -> bool {
+        self.calls.get(key).is_some_and(|call| call.is_relaying)
+    }
+
     fn close_attempt(
         &mut self,
         now: Time,
--- a/src/reducer/members.rs
+++ b/src/reducer/members.rs
@@ -79,7 +79,7 @@
         for output in outputs {
             match output {
                 Output::Send { to, message } => {
-                    out.push(Effect::Send { to, message: Box::new(message) })
+                    out.push(Effect::Send { to, message: Box::new(message) });
                 }
                 Output::Joined(member) | Output::Changed(member) => self.member_seen(member, out),
                 Output::Lost { id, reason } => self.member_lost(id, reason, out),
@@ -90,10 +90,10 @@
                 }
                 Output::Payload { .. } => {}
                 Output::Synced => {
-                    out.push(Effect::Log(Record::Synced { members: self.membership.group() }))
+                    out.push(Effect::Log(Record::Synced { members: self.membership.group() }));
                 }
                 Output::TableFull { refused } => {
-                    out.push(Effect::Log(Record::TableFull { refused }))
+                    out.push(Effect::Log(Record::TableFull { refused }));
                 }
             }
         }
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -6,6 +6,7 @@
     document::CentreState,
     effect::{Effect, Record, WorkStep},
     event::{WorkEvent, WorkHead},
+    identity::Accept,
     keys::WorkKey,
     load::{LoadReport, Measure},
     refusal::{Reason, Refusal},
@@ -35,7 +36,13 @@
                     work.status = Some(status);
                 }
             }
-            WorkEvent::Failed(_) => self.work_finished(now, key, Finish::Failure, out),
+            WorkEvent::Failed(failure) => {
+                out.push(Effect::Log(Record::TargetFailed {
+                    work: key,
+                    failure: failure.as_str(),
+                }));
+                self.work_finished(now, key, Finish::Failure, out);
+            }
             WorkEvent::Ended(end) => self.work_ended(now, key, end, out),
         }
     }
@@ -47,7 +54,17 @@
     }
 
     fn work_arrived(&mut self, now: Time, key: WorkKey, head: &WorkHead, out: &mut Vec<Effect>) {
-        let decision = match self.refuse_work(head) {
+        // The receipt is recorded before anything else is decided, so that a duplicate of an attempt that is
+        // refused now does not run later.
+        let receipt = head.tag.map(|tag| self.receipts.accept(tag.stamp(), self.me.info.id));
+        let refusal = match receipt {
+            None | Some(Accept::Run) => self.refuse_work(head),
+            Some(Accept::Duplicate) => Some(Refusal::unknown(Reason::InProgress)),
+            Some(Accept::WrongMember | Accept::BelowFloor) => {
+                Some(Refusal::unknown(Reason::AnswerLost))
+            }
+        };
+        let decision = match refusal {
             Some(refusal) => Decision::Refuse(refusal),
             None => self.gate.arrive(now, key, now + head.timeout),
         };
@@ -55,6 +72,7 @@
         out.push(Effect::Log(Record::Admit {
             work: key,
             from: head.from,
+            path: head.path.clone(),
             decision: match decision {
                 Decision::Run => "run",
                 Decision::Queue => "queue",
--- a/src/work.rs
+++ b/src/work.rs
@@ -39,10 +39,26 @@
     }
 
     /// Has a request admitted, sends it to the target and returns the answer, whose body streams on.
+    ///
+    /// A request that runs at most once goes on when its caller goes away: cancelling it would leave it half done.
     pub(crate) async fn run(
         &self,
         head: WorkHead,
         req: Request<Body>,
+    ) -> Result<Response<Body>, WorkError> {
+        let is_once = head.tag.is_some();
+        let run = self.clone().admit_and_send(head, req);
+        if !is_once {
+            return run.await;
+        }
+        let lost = WorkError::Failed(Failure::Lost);
+        tokio::spawn(run).await.unwrap_or(Err(lost))
+    }
+
+    async fn admit_and_send(
+        self,
+        head: WorkHead,
+        req: Request<Body>,
     ) -> Result<Response<Body>, WorkError> {
         let overloaded = WorkError::Refused(Refusal::not_run(Reason::Overloaded));
         let mut work = Handle::open(&self.driver).ok_or(overloaded)?;
