--- a/src/bin/poplarbarrow/main.rs
+++ b/src/bin/poplarbarrow/main.rs
@@ -10,9 +10,12 @@
 use gumdrop::Options;
 use poplarbarrow::{
     cli,
+    demo::{self, Demo, DemoError},
     operator::{self, OperatorError},
     platform::{Http, http::Limits},
+    settings::LogLevel,
 };
+use snafu::{ResultExt, Snafu};
 
 /// Checks, compares and applies the configuration document.
 ///
@@ -31,6 +34,9 @@
 
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "run the whole system in one process on loopback")]
+    Demo(DemoArgs),
+
     #[options(help = "check a document offline and print every problem")]
     Check(Check),
 
@@ -41,6 +47,21 @@
     Apply(Apply),
 }
 
+/// Runs a platform, ten targets and their nodes in one process on loopback until Ctrl-C.
+///
+/// Example: poplarbarrow demo
+#[derive(Debug, Options)]
+struct DemoArgs {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(no_short, meta = "ADDR", help = "address for callers; 127.0.0.1:7480 if absent")]
+    listen: Option<SocketAddr>,
+
+    #[options(no_short, help = "log each event and decision to the standard error output")]
+    log: bool,
+}
+
 /// Checks a document offline and prints every problem; exits with 1 if there are any.
 ///
 /// Example: poplarbarrow check document.json
@@ -92,7 +113,16 @@
     submission: Option<String>,
 }
 
-#[tokio::main(flavor = "current_thread")]
+/// A command failed.
+#[derive(Debug, Snafu)]
+enum RunError {
+    #[snafu(display("{source}"))]
+    Operator { source: OperatorError },
+    #[snafu(display("{source}"))]
+    Demo { source: DemoError },
+}
+
+#[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = match cli::parse("poplarbarrow") {
         Ok(args) => args,
@@ -116,8 +146,27 @@
     }
 }
 
-async fn run(command: Command, out: &mut impl Write) -> Result<(), OperatorError> {
+async fn run(command: Command, out: &mut impl Write) -> Result<(), RunError> {
+    if let Command::Demo(args) = command {
+        return demo(args, out).await.context(DemoSnafu);
+    }
+    operate(command, out).await.context(OperatorSnafu)
+}
+
+async fn demo(args: DemoArgs, out: &mut impl Write) -> Result<(), DemoError> {
+    let level = if args.log { LogLevel::Info } else { LogLevel::Error };
+    let demo = Demo::start(args.listen.unwrap_or(demo::CALLERS), level).await?;
+    demo.describe(out)?;
+    let _ = out.flush();
+    // Without a handler for Ctrl-C the demo ends at once, which is what was asked for.
+    let _ = tokio::signal::ctrl_c().await;
+    demo.stop().await;
+    Ok(())
+}
+
+async fn operate(command: Command, out: &mut impl Write) -> Result<(), OperatorError> {
     match command {
+        Command::Demo(_) => Ok(()),
         Command::Check(args) => operator::check(&args.file, out),
         Command::Diff(args) => {
             operator::diff(&args.file, &client(args.platform), args.json, out).await
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 mod config;
 mod control;
+pub mod demo;
 mod directory;
 pub mod document;
 mod driver;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -268,7 +268,7 @@
     "1".into()
 }
 
-fn default_networks() -> Vec<IpNet> {
+pub(crate) fn default_networks() -> Vec<IpNet> {
     vec![IpNet::from(IpAddr::from(Ipv4Addr::LOCALHOST))]
 }
 
