Serve status and forms on the operator address

Operators had no view of a running node, and changed the document only by file. The node now listens on listen.operator. GET /status returns its state as JSON, which poplarbarrow status prints. Forms show services, versions, data centres and budgets; a change is shown as a difference first and committed against the revision that the operator saw. A change that comes too late is shown beside what happened meanwhile, with both combined for confirmation.

A configured token is required on each request and must have 16 characters. Posts carry a token bound to the session and are refused from other sites. Without a token, foreign host names are refused, because a name can be made to resolve to a loopback address.

--- a/src/bin/poplarbarrow-node/main.rs
+++ b/src/bin/poplarbarrow-node/main.rs
@@ -77,12 +77,13 @@
     let addresses = node.addresses();
     let _ = writeln!(
         io::stdout(),
-        "node={} callers={} peers={} control={} gossip={}",
+        "node={} callers={} peers={} control={} gossip={} operator={}",
         node.id(),
         addresses.callers,
         addresses.peers,
         addresses.control,
-        addresses.gossip
+        addresses.gossip,
+        addresses.operator
     );
     tokio::select! {
         _ = terminate.recv() => {}
--- a/src/bin/poplarbarrow/main.rs
+++ b/src/bin/poplarbarrow/main.rs
@@ -14,7 +14,7 @@
     platform::{Http, http::Limits},
 };
 
-/// Checks, compares and applies the configuration document.
+/// Checks, compares and applies the configuration document, and shows the state of nodes.
 ///
 /// Example: poplarbarrow check document.json
 #[derive(Debug, Options)]
@@ -39,6 +39,9 @@
 
     #[options(help = "put a document in force")]
     Apply(Apply),
+
+    #[options(help = "print the state of a node")]
+    Status(Status),
 }
 
 /// Checks a document offline and prints every problem; exits with 1 if there are any.
@@ -92,6 +95,24 @@
     submission: Option<String>,
 }
 
+/// Prints the state of a node and the members that it knows.
+///
+/// Example: poplarbarrow status --node 127.0.0.1:7300
+#[derive(Debug, Options)]
+struct Status {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(meta = "ADDR", required, help = "operator address of the node")]
+    node: Option<SocketAddr>,
+
+    #[options(meta = "TOKEN", help = "token from the settings of the node")]
+    token: Option<String>,
+
+    #[options(no_short, help = "print one line of JSON")]
+    json: bool,
+}
+
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let args: Args = match cli::parse("poplarbarrow") {
@@ -122,6 +143,10 @@
         Command::Diff(args) => {
             operator::diff(&args.file, &client(args.platform), args.json, out).await
         }
+        Command::Status(args) => {
+            let node = args.node.expect("the option is required");
+            operator::status(node, args.token.as_deref(), args.json, out).await
+        }
         Command::Apply(args) => {
             let platform = client(args.platform);
             let expect = args.expect;
--- /dev/null
+++ b/src/console/forms/budgets.rs
@@ -0,0 +1,47 @@
+//! The form of the budgets.
+
+use serde_json::json;
+
+use crate::{
+    console::{
+        edit::Edit,
+        form::{Errors, Fields, Group, Input, Kind},
+    },
+    document::{
+        Budgets,
+        validate::{MAX_CLAIMS, MAX_MEASURE, MAX_PROBE},
+    },
+};
+
+use super::{check, number};
+
+pub(super) fn fields(budgets: &Budgets) -> Fields {
+    let mut fields = Fields::default();
+    fields.set("measure_bytes", budgets.measure_bytes);
+    fields.set("probe_permille", budgets.probe_permille);
+    fields.set("claim_rate", budgets.claim_rate);
+    fields
+}
+
+pub(super) fn groups(fields: &Fields, errors: &Errors) -> Vec<Group> {
+    let input = |name, label, max: u64| {
+        Input::new(name, label, Kind::Number, fields, errors).hint(format!("0 to {max}"))
+    };
+    let inputs = vec![
+        input("measure_bytes", "Measuring load, in bytes per second", MAX_MEASURE),
+        input("probe_permille", "Probes per 1,000 calls", MAX_PROBE),
+        input("claim_rate", "Claims of caller-chosen identities per second", MAX_CLAIMS),
+    ];
+    vec![Group::new("", "Budgets of each node", &Errors::default(), inputs)]
+}
+
+pub(super) fn edit(fields: &Fields, errors: &mut Errors) -> Option<Edit> {
+    let get = |name| number(fields.get(name));
+    let budgets = json!({
+        "measure_bytes": get("measure_bytes"),
+        "probe_permille": get("probe_permille"),
+        "claim_rate": get("claim_rate"),
+    });
+    let locate = |path: &str| path.strip_prefix("budgets.").unwrap_or_default().into();
+    check("budgets", budgets, errors, locate).map(|document| Edit::Budgets(document.budgets))
+}
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    /// Returns whether a member is ejected because its requests failed.
+    pub(crate) fn is_ejected(&self, now: Time, id: MemberId) -> bool {
+        let Some(key) = self.key(id) else { return false };
+        let group = self.members.get(key).and_then(|member| self.services.get(member.service));
+        group.is_some_and(|group| group.ejector.is_ejected(now, key))
+    }
+
     /// Returns a member unless it is gone.
     pub(crate) fn get(&self, key: MemberKey) -> Option<&Member> {
         self.members.get(key)
--- a/src/document.rs
+++ b/src/document.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 pub mod diff;
-mod read;
+pub(crate) mod read;
 pub mod validate;
 
 /// The operators' document.
--- a/src/document/diff.rs
+++ b/src/document/diff.rs
@@ -129,7 +129,7 @@
 }
 
 /// What identifies a route (method and prefix) or a version (name) within its list.
-fn identity(value: &Value) -> String {
+pub(crate) fn identity(value: &Value) -> String {
     let text = |name: &str| value.get(name).and_then(Value::as_str);
     match (text("name"), text("method"), text("prefix")) {
         (Some(name), ..) => name.into(),
--- a/src/load/budget.rs
+++ b/src/load/budget.rs
@@ -121,6 +121,11 @@
         self.counts
     }
 
+    /// Returns the budget in bytes per second.
+    pub fn rate(&self) -> u64 {
+        self.rate
+    }
+
     fn burst(&self) -> u64 {
         self.rate / BURST_DIVISOR * SCALE
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,6 +5,7 @@
 use axum::body::Body;
 use http::Request;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -17,6 +18,7 @@
 use crate::{
     auth::RequestKey,
     config::{PULL_TIMEOUT, Replica},
+    console::{self, Console},
     control::{self, ControlError},
     driver::{Driver, Outlets, Pull},
     egress::Egress,
@@ -63,7 +65,7 @@
 }
 
 /// The addresses on which a node listens.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Addresses {
     /// Requests of callers.
     pub callers: SocketAddr,
@@ -73,6 +75,8 @@
     pub control: SocketAddr,
     /// Membership datagrams.
     pub gossip: SocketAddr,
+    /// The operators' pages and status.
+    pub operator: SocketAddr,
 }
 
 /// A running node.
@@ -112,6 +116,7 @@
 
         let callers = listen("callers", settings.listen.callers).await?;
         let peers = listen("peers", settings.listen.peers).await?;
+        let operator = listen("operator", settings.listen.operator).await?;
         let replica = Replica::default();
         let server = control::Server {
             me: id,
@@ -136,6 +141,7 @@
             peers: local(&peers),
             control,
             gossip: gossip.address,
+            operator: local(&operator),
         };
 
         let me = me(&settings, id, addresses);
@@ -161,9 +167,17 @@
         let (pulls, wanted) = mpsc::unbounded_channel();
         let puller = Puller { driver: driver.clone(), replica: replica.clone(), key: key.clone() };
         tasks.spawn(puller.run(wanted));
+        let platform = Arc::new(platform);
+        let console = Console::new(
+            driver.clone(),
+            platform.clone(),
+            replica.clone(),
+            addresses,
+            settings.token.as_deref(),
+        );
         let (seat, rank) = watch::channel(None);
         let duties = Arc::new(Seat {
-            platform: Arc::new(platform),
+            platform,
             driver: driver.clone(),
             replica,
             me: contact,
@@ -190,7 +204,11 @@
             let egress = egress.clone();
             async move { egress.serve(req).await }
         };
-        tasks.spawn(server::serve(peers, settings.networks, stop.subscribe(), log, handle));
+        let (quit, records) = (stop.subscribe(), log.clone());
+        tasks.spawn(server::serve(peers, settings.networks, quit, records, handle));
+        let pages = console.router();
+        let handle = move |req: Request<Body>| console::answer(pages.clone(), req);
+        tasks.spawn(server::serve(operator, Vec::new(), stop.subscribe(), log, handle));
 
         let fire = driver.clone();
         let timers = Timers::start(move |timer| fire.dispatch(Event::Timer(timer)));
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -3,6 +3,7 @@
 use std::{
     fs::File,
     io::{self, Read, Write},
+    net::SocketAddr,
     path::{Path, PathBuf},
 };
 
@@ -15,6 +16,7 @@
         validate::{MAX_TEXT, parse, warnings},
     },
     platform::Platform,
+    status::{StatusError, fetch},
     store::{COLLECT_EVERY, CommitError, StoreError, collect, commit, load},
 };
 
@@ -49,6 +51,12 @@
         /// The failure.
         source: CommitError,
     },
+    /// The status of a node cannot be read.
+    #[snafu(display("{source}"))]
+    Status {
+        /// The failure.
+        source: StatusError,
+    },
     /// The output cannot be written.
     #[snafu(display("output: {source}"))]
     Output {
@@ -130,6 +138,25 @@
     Ok(())
 }
 
+/// Prints the state of a node, as tables or as one JSON line.
+///
+/// # Errors
+///
+/// Fails if the node cannot be reached or refuses access.
+pub async fn status(
+    node: SocketAddr,
+    token: Option<&str>,
+    json: bool,
+    out: &mut impl Write,
+) -> Result<(), OperatorError> {
+    let status = fetch(node, token).await.context(StatusSnafu)?;
+    if json {
+        let line = serde_json::json!(status);
+        return writeln!(out, "{line}").context(OutputSnafu);
+    }
+    status.print(out).context(OutputSnafu)
+}
+
 fn read(path: &Path, out: &mut impl Write) -> Result<Document, OperatorError> {
     let mut text = String::new();
     // One byte more than allowed, so that a longer file is refused and not cut.
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod members;
+mod status;
 mod works;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -53,6 +54,8 @@
     pull: Option<Pull>,
     document: Option<Arc<Document>>,
     revision: u64,
+    /// The time at which the document came into force here.
+    revised: Option<Time>,
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
     gate: Gate,
@@ -82,6 +85,7 @@
             pull: None,
             document: None,
             revision: 0,
+            revised: None,
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
             gate,
@@ -139,6 +143,7 @@
             return;
         }
         self.revision = revision;
+        self.revised = Some(now);
         self.membership.set_revision(revision);
         self.measure.set(&document.budgets, now);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
--- /dev/null
+++ b/src/reducer/status.rs
@@ -0,0 +1,106 @@
+//! Reads the state of the reducer for operators; nothing here changes it.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use compact_str::{CompactString, ToCompactString};
+
+use crate::{
+    directory,
+    document::Document,
+    membership,
+    node::Addresses,
+    status::{Admission, Measuring, MemberState, MemberStatus, ServiceMembers, Status},
+    time::Time,
+};
+
+use super::Reducer;
+
+impl Reducer {
+    /// Returns the document in force with its revision.
+    pub(crate) fn document(&self) -> Option<(u64, Arc<Document>)> {
+        self.document.as_ref().map(|document| (self.revision, document.clone()))
+    }
+
+    /// Returns the state of the node for operators.
+    pub(crate) fn status(&self, now: Time, addresses: Addresses) -> Status {
+        let me = &self.me.info;
+        Status {
+            node: me.id.to_compact_string(),
+            addresses,
+            service: me.service.clone(),
+            version: me.version.clone(),
+            centre: me.centre.clone(),
+            region: me.region.clone(),
+            stopping: self.is_stopping,
+            target_up: self.is_target_up,
+            revision: self.revision,
+            revision_age_ms: self.revised.map(|at| millis(now, at)),
+            seat: self.seat,
+            admission: self.admission(),
+            measuring: self.measuring(),
+            calls: self.calls.len(),
+            works: self.works.len(),
+            services: self.services(now),
+        }
+    }
+
+    fn admission(&self) -> Admission {
+        let report = self.gate.report();
+        Admission {
+            slots: self.me.slots,
+            limit: report.limit,
+            running: report.running,
+            queued: report.queued,
+            latency_us: report.latency_us,
+            cold: report.cold,
+        }
+    }
+
+    fn measuring(&self) -> Measuring {
+        let counts = self.measure.counts();
+        Measuring {
+            budget: self.measure.rate(),
+            bytes: counts.bytes,
+            reports: counts.reports,
+            probes: counts.probes,
+            reports_denied: counts.reports_denied,
+            probes_denied: counts.probes_denied,
+        }
+    }
+
+    fn services(&self, now: Time) -> Vec<ServiceMembers> {
+        let mut services: BTreeMap<&CompactString, Vec<MemberStatus>> = BTreeMap::new();
+        for member in self.directory.members() {
+            let members = services.entry(&member.info.service).or_default();
+            members.push(self.member_status(now, member));
+        }
+        let group = |(service, mut members): (&CompactString, Vec<MemberStatus>)| {
+            members.sort_by(|a, b| a.id.cmp(&b.id));
+            ServiceMembers { service: service.clone(), members }
+        };
+        services.into_iter().map(group).collect()
+    }
+
+    fn member_status(&self, now: Time, member: &directory::Member) -> MemberStatus {
+        let info = &member.info;
+        let state = self.membership.member(info.id).map(|(_, state)| state);
+        let is_me = info.id == self.me.info.id;
+        MemberStatus {
+            id: info.id.to_compact_string(),
+            version: info.version.clone(),
+            centre: info.centre.clone(),
+            state: match state {
+                Some(membership::State::Suspect) => MemberState::Suspected,
+                _ => MemberState::Alive,
+            },
+            leaving: info.leaving,
+            cold: if is_me { self.gate.report().cold } else { member.view.is_cold() },
+            ejected: self.directory.is_ejected(now, info.id),
+            in_flight: member.view.in_flight(),
+        }
+    }
+}
+
+fn millis(now: Time, at: Time) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-/// The shortest accepted cluster key in characters; shorter keys can be guessed.
+/// The shortest accepted cluster key or token in characters; shorter ones can be guessed.
 pub const MIN_KEY: usize = 16;
 
 /// The largest accepted number of slots; the load report carries it in 16 bits.
@@ -148,7 +148,7 @@
         /// The largest accepted value.
         max: u32,
     },
-    /// The cluster key is too short.
+    /// The cluster key or the operators' token is too short.
     #[snafu(display("use at least {MIN_KEY} characters"))]
     ShortKey,
     /// No address range is given.
@@ -160,6 +160,9 @@
     /// The operator address is reachable from outside without a token.
     #[snafu(display("set `token`, or listen on a loopback address"))]
     NoToken,
+    /// The operators' token has characters that a header cannot carry.
+    #[snafu(display("use visible ASCII characters without spaces"))]
+    Token,
 }
 
 /// The settings of a node cannot be used.
@@ -237,6 +240,10 @@
         check("listen.gossip", is_specific(self.listen.gossip), Fault::Unspecified);
         let guarded = self.token.is_some() || self.listen.operator.ip().is_loopback();
         check("listen.operator", guarded, Fault::NoToken);
+        let is_long = |token: &String| token.chars().count() >= MIN_KEY;
+        check("token", self.token.as_ref().is_none_or(is_long), Fault::ShortKey);
+        let is_plain = |token: &String| token.bytes().all(|b| b.is_ascii_graphic());
+        check("token", self.token.as_ref().is_none_or(is_plain), Fault::Token);
         found
     }
 }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -32,6 +32,8 @@
 #[test_case("drain_ms", serde_json::json!(700_000), "drain_ms"; "stop takes too long")]
 #[test_case("listen", serde_json::json!({"gossip": "0.0.0.0:7000"}), "listen.gossip"; "unspecified address")]
 #[test_case("listen", serde_json::json!({"operator": "10.0.0.1:80"}), "listen.operator"; "open operator address")]
+#[test_case("token", serde_json::json!("short"), "token"; "short token")]
+#[test_case("token", serde_json::json!("0123456789 abcdef"), "token"; "space in the token")]
 #[test_case("slots", serde_json::json!(3), "slots"; "unknown field")]
 #[test_case("platform", serde_json::json!("nowhere"), "platform"; "malformed address")]
 fn names_the_faulty_field(field: &str, value: serde_json::Value, expected: &str) {
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -49,6 +49,7 @@
 #[test_case(&["check", "--help"])]
 #[test_case(&["diff", "--help"])]
 #[test_case(&["apply", "--help"])]
+#[test_case(&["status", "--help"])]
 #[tokio::test]
 async fn help_shows_an_example(args: &[&str]) {
     let output = run(args).await;
