Accept null for an absent field of the document

A document written by our own serialiser has "method": null for a route without a method, and the reader refused the field as unknown. A known field that is null now counts as absent.

--- a/src/document/read.rs
+++ b/src/document/read.rs
@@ -98,7 +98,7 @@
 }
 
 /// Joins a path and a field name; a name with other characters than our names have is quoted.
-pub(super) fn join(path: &str, name: &str) -> String {
+pub(crate) fn join(path: &str, name: &str) -> String {
     let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'_' || b == b'-';
     if name.is_empty() || !name.bytes().all(plain) {
         format!("{path}[{name:?}]")
@@ -128,7 +128,8 @@
     }
 
     fn close(self, known: &[&str]) {
-        for name in self.fields.keys() {
+        // A known field that is null counts as absent.
+        for name in self.fields.keys().filter(|name| !known.contains(&name.as_str())) {
             let remedy = format!("remove it, or use one of: {}", known.join(", "));
             self.out.push(Problem::new(join(&self.path, name), "is not a known field", remedy));
         }
--- a/src/document/validate/tests.rs
+++ b/src/document/validate/tests.rs
@@ -39,6 +39,14 @@
     assert_eq!(warnings(&document), []);
 }
 
+/// Guards against a document of our own output, with null for an absent method, that is refused.
+#[test]
+fn null_counts_as_absent() {
+    let text = r#"{"centres": {}, "services": {"s": {"hedge": null, "deadline_ms": null,
+        "routes": [{"prefix": "/a", "method": null, "idempotent": false}]}}}"#;
+    assert_eq!(parse(text).unwrap().services["s"].routes[0].method, None);
+}
+
 /// Guards against an operator who must correct a document one problem at a time, and against a mistyped or
 /// repeated field that is silently ignored.
 #[test]
