--- a/tests/console.rs
+++ b/tests/console.rs
@@ -8,7 +8,7 @@
     document::Document,
     logging,
     node::Node,
-    platform::{Memory, memory::Faults},
+    platform::{Memory, Platform, memory::Faults},
     standin::target::{Config, Target},
     status::{self, MemberState, StatusError},
     store,
@@ -24,14 +24,17 @@
 #[path = "utils/fleet.rs"]
 #[allow(dead_code)] // Each test program uses a part of it.
 mod fleet;
+#[path = "utils/mute.rs"]
+mod mute;
 
 use browser::{Browser, Fields, encode, error, fields, unescape};
+use mute::Mute;
 
 const TOKEN: &str = "a-token-for-tests-only";
 
-struct Setup {
+struct Setup<P = Memory> {
     node: Node,
-    platform: Memory,
+    platform: P,
     browser: Browser,
     _target: Target,
 }
@@ -52,7 +55,10 @@
 }
 
 async fn start(token: Option<&str>) -> Setup {
-    let platform = Memory::new();
+    start_on(Memory::new(), token).await
+}
+
+async fn start_on<P: Platform + Clone>(platform: P, token: Option<&str>) -> Setup<P> {
     store::commit(&platform, 0, &document(), "first").await.expect("a commit");
     let target = Target::start(Config::default()).await.expect("a target");
     let mut settings = fleet::settings("catalogue", target.addr());
@@ -212,9 +218,9 @@
     assert!(shown.contains("services.catalogue.deadline_ms 2000 900"), "{shown}");
 }
 
-/// Guards against an unknown outcome that cannot be repeated, or that is made twice.
+/// Guards against a failed commit that cannot be repeated, or that is made twice.
 #[tokio::test]
-async fn an_unknown_outcome_is_repeated_with_the_same_submission() {
+async fn a_failed_commit_is_repeated_with_the_same_submission() {
     let Setup { node: _node, platform, mut browser, .. } = start(None).await;
     let (_, review) = browser.fill("/budgets", &[("claim_rate", "7")]).await;
     let confirmation = fields(&review, "/commit");
@@ -231,21 +237,27 @@
     assert_eq!(in_force(&platform).await.0, 2);
 }
 
-/// Guards against an answer that is lost between commit and page, after which nothing tells what happened.
+/// Guards against an unknown outcome that is called a success or a failure, or that is repeated as a second change.
+#[test_case(true; "took effect")]
+#[test_case(false; "took no effect")]
 #[tokio::test]
-async fn lost_answers_end_in_a_page_that_can_be_repeated() {
-    let Setup { node: _node, platform, mut browser, .. } = start(None).await;
+async fn a_lost_answer_is_shown_as_unknown_and_can_be_repeated(takes_effect: bool) {
+    let platform = Mute::new(Memory::new(), takes_effect);
+    let Setup { node: _node, platform, mut browser, .. } = start_on(platform, None).await;
     let (_, review) = browser.fill("/budgets", &[("claim_rate", "7")]).await;
-    // Every write of the commit and of its repetitions takes effect without an answer.
-    platform.set_faults(Faults { lose: 50, ..Faults::default() });
-    let (status, page) = browser.post("/commit", &fields(&review, "/commit")).await;
-    platform.set_faults(Faults::default());
-    if status != 200 {
-        assert_eq!(status, 503, "{page}");
-        let (status, result) = browser.post("/commit", &fields(&page, "/commit")).await;
-        assert_eq!(status, 200, "{result}");
+    let confirmation = fields(&review, "/commit");
+    platform.set(true);
+    let (status, page) = browser.post("/commit", &confirmation).await;
+    platform.set(false);
+    assert!(status == 503 && text(&page).contains("The outcome is unknown"), "{page}");
+    let repeat = fields(&page, "/commit");
+    assert_eq!(repeat, confirmation);
+    assert_eq!(in_force(&platform.inner).await.0, if takes_effect { 2 } else { 1 });
+    for _ in 0..2 {
+        let (status, result) = browser.post("/commit", &repeat).await;
+        assert!(status == 200 && text(&result).contains("Revision 2 is in force"), "{result}");
     }
-    let (revision, after) = in_force(&platform).await;
+    let (revision, after) = in_force(&platform.inner).await;
     assert_eq!((revision, after.budgets.claim_rate), (2, 7));
 }
 
@@ -352,6 +364,7 @@
     assert!(status == 200 && !page.contains("<script>") && page.contains("&#60;script&#62;&#34;"));
 }
 
+/// Guards against markup in a refused value that becomes part of the page when it is shown again.
 #[test_case("/new-service", "name"; "service name")]
 #[test_case("/services/orders", "routes[0].prefix"; "prefix")]
 #[test_case("/services/orders", "routes[0].method"; "method")]
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -67,6 +67,12 @@
         let answer = first_answer(entry, service).await;
         assert_eq!(answer.body.as_deref(), Some(b"hello".as_slice()));
     }
+    let status = Command::new(env!("CARGO_BIN_EXE_poplarbarrow"))
+        .args(["status", "--node", &nodes[0].value("operator")])
+        .output()
+        .expect("the program runs");
+    let table = String::from_utf8(status.stdout).expect("text");
+    assert!(status.status.success() && table.contains(&nodes[0].value("node")), "{table}");
     for process in nodes.into_iter().chain(targets).chain([platform]) {
         assert_eq!(process.stop(), Some(0));
     }
