--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 use axum::body::Body;
 use http::Request;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -23,6 +24,7 @@
     auth::RequestKey,
     claims::Claims,
     config::{PULL_TIMEOUT, Replica},
+    console::{self, Console},
     control::{self, ControlError},
     driver::{Driver, HandOver, Outlets, Pull},
     egress::Egress,
@@ -69,7 +71,7 @@
 }
 
 /// The addresses on which a node listens.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Addresses {
     /// Requests of callers.
     pub callers: SocketAddr,
@@ -79,6 +81,8 @@
     pub control: SocketAddr,
     /// Membership datagrams.
     pub gossip: SocketAddr,
+    /// The operators' pages and status.
+    pub operator: SocketAddr,
 }
 
 /// A running node.
@@ -118,6 +122,7 @@
 
         let callers = listen("callers", settings.listen.callers).await?;
         let peers = listen("peers", settings.listen.peers).await?;
+        let operator = listen("operator", settings.listen.operator).await?;
         let replica = Replica::default();
         // The control server starts before the driver, because the driver needs its address.
         let importer: Arc<OnceLock<Arc<Driver>>> = Arc::default();
@@ -145,6 +150,7 @@
             peers: local(&peers),
             control,
             gossip: gossip.address,
+            operator: local(&operator),
         };
 
         let me = me(&settings, id, addresses);
@@ -172,8 +178,15 @@
         let (pulls, wanted) = mpsc::unbounded_channel();
         let puller = Puller { driver: driver.clone(), replica: replica.clone(), key: key.clone() };
         tasks.spawn(puller.run(wanted));
-        let (seat, rank) = watch::channel(None);
         let platform = Arc::new(platform);
+        let console = Console::new(
+            driver.clone(),
+            platform.clone(),
+            replica.clone(),
+            addresses,
+            settings.token.as_deref(),
+        );
+        let (seat, rank) = watch::channel(None);
         let (claims, wanted) = mpsc::unbounded_channel();
         let lease = tokio::sync::Mutex::new(None);
         let clerk = Claims { platform: platform.clone(), driver: driver.clone(), lease };
@@ -207,7 +220,11 @@
             let egress = egress.clone();
             async move { egress.serve(req).await }
         };
-        tasks.spawn(server::serve(peers, settings.networks, stop.subscribe(), log, handle));
+        let (quit, records) = (stop.subscribe(), log.clone());
+        tasks.spawn(server::serve(peers, settings.networks, quit, records, handle));
+        let pages = console.router();
+        let handle = move |req: Request<Body>| console::answer(pages.clone(), req);
+        tasks.spawn(server::serve(operator, Vec::new(), stop.subscribe(), log, handle));
 
         let fire = driver.clone();
         let timers = Timers::start(move |timer| fire.dispatch(Event::Timer(timer)));
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod identities;
 mod members;
+mod status;
 mod works;
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
@@ -59,6 +60,8 @@
     pull: Option<Pull>,
     document: Option<Arc<Document>>,
     revision: u64,
+    /// The time at which the document came into force here.
+    revised: Option<Time>,
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
     gate: Gate,
@@ -94,6 +97,7 @@
             pull: None,
             document: None,
             revision: 0,
+            revised: None,
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
             gate,
@@ -157,6 +161,7 @@
             return;
         }
         self.revision = revision;
+        self.revised = Some(now);
         self.membership.set_revision(revision);
         self.measure.set(&document.budgets, now);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
