--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 mod control;
 pub mod demo;
 mod directory;
+pub mod bench;
 pub mod document;
 mod driver;
 mod effect;
