--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 mod auth;
+pub mod bench;
 mod body;
 mod claims;
 pub mod cli;
@@ -13,7 +14,6 @@
 mod control;
 pub mod demo;
 mod directory;
-pub mod bench;
 pub mod document;
 mod driver;
 mod effect;
