Test the first baseline and failures in cold start

Trials with single mechanisms disabled showed two that no test covered: the windows before the baseline is used, and the return to the initial limit after failures in cold start. Both now have a test that fails without them.

--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -119,6 +119,8 @@
 #[test_case(2, 13, Finish::Answer, 7, false; "rise shrinks the limit")]
 #[test_case(5, 13, Finish::Answer, 2, true; "lasting rise is a return to cold start")]
 #[test_case(2, 100, Finish::Answer, 2, true; "jump is a return to cold start")]
+#[test_case(5, 30, Finish::Answer, 2, true; "lasting jump")]
+#[test_case(5, 1, Finish::Failure, 2, true; "lasting failures")]
 #[test_case(1, 1, Finish::Failure, 2, true; "only failures are a return to cold start")]
 fn limit_follows_target(rounds: usize, service: u64, finish: Finish, limit: u16, cold: bool) {
     let mut fixture = Fixture::warm();
@@ -139,16 +141,30 @@
     assert_eq!((fixture.limit(), fixture.gate.report().cold), (7, false));
 }
 
-/// Guards against a baseline from the first few answers, which are the short ones, holding the limit down.
+/// Guards against a baseline from the first few answers, which are the short ones, lowering the limit.
 #[test]
-fn short_first_answers_do_not_hold_the_limit_down() {
+fn short_first_answers_do_not_lower_the_limit() {
     let mut fixture = Fixture::new();
-    fixture.rounds(6, 2, Finish::Answer);
+    fixture.rounds(8, 2, Finish::Answer);
     assert!(!fixture.gate.report().cold);
-    fixture.rounds(40, 5, Finish::Answer);
+    for _ in 0..40 {
+        let before = fixture.limit();
+        fixture.rounds(1, 5, Finish::Answer);
+        assert!(fixture.limit() >= before);
+    }
     assert_eq!(fixture.limit(), 11);
 }
 
+/// Guards against a doubled limit staying in force while a cold target fails.
+#[test]
+fn failures_in_cold_start_undo_the_doubling() {
+    let mut fixture = Fixture::new();
+    fixture.rounds(4, 5, Finish::Answer);
+    assert_eq!(fixture.limit(), 4);
+    fixture.rounds(1, 5, Finish::Failure);
+    assert_eq!((fixture.limit(), fixture.gate.report().cold), (2, true));
+}
+
 /// Guards against shrinking for single failed requests, which are the fault of the requests.
 #[test]
 fn few_failures_do_not_shrink() {
