--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -119,6 +119,8 @@
 #[test_case(2, 13, Finish::Answer, 7, false; "rise shrinks the limit")]
 #[test_case(5, 13, Finish::Answer, 2, true; "lasting rise is a return to cold start")]
 #[test_case(2, 100, Finish::Answer, 2, true; "jump is a return to cold start")]
+#[test_case(5, 30, Finish::Answer, 2, true; "lasting jump")]
+#[test_case(5, 1, Finish::Failure, 2, true; "lasting failures")]
 #[test_case(1, 1, Finish::Failure, 2, true; "only failures are a return to cold start")]
 fn limit_follows_target(rounds: usize, service: u64, finish: Finish, limit: u16, cold: bool) {
     let mut fixture = Fixture::warm();
