Probe compared targets that have been silent

Change: after a choice, one compared candidate without a report for 200 ms is probed if the measuring budget allows; the answer carries the load report alone.

--- a/src/bench/model.rs
+++ b/src/bench/model.rs
@@ -62,9 +62,6 @@
 /// Requests that a cold target can run at once; it fails those beyond.
 const COLD_SLOTS: usize = 4;
 
-/// The size of a probe in bytes, with its answer.
-const PROBE_BYTES: u32 = 96;
-
 mod caller;
 mod target;
 
--- a/src/bench/model/caller.rs
+++ b/src/bench/model/caller.rs
@@ -5,14 +5,14 @@
 use rand::{Rng as _, rngs::SmallRng};
 
 use super::{
-    Back, COLD_SLOTS, Call, DEADLINE, Event, FIXED_US, Model, ONE_WAY, PROBE_BYTES, SETTLE, SLOTS,
-    Target, VARIABLE_US, Work, case_capacity,
+    Back, COLD_SLOTS, Call, DEADLINE, Event, FIXED_US, Model, ONE_WAY, SETTLE, SLOTS, Target,
+    VARIABLE_US, Work, case_capacity,
 };
 use crate::{
     bench::Chooser,
     document::Service,
     keys::WorkKey,
-    load::{Measure, Observed},
+    load::{Measure, Observed, PROBE_COST},
     refusal::Refusal,
     retry::Attempted,
     routing::{Candidate, TargetState},
@@ -94,7 +94,7 @@
         let chosen = index(choice.key);
         if let Some(target) = probe
             && let Some(report) = self.targets[target].report()
-            && caller.measure.spend(now, Measure::Probe, PROBE_BYTES)
+            && caller.measure.spend(now, Measure::Probe, PROBE_COST)
         {
             let (caller, sample) = (call.caller, self.probes.len());
             self.probes.push(report);
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -44,6 +44,8 @@
     pub(crate) info: membership::Member,
     pub(crate) service: ServiceKey,
     pub(crate) view: TargetView,
+    /// Whether a probe is in progress.
+    pub(crate) is_probing: bool,
 }
 
 /// What an announcement changed.
@@ -75,7 +77,12 @@
         }
         let service = self.service(&info.service);
         let id = info.id;
-        let key = self.members.insert(Member { info, service, view: TargetView::new() });
+        let key = self.members.insert(Member {
+            info,
+            service,
+            view: TargetView::new(),
+            is_probing: false,
+        });
         self.ids.insert(id, key);
         self.services[service].members.push(key);
         Change::Joined
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -25,6 +25,7 @@
     logging,
     metrics::Metrics,
     peer::Peers,
+    probe::Probe,
     reducer::Reducer,
     time::Time,
     timer::Timers,
@@ -47,6 +48,7 @@
 pub(crate) struct Outlets {
     pub(crate) gossip: gossip::Sender,
     pub(crate) pulls: mpsc::UnboundedSender<Pull>,
+    pub(crate) probes: mpsc::UnboundedSender<Probe>,
     pub(crate) claims: mpsc::UnboundedSender<(CallKey, ClaimIo)>,
     pub(crate) handovers: mpsc::UnboundedSender<HandOver>,
     pub(crate) seat: watch::Sender<Option<usize>>,
@@ -244,6 +246,9 @@
             Effect::HandOver { to, control, handover } => {
                 let _ = self.handovers.send(HandOver { to, control, handover: *handover });
             }
+            Effect::Probe { to, peer } => {
+                let _ = self.probes.send(Probe { to, peer });
+            }
             Effect::Forget(peer) => self.peers.forget(peer),
             Effect::Seat(seat) => {
                 self.seat.send_replace(seat);
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -21,6 +21,8 @@
     Work(WorkKey, WorkStep),
     /// Sends a datagram to another member.
     Send { to: SocketAddr, message: Box<Message> },
+    /// Asks another member for the load report of its target.
+    Probe { to: MemberId, peer: SocketAddr },
     /// Pulls the document from another member.
     Pull { from: MemberId, control: SocketAddr },
     /// Closes the connections to a member that is gone.
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -4,7 +4,7 @@
 
 use axum::body::Body;
 use compact_str::{CompactString, ToCompactString};
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 
 use crate::{
     driver::Driver,
@@ -13,6 +13,7 @@
     headers,
     identity::{Identity, Stamp},
     ingress::{Ingress, refuse},
+    reducer::Reducer,
     refusal::{Reason, Refusal},
     work::WorkError,
 };
@@ -28,6 +29,7 @@
 
 /// What a request between nodes asks for.
 enum Order {
+    Probe,
     Run(WorkHead),
     Relay { service: CompactString, stamp: Stamp, identity: Identity },
 }
@@ -37,6 +39,7 @@
     pub(crate) async fn serve(&self, req: Request<Body>) -> Response<Body> {
         let head = match self.read_order(&req) {
             Ok(Order::Run(head)) => head,
+            Ok(Order::Probe) => return self.report(),
             Ok(Order::Relay { service, stamp, identity }) => {
                 let served = self.ingress.serve_relayed(service, stamp, identity, req).await;
                 return served.unwrap_or_else(|refusal| self.refuse(refusal));
@@ -87,6 +90,7 @@
         let timeout = headers::number(req.headers(), &headers::DEADLINE).map_err(|_| malformed)?;
         let timeout = timeout.map_or(DEFAULT_TIMEOUT, |ms| Duration::from_millis(ms.into()));
         let tag = match envelope {
+            Envelope::Probe { .. } => return Ok(Order::Probe),
             Envelope::Run { .. } => None,
             Envelope::RunOnce(tag) => Some(tag),
             Envelope::Relay { stamp, identity } => {
@@ -106,6 +110,15 @@
         &self.ingress.driver
     }
 
+    /// Answers a probe, whose cost is in the budget of the node that asks.
+    fn report(&self) -> Response<Body> {
+        let mut answer = Response::new(Body::empty());
+        *answer.status_mut() = StatusCode::NO_CONTENT;
+        let report = self.driver().inspect(Reducer::load_report);
+        headers::set(answer.headers_mut(), headers::LOAD, &report.encode());
+        answer
+    }
+
     fn refuse(&self, refusal: Refusal) -> Response<Body> {
         let mut answer = refuse(refusal);
         headers::set(answer.headers_mut(), headers::ATTEMPT, "refused");
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -10,6 +10,11 @@
 /// The purpose of a request between nodes.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Envelope {
+    /// A request for the load report alone.
+    Probe {
+        /// The node that asks.
+        from: MemberId,
+    },
     /// An attempt of an idempotent request.
     Run {
         /// The node that chose the target.
@@ -30,7 +35,7 @@
     /// Returns the node that sent the request.
     pub(crate) fn sender(&self) -> MemberId {
         match self {
-            Envelope::Run { from } => *from,
+            Envelope::Probe { from } | Envelope::Run { from } => *from,
             Envelope::RunOnce(tag) => tag.identity.owner,
             Envelope::Relay { stamp, .. } => stamp.sender,
         }
@@ -40,6 +45,7 @@
 impl fmt::Display for Envelope {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Envelope::Probe { from } => write!(f, "probe;{from}"),
             Envelope::Run { from } => write!(f, "run;{from}"),
             Envelope::RunOnce(tag) => {
                 let AttemptTag { identity, attempt, sequence, destination } = tag;
@@ -62,6 +68,7 @@
         }
         let fields: Vec<_> = s.split(';').collect();
         Ok(match fields[..] {
+            ["probe", from] => Envelope::Probe { from: read(from)? },
             ["run", from] => Envelope::Run { from: read(from)? },
             ["once", identity, attempt, sequence, destination] => Envelope::RunOnce(AttemptTag {
                 identity: read(identity)?,
--- a/src/event.rs
+++ b/src/event.rs
@@ -28,6 +28,8 @@
     Work(WorkKey, WorkEvent),
     /// An authentic datagram arrived.
     Gossip(Source, Box<Message>),
+    /// A probe ended; without a report, the member did not answer in time.
+    Probed { member: MemberId, report: Option<LoadReport> },
     /// The contact keys in the platform were read.
     Contacts(Vec<Contact>),
     /// A pull of a document ended; if it succeeded, the document arrived before.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 mod peer;
 pub mod platform;
 mod pool;
+mod probe;
 mod reducer;
 pub mod refusal;
 pub mod retry;
--- a/src/load.rs
+++ b/src/load.rs
@@ -20,6 +20,10 @@
 /// The name of the header that carries a load report on answers between nodes.
 pub const REPORT_HEADER: &str = "poplarbarrow-load";
 
+/// The cost of a probe and its answer in bytes: two HTTP/2 frames with compressed headers, of which the tag, the
+/// date and the report change each time.
+pub const PROBE_COST: u32 = 128;
+
 /// The largest length of an encoded report in bytes: three counts of 5 digits, a latency of 9, a flag, commas.
 pub const REPORT_MAX_BYTES: usize = 29;
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -37,6 +37,7 @@
     peer::Peers,
     platform::{Http, Platform, http::Limits},
     pool::{Pool, Reach},
+    probe::Prober,
     reducer::{Me, Reducer},
     seat::{Contact, Seat},
     server,
@@ -191,6 +192,11 @@
         let lease = tokio::sync::Mutex::new(None);
         let clerk = Claims { platform: platform.clone(), driver: driver.clone(), lease };
         tasks.spawn(Arc::new(clerk).run(wanted));
+        let connections = Peers::default();
+        let (probes, wanted) = mpsc::unbounded_channel();
+        let prober =
+            Prober { driver: driver.clone(), me: id, key: key.clone(), peers: connections.clone() };
+        tasks.spawn(prober.run(wanted));
         let (handovers, wanted) = mpsc::unbounded_channel();
         tasks.spawn(hand_over(wanted, driver.clone(), key.clone()));
         let duties = Arc::new(Seat {
@@ -206,7 +212,6 @@
         tasks.spawn(duties.watch_index());
 
         let stop = watch::Sender::new(false);
-        let connections = Peers::default();
         let worker = Worker::new(driver.clone(), pool);
         let ingress =
             Ingress { driver: driver.clone(), me: id, key, peers: connections.clone(), worker };
@@ -231,6 +236,7 @@
         driver.start(Outlets {
             gossip: gossip.sender,
             pulls,
+            probes,
             claims,
             handovers,
             seat,
--- /dev/null
+++ b/src/probe.rs
@@ -0,0 +1,56 @@
+//! Probes: requests for the load report of a target that has sent none for a while.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::body::Body;
+use compact_str::ToCompactString;
+use http::Request;
+use tokio::{sync::mpsc, time};
+
+use crate::{
+    auth::RequestKey, driver::Driver, envelope::Envelope, event::Event, headers, keys::MemberId,
+    load::LoadReport, peer::Peers,
+};
+
+/// The longest time for a probe; an older report would say little.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A probe of one member.
+#[derive(Copy, Clone, Debug)]
+pub(crate) struct Probe {
+    pub(crate) to: MemberId,
+    pub(crate) peer: SocketAddr,
+}
+
+/// Sends probes to other members.
+#[derive(Clone)]
+pub(crate) struct Prober {
+    pub(crate) driver: Arc<Driver>,
+    pub(crate) me: MemberId,
+    pub(crate) key: RequestKey,
+    pub(crate) peers: Peers,
+}
+
+impl Prober {
+    /// Sends each wanted probe; the measuring budget bounds how many there are.
+    pub(crate) async fn run(self, mut wanted: mpsc::UnboundedReceiver<Probe>) {
+        while let Some(probe) = wanted.recv().await {
+            let this = self.clone();
+            tokio::spawn(async move {
+                let report = time::timeout(PROBE_TIMEOUT, this.probe(probe)).await.ok().flatten();
+                this.driver.dispatch(Event::Probed { member: probe.to, report });
+            });
+        }
+    }
+
+    async fn probe(&self, probe: Probe) -> Option<LoadReport> {
+        let envelope = Envelope::Probe { from: self.me }.to_compact_string();
+        let tag = self.key.tag(probe.to, &["GET", "/", "", &envelope]).to_string();
+        let mut req = Request::get(format!("http://{}/", probe.peer)).body(Body::empty()).ok()?;
+        headers::set(req.headers_mut(), headers::TAG, &tag);
+        headers::set(req.headers_mut(), headers::ATTEMPT, &envelope);
+        headers::set(req.headers_mut(), headers::SERVICE, "");
+        let answer = self.peers.send(probe.peer, req).await.ok()?;
+        LoadReport::parse(answer.headers().get(headers::LOAD)?.to_str().ok()?).ok()
+    }
+}
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -136,6 +136,7 @@
             Event::Call(key, event) => self.apply_call(now, key, event, out),
             Event::Work(key, event) => self.apply_work(now, key, event, out),
             Event::Gossip(from, message) => self.gossip(now, from, *message, out),
+            Event::Probed { member, report } => self.probed(now, member, report),
             Event::Contacts(contacts) => self.contacts(now, &contacts, out),
             Event::PullEnded => self.pull_ended(),
             Event::HandedOver => self.is_handing_over = false,
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -11,11 +11,11 @@
     effect::{Attempt, AttemptKind, CallStep, Effect, Hop, Record},
     event::{CallEvent, CallHead, Failure, Timer},
     identity::{AttemptResult, AttemptTag, Claim, Fingerprint, Identity, Key},
-    keys::{CallKey, MemberKey, ServiceKey},
-    load::{LoadReport, Observed},
+    keys::{CallKey, MemberId, MemberKey, ServiceKey},
+    load::{LoadReport, Measure, Observed, PROBE_COST},
     refusal::{Outcome, Reason, Refusal},
     retry::{Attempted, hop_time},
-    routing::TargetState,
+    routing::{Choice, TargetState},
     time::Time,
 };
 
@@ -227,9 +227,36 @@
         }));
         let attempt = Attempt { number, member: member.info.id, hop, timeout, kind };
         out.push(Effect::Call(key, CallStep::Attempt(attempt)));
+        self.probe(now, &choice, out);
         Ok(())
     }
 
+    /// Probes one of the compared targets that has been silent for long, if the measuring budget allows.
+    fn probe(&mut self, now: Time, choice: &Choice, out: &mut Vec<Effect>) {
+        let me = self.me.info.id;
+        let silent = choice.scores.iter().find(|score| {
+            let member = self.directory.get(score.key);
+            member.is_some_and(|m| m.info.id != me && !m.is_probing && m.view.needs_probe(now))
+        });
+        let Some(key) = silent.map(|score| score.key) else { return };
+        if !self.measure.spend(now, Measure::Probe, PROBE_COST) {
+            return;
+        }
+        if let Some(member) = self.directory.get_mut(key) {
+            member.is_probing = true;
+            out.push(Effect::Probe { to: member.info.id, peer: member.info.peer });
+        }
+    }
+
+    pub(super) fn probed(&mut self, now: Time, id: MemberId, report: Option<LoadReport>) {
+        let key = self.directory.key(id);
+        let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else { return };
+        member.is_probing = false;
+        if let Some(report) = report {
+            member.view.reported(now, report);
+        }
+    }
+
     fn call_answered(
         &mut self,
         now: Time,
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Returns the load report for the answer to a probe.
+    pub(crate) fn load_report(&self) -> LoadReport {
+        self.gate.report()
+    }
+
     /// Returns the load report for an answer, or `None` if the measuring budget is spent.
     pub(crate) fn report_load(&mut self, now: Time) -> Option<LoadReport> {
         let report = self.gate.report();
