--- a/src/admission.rs
+++ b/src/admission.rs
@@ -160,6 +160,11 @@
         self.queue.drain(..).map(|w| Next::Refuse(w.work, refusal)).collect()
     }
 
+    /// Puts the target back into cold start, as after a time without work. What runs or waits is not touched.
+    pub fn chill(&mut self, now: Time) {
+        self.limit = Limit::new(self.slots, now);
+    }
+
     /// Refuses new work from now on. Work that was accepted, also in the queue, still runs.
     pub fn drain(&mut self) {
         self.draining = true;
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -304,3 +304,14 @@
     fixture.gate.finish(fixture.now, queued, Finish::Answer);
     assert!(fixture.gate.is_drained());
 }
+
+/// Guards against full load on a target whose data centre has just returned into service.
+#[test]
+fn returning_target_starts_cold_and_keeps_accepted_work() {
+    let mut fixture = Fixture::warm();
+    fixture.fill();
+    fixture.gate.chill(fixture.now);
+    let report = fixture.gate.report();
+    assert!(report.cold && report.limit == 2, "{report:?}");
+    assert_eq!(usize::from(report.running), fixture.running.len());
+}
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -166,7 +166,12 @@
         self.membership.set_revision(revision);
         self.measure.set(&document.budgets, now);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
+        let was_out = self.is_centre_out();
         self.document = Some(document);
+        if was_out && !self.is_centre_out() {
+            // Caches and connections of a target without work are cold, so its share returns step by step.
+            self.gate.chill(now);
+        }
     }
 
     fn set_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Effect>) {
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -114,7 +114,7 @@
     /// Returns whether operators have taken this data centre out of service.
     ///
     /// Checked here as well as by the choosing node, which may not have the document yet.
-    fn is_centre_out(&self) -> bool {
+    pub(super) fn is_centre_out(&self) -> bool {
         let centre = self.document.as_ref().and_then(|d| d.centres.get(&self.me.info.centre));
         centre.is_some_and(|centre| centre.state == CentreState::Out)
     }
