--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 mod reducer;
 pub mod refusal;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 mod seat;
 mod server;
--- /dev/null
+++ b/src/rollout/evidence.rs
@@ -0,0 +1,338 @@
+//! What has been observed of versions in rollout, by source, route and window of time.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use super::Subject;
+use crate::{keys::MemberId, time::Wall};
+
+/// The classes of latency. Class `i` ends at [`FIRST_CLASS`] times 2^i, so the last one starts at 4 s.
+pub const CLASSES: usize = 16;
+
+/// The upper bound of the first class of latency.
+pub const FIRST_CLASS: Duration = Duration::from_micros(250);
+
+/// The length of a short window in milliseconds. Short windows hold this node's own observations only and show
+/// a fault within seconds where the node sees enough calls.
+pub const SHORT_WINDOW: u64 = 5_000;
+
+/// The length of a long window in milliseconds. Long windows are exchanged; a note has 200 bytes a message, so
+/// a fleet of 12 callers needs a few seconds for one round.
+pub const LONG_WINDOW: u64 = 120_000;
+
+/// The most series of all sources and rollouts: 4,096 x about 320 bytes = 1.3 MB of the 32 MB that a node may use.
+pub const MAX_SERIES: usize = 4_096;
+
+/// The largest count in one window; larger ones from other members are cut to it.
+const MAX_COUNT: u32 = 10_000_000;
+
+/// Requests that are comparable with each other: the same route and the same distance.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Stratum {
+    /// The hash of the route's prefix and method; 0 for requests that match no route.
+    pub route: u16,
+    /// Whether caller's node and target are in the same data centre, because the latency includes the distance.
+    pub local: bool,
+}
+
+/// The length of a window.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Scale {
+    /// [`SHORT_WINDOW`].
+    Short,
+    /// [`LONG_WINDOW`].
+    Long,
+}
+
+impl Scale {
+    /// Both scales.
+    pub const ALL: [Scale; 2] = [Scale::Short, Scale::Long];
+
+    /// Returns the number of the window that contains `wall`.
+    pub fn window(self, wall: Wall) -> u64 {
+        match self {
+            Scale::Short => wall.as_millis() / SHORT_WINDOW,
+            Scale::Long => wall.as_millis() / LONG_WINDOW,
+        }
+    }
+}
+
+/// How the first attempt of a request ended.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// The target answered without an error after this time, or another attempt answered first after it.
+    Answer(Duration),
+    /// The target answered with a status of 500 or more other than 503, or the answer was lost.
+    Error,
+    /// The target shed the request (status 503).
+    Shed,
+    /// The deadline passed without an answer.
+    Timeout,
+}
+
+/// Counts of one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests with a known end.
+    pub ended: u32,
+    /// Those that failed.
+    pub errors: u32,
+    /// Answers of warm targets by class of latency.
+    pub classes: [u32; CLASSES],
+}
+
+impl Counts {
+    /// Counts one request.
+    ///
+    /// Cold start explains a slow answer, a timeout and shed work, so these say nothing about the version; it
+    /// does not explain an error.
+    pub fn count(&mut self, seen: Seen, is_cold: bool) {
+        match seen {
+            Seen::Answer(latency) if !is_cold => {
+                let class = &mut self.classes[class(latency)];
+                *class = class.saturating_add(1);
+            }
+            Seen::Shed | Seen::Timeout if is_cold => return,
+            Seen::Answer(_) => {}
+            Seen::Error | Seen::Shed | Seen::Timeout => self.errors = self.errors.saturating_add(1),
+        }
+        self.ended = self.ended.saturating_add(1);
+    }
+
+    /// Returns the number of answers with a latency.
+    pub fn answers(&self) -> u64 {
+        self.classes.iter().map(|&n| u64::from(n)).sum()
+    }
+
+    /// Returns the number of answers in classes above `class`.
+    pub fn above(&self, class: usize) -> u64 {
+        self.classes.iter().skip(class + 1).map(|&n| u64::from(n)).sum()
+    }
+
+    /// Returns the mean class, which is the logarithm of the geometric mean of the latency.
+    pub fn mean_class(&self) -> f64 {
+        let sum: f64 = self.classes.iter().enumerate().map(|(i, &n)| i as f64 * f64::from(n)).sum();
+        sum / self.answers().max(1) as f64
+    }
+
+    pub(super) fn add(&mut self, other: &Counts) {
+        self.merge(other, u32::saturating_add);
+    }
+
+    fn merge(&mut self, other: &Counts, with: impl Fn(u32, u32) -> u32) {
+        self.ended = with(self.ended, other.ended);
+        self.errors = with(self.errors, other.errors);
+        for (a, &b) in self.classes.iter_mut().zip(&other.classes) {
+            *a = with(*a, b);
+        }
+    }
+}
+
+/// Counts of the new version and of all older ones over the same period.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// The version in rollout.
+    pub new: Counts,
+    /// The older versions.
+    pub old: Counts,
+}
+
+impl Tally {
+    pub(super) fn add(&mut self, other: &Tally) {
+        self.new.add(&other.new);
+        self.old.add(&other.old);
+    }
+
+    /// Counts of one source only rise within a window, so the larger one is the later one.
+    fn renew(&mut self, other: &Tally) {
+        let later = |a: u32, b: u32| a.max(b.min(MAX_COUNT));
+        self.new.merge(&other.new, later);
+        self.old.merge(&other.old, later);
+    }
+}
+
+/// The present and the previous window of one source.
+#[derive(Clone, Debug, Default)]
+struct Series {
+    window: u64,
+    present: Tally,
+    previous: Tally,
+}
+
+impl Series {
+    /// Returns the tally of a window, or `None` if it is over for longer than one window.
+    fn tally(&mut self, window: u64) -> Option<&mut Tally> {
+        if window > self.window {
+            let previous = std::mem::take(&mut self.present);
+            self.previous = if window == self.window + 1 { previous } else { Tally::default() };
+            self.window = window;
+        }
+        match self.window - window {
+            0 => Some(&mut self.present),
+            1 => Some(&mut self.previous),
+            _ => None,
+        }
+    }
+
+    /// Adds what was counted in the window and the one before.
+    fn sum(&self, window: u64, sum: &mut Tally) {
+        if self.window == window {
+            sum.add(&self.previous);
+        }
+        if self.window == window || self.window + 1 == window {
+            sum.add(&self.present);
+        }
+    }
+}
+
+/// Identifies one series.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    subject: Subject,
+    scale: Scale,
+    stratum: Stratum,
+    source: MemberId,
+}
+
+/// One series as it is sent to other members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The rollout.
+    pub subject: Subject,
+    /// The member that counted.
+    pub source: MemberId,
+    /// What is comparable.
+    pub stratum: Stratum,
+    /// The number of the long window.
+    pub window: u64,
+    /// The counts since the start of the window.
+    pub tally: Tally,
+}
+
+/// All evidence that a node holds.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    series: BTreeMap<Key, Series>,
+    /// The series sent last, after which the next report starts.
+    sent: Option<(Subject, Stratum, MemberId)>,
+    refused: u64,
+}
+
+impl Evidence {
+    /// Counts an observation of this node.
+    pub fn count(
+        &mut self,
+        wall: Wall,
+        subject: Subject,
+        stratum: Stratum,
+        me: MemberId,
+        count: impl Fn(&mut Tally),
+    ) {
+        for scale in Scale::ALL {
+            let key = Key { subject, scale, stratum, source: me };
+            if let Some(tally) = self.tally(key, scale.window(wall)) {
+                count(tally);
+            }
+        }
+    }
+
+    /// Merges what another member counted. A report that arrives twice, late or by several ways changes nothing.
+    pub fn merge(&mut self, wall: Wall, report: &Report) {
+        let present = Scale::Long.window(wall);
+        if report.window + 1 < present || report.window > present + 1 {
+            return;
+        }
+        let &Report { subject, source, stratum, .. } = report;
+        let key = Key { subject, scale: Scale::Long, stratum, source };
+        if let Some(tally) = self.tally(key, report.window) {
+            tally.renew(&report.tally);
+        }
+    }
+
+    fn tally(&mut self, key: Key, window: u64) -> Option<&mut Tally> {
+        if !self.series.contains_key(&key) && self.series.len() >= MAX_SERIES {
+            self.refused += 1;
+            return None;
+        }
+        let fresh = || Series { window, ..Series::default() };
+        self.series.entry(key).or_insert_with(fresh).tally(window)
+    }
+
+    /// Returns the sums over all sources by stratum for the present and the previous window.
+    pub fn sums(&self, wall: Wall, subject: Subject, scale: Scale) -> BTreeMap<Stratum, Tally> {
+        let mut sums: BTreeMap<Stratum, Tally> = BTreeMap::new();
+        let window = scale.window(wall);
+        for (key, series) in self.of(subject).filter(|(key, _)| key.scale == scale) {
+            series.sum(window, sums.entry(key.stratum).or_default());
+        }
+        sums
+    }
+
+    /// Takes the next report to send, in turn over all sources.
+    pub fn next_report(&mut self, wall: Wall) -> Option<Report> {
+        let window = Scale::Long.window(wall);
+        let current =
+            |(key, series): &(&Key, &Series)| key.scale == Scale::Long && series.window == window;
+        let place = |key: &Key| (key.subject, key.stratum, key.source);
+        let sent = self.sent;
+        let after = |(key, _): &(&Key, &Series)| sent.is_none_or(|sent| place(key) > sent);
+        let next = self.series.iter().filter(current).find(after);
+        let (key, series) = next.or_else(|| self.series.iter().find(current))?;
+        self.sent = Some(place(key));
+        Some(Report {
+            subject: key.subject,
+            source: key.source,
+            stratum: key.stratum,
+            window,
+            tally: series.present.clone(),
+        })
+    }
+
+    /// Returns a report of this node itself, the `turn`-th in order.
+    pub fn own_report(&self, wall: Wall, me: MemberId, turn: usize) -> Option<Report> {
+        let window = Scale::Long.window(wall);
+        let own = || {
+            self.series.iter().filter(|(key, series)| {
+                key.source == me && key.scale == Scale::Long && series.window == window
+            })
+        };
+        let (key, series) = own().nth(turn % own().count().max(1))?;
+        let &Key { subject, source, stratum, .. } = key;
+        Some(Report { subject, source, stratum, window, tally: series.present.clone() })
+    }
+
+    /// Drops the evidence of rollouts that are not wanted any more, and windows that are over.
+    pub fn retain(&mut self, wall: Wall, is_wanted: impl Fn(Subject) -> bool) {
+        self.series.retain(|key, series| {
+            series.window + 1 >= key.scale.window(wall) && is_wanted(key.subject)
+        });
+    }
+
+    /// Returns the observations that found no room in the table.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
+    /// Returns the number of series held.
+    pub fn len(&self) -> usize {
+        self.series.len()
+    }
+
+    /// Returns whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.series.is_empty()
+    }
+
+    fn of(&self, subject: Subject) -> impl Iterator<Item = (&Key, &Series)> {
+        let stratum = Stratum { route: 0, local: false };
+        let first = Key { subject, scale: Scale::Short, stratum, source: MemberId(0) };
+        self.series.range(first..).take_while(move |(key, _)| key.subject == subject)
+    }
+}
+
+fn class(latency: Duration) -> usize {
+    let units = latency.as_micros() / FIRST_CLASS.as_micros();
+    let class = (u128::BITS - units.leading_zeros()) as usize;
+    class.min(CLASSES - 1)
+}
