Choose versions by share and roll faulty ones back

Cause: the judgement of versions had no effect on requests. Change: the reducer draws a version by its share for each first attempt and then the target among its members; further attempts prefer the oldest version, and requests that a full version cannot take go to an older one. First attempts are counted as evidence. Verdicts and evidence ride in the payload of membership messages; verdicts are also written to the platform and read from there by seats. Each change of a rollout is logged once with its evidence. Conclusion: a verdict reached by one node is obeyed by all, and by nodes that start later.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -111,6 +111,11 @@
         self.members.values()
     }
 
+    /// Iterates over the members of one service.
+    pub(crate) fn members_of(&self, service: ServiceKey) -> impl Iterator<Item = &Member> {
+        self.services[service].members.iter().filter_map(|&key| self.members.get(key))
+    }
+
     /// Chooses a target of a service; `state` says which members may receive work.
     pub(crate) fn choose(
         &mut self,
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -27,6 +27,7 @@
     reducer::Reducer,
     time::Time,
     timer::Timers,
+    verdicts::Task,
 };
 
 /// The largest number of requests that a node handles at the same time, as entry node and as target's node each.
@@ -47,6 +48,7 @@
     pub(crate) gossip: gossip::Sender,
     pub(crate) pulls: mpsc::UnboundedSender<Pull>,
     pub(crate) seat: watch::Sender<Option<usize>>,
+    pub(crate) verdicts: mpsc::UnboundedSender<Task>,
     pub(crate) peers: Peers,
     pub(crate) timers: Timers,
 }
@@ -220,6 +222,12 @@
             Effect::Seat(seat) => {
                 self.seat.send_replace(seat);
             }
+            Effect::RecordVerdict(record) => {
+                let _ = self.verdicts.send(Task::Record(record));
+            }
+            Effect::DropVerdict(record) => {
+                let _ = self.verdicts.send(Task::Drop(record));
+            }
             Effect::Arm { timer, after } => self.timers.arm(timer, after),
             Effect::Call(..) | Effect::Work(..) | Effect::Log(_) | Effect::Exit => {}
         }
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -9,6 +9,7 @@
     keys::{CallKey, MemberId, WorkKey},
     membership::Message,
     refusal::Refusal,
+    rollout::{Finding, VerdictRecord},
 };
 
 /// One effect, carried out by the driver.
@@ -26,6 +27,10 @@
     Forget(SocketAddr),
     /// Gives this node a seat, or takes it away.
     Seat(Option<usize>),
+    /// Records a verdict in the platform, unless the same or a newer one is there.
+    RecordVerdict(VerdictRecord),
+    /// Deletes a verdict whose schedule has ended from the platform.
+    DropVerdict(VerdictRecord),
     /// Sets a timer.
     Arm { timer: Timer, after: Duration },
     /// Writes a log line.
@@ -103,6 +108,16 @@
     Pull { from: MemberId, revision: u64 },
     /// A document came into force.
     Document { revision: u64, services: usize },
+    /// A rollout came to another stage.
+    Rollout {
+        service: CompactString,
+        version: CompactString,
+        stage: &'static str,
+        /// The share of traffic in thousandths.
+        share: u16,
+        /// The evidence of a rollback, with the route to which it applies.
+        finding: Option<(Finding, CompactString)>,
+    },
     /// The target became reachable or unreachable.
     Target { change: &'static str },
     /// A graceful stop began or ended.
--- a/src/event.rs
+++ b/src/event.rs
@@ -13,6 +13,7 @@
     membership::{Message, Source},
     pool::Reach,
     refusal::Refusal,
+    rollout::VerdictRecord,
     seat::Contact,
     time::Wall,
 };
@@ -32,6 +33,8 @@
     PullEnded,
     /// A document came into force.
     Document { revision: u64, document: Arc<Document> },
+    /// Verdicts on versions were read from the platform.
+    Verdicts(Vec<VerdictRecord>),
     /// The target became reachable or unreachable.
     Target(Reach),
     /// A timer that the reducer set has expired.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,4 +43,5 @@
 pub mod time;
 mod timer;
 pub mod transports;
+mod verdicts;
 mod work;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -11,7 +11,7 @@
 use slog_logfmt::Logfmt;
 use slotmap::{Key, KeyData};
 
-use crate::{effect::Record, settings::LogLevel};
+use crate::{effect::Record, rollout::Finding, settings::LogLevel};
 
 /// The number of log lines that may wait for the writer; beyond it lines are dropped and counted.
 const LOG_QUEUE: usize = 65_536;
@@ -62,6 +62,17 @@
         }
         Record::Document { revision, services } => info!(log, "document";
             "revision" => revision, "services" => services),
+        Record::Rollout { service, version, stage, share, finding: None } => info!(log, "rollout";
+            "service" => service.as_str(), "version" => version.as_str(), "stage" => stage,
+            "share_permille" => share),
+        Record::Rollout { service, version, stage, share, finding: Some((finding, route)) } => {
+            let Finding { measure, new, old, .. } = finding;
+            warn!(log, "rollout";
+                "service" => service.as_str(), "version" => version.as_str(), "stage" => stage,
+                "share_permille" => share, "measure" => measure.as_str(), "route" => route.as_str(),
+                "new_hits" => new.hits, "new_of" => new.of,
+                "old_hits" => old.hits, "old_of" => old.of);
+        }
         Record::Target { change } => info!(log, "target"; "change" => change),
         Record::Stop { phase, calls, works } => info!(log, "stop";
             "phase" => phase, "calls" => calls, "works" => works),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -49,6 +49,8 @@
             Record::Seat { .. } => "seats.changed",
             Record::Pull { .. } => "documents.pulled",
             Record::Document { .. } => "documents",
+            Record::Rollout { stage: "rolled-back", .. } => "rollouts.rolled_back",
+            Record::Rollout { .. } => "rollouts.changed",
             Record::Target { .. } => "targets.changed",
             Record::Stop { .. } => "stops",
         };
--- a/src/node.rs
+++ b/src/node.rs
@@ -30,11 +30,13 @@
     platform::{Http, Platform, http::Limits},
     pool::{Pool, Reach},
     reducer::{Me, Reducer},
+    rollout,
     seat::{Contact, Seat},
     server,
     settings::Settings,
     time::Wall,
     timer::Timers,
+    verdicts::Verdicts,
     work::Worker,
 };
 
@@ -162,8 +164,18 @@
         let puller = Puller { driver: driver.clone(), replica: replica.clone(), key: key.clone() };
         tasks.spawn(puller.run(wanted));
         let (seat, rank) = watch::channel(None);
+        let platform = Arc::new(platform);
+        let (verdicts, unwritten) = mpsc::unbounded_channel();
+        let clerk = Arc::new(Verdicts {
+            platform: platform.clone(),
+            driver: driver.clone(),
+            rank: rank.clone(),
+            log: log.clone(),
+        });
+        tasks.spawn(clerk.clone().write(unwritten));
+        tasks.spawn(clerk.watch());
         let duties = Arc::new(Seat {
-            platform: Arc::new(platform),
+            platform,
             driver: driver.clone(),
             replica,
             me: contact,
@@ -194,7 +206,14 @@
 
         let fire = driver.clone();
         let timers = Timers::start(move |timer| fire.dispatch(Event::Timer(timer)));
-        driver.start(Outlets { gossip: gossip.sender, pulls, seat, peers: connections, timers });
+        driver.start(Outlets {
+            gossip: gossip.sender,
+            pulls,
+            seat,
+            verdicts,
+            peers: connections,
+            timers,
+        });
         Ok(Node { driver, id, addresses, stop, tasks })
     }
 
@@ -228,6 +247,12 @@
         self.driver.inspect(Reducer::revision)
     }
 
+    /// Returns the state of every rollout as this node knows it.
+    pub fn rollouts(&self) -> Vec<rollout::Status> {
+        let now = self.driver.now();
+        self.driver.inspect(|reducer| reducer.rollouts(now))
+    }
+
     /// Returns the number of members of a service that this node knows.
     pub fn known(&self, service: &str) -> usize {
         self.driver.inspect(|reducer| reducer.known(service))
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -4,9 +4,14 @@
 //! same effects again. See `docs/design.md`, section 3.
 
 mod calls;
+mod exchange;
 mod members;
+mod versions;
 mod works;
 
+#[cfg(test)]
+mod tests;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::SmallRng};
@@ -22,6 +27,7 @@
     load::MeasureBudget,
     membership::{self, Member, Membership},
     pool::Reach,
+    rollout::Rollouts,
     time::{Time, Wall},
 };
 
@@ -53,6 +59,9 @@
     pull: Option<Pull>,
     document: Option<Arc<Document>>,
     revision: u64,
+    rollouts: Rollouts,
+    /// Whether the payload of membership messages is to be replaced.
+    is_payload_sent: bool,
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
     gate: Gate,
@@ -69,6 +78,7 @@
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
         let mut directory = Directory::default();
         directory.upsert(me.info.clone());
+        let rollouts = Rollouts::new(me.info.id);
         let gate = Gate::new(me.slots, Time::ZERO);
         let membership = Membership::new(me.info.clone(), membership::Settings::default(), seed);
         Reducer {
@@ -82,6 +92,8 @@
             pull: None,
             document: None,
             revision: 0,
+            rollouts,
+            is_payload_sent: true,
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
             gate,
@@ -120,6 +132,7 @@
             Event::Document { revision, document } => {
                 self.set_document(now, revision, document, out);
             }
+            Event::Verdicts(records) => self.read_verdicts(records, out),
             Event::Target(reach) => self.set_reach(now, reach, out),
             Event::Timer(timer) => self.expire(now, timer, out),
             Event::Clock(wall) => self.wall = Some((now, wall)),
@@ -141,6 +154,7 @@
         self.revision = revision;
         self.membership.set_revision(revision);
         self.measure.set(&document.budgets, now);
+        self.rollouts.set_document(revision, &document);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
         self.document = Some(document);
     }
@@ -162,6 +176,7 @@
             Timer::Tick => {
                 let next = self.gate.tick(now);
                 self.advance_queue(next, out);
+                self.tick_rollouts(now, out);
                 self.tick_members(now, out);
                 self.check_stopped(out);
                 out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -7,14 +7,14 @@
 
 use crate::{
     body::End,
-    document::{CentreState, Service},
+    document::{Route, Service},
     effect::{Attempt, CallStep, Effect, Hop, Record},
     event::{CallEvent, CallHead, Failure, Timer},
     keys::{CallKey, MemberKey, ServiceKey},
     load::{LoadReport, Observed},
     refusal::{Outcome, Reason, Refusal},
     retry::{Attempted, hop_time},
-    routing::TargetState,
+    rollout::{Sample, route_hash},
     time::Time,
 };
 
@@ -27,17 +27,21 @@
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) service: CompactString,
-    group: ServiceKey,
+    pub(super) group: ServiceKey,
     is_idempotent: bool,
     deadline: Time,
     depth: u8,
-    attempts: u8,
+    pub(super) attempts: u8,
     /// The attempts whose end is not known yet.
     open: Vec<OpenAttempt>,
-    tried: Vec<MemberKey>,
+    pub(super) tried: Vec<MemberKey>,
     /// Whether some attempt may have run; once set, a refusal must not say "not run".
     may_have_run: bool,
-    is_answered: bool,
+    pub(super) is_answered: bool,
+    /// The hash of the matching route, which separates evidence about versions.
+    pub(super) route: u16,
+    /// What the first attempt will show about a version, and when it was sent.
+    pub(super) sample: Option<(Sample, Time)>,
 }
 
 /// An attempt whose end is not known yet.
@@ -68,6 +72,7 @@
         event: CallEvent,
         out: &mut Vec<Effect>,
     ) {
+        self.observe_version(now, key, &event);
         match event {
             CallEvent::Arrived(head) => self.call_arrived(now, key, head, out),
             CallEvent::Answered { attempt, status, report } => {
@@ -102,6 +107,7 @@
         };
         let timeout = head.timeout.unwrap_or(Duration::from_millis(service.deadline_ms.into()));
         let is_idempotent = is_idempotent(service, &head.method, &head.path);
+        let route = route_hash(route(service, &head.method, &head.path));
         let percent = service.retry_percent;
         let depth = u8::try_from(head.depth).unwrap_or(u8::MAX);
         let group = self.directory.service(&head.service);
@@ -120,6 +126,8 @@
             tried: Vec::new(),
             may_have_run: false,
             is_answered: false,
+            route,
+            sample: None,
         };
         self.calls.insert(key, call);
         out.push(Effect::Arm { timer: Timer::CallDeadline(key), after: timeout });
@@ -151,25 +159,17 @@
         key: CallKey,
         out: &mut Vec<Effect>,
     ) -> Result<(), Reason> {
-        let Some(call) = self.calls.get_mut(key) else { return Err(Reason::Deadline) };
+        let Some(call) = self.calls.get(key) else { return Err(Reason::Deadline) };
         let timeout = hop_time(now, call.deadline).ok_or(Reason::Deadline)?;
-        let (me, document) = (&self.me.info, &self.document);
-        let choice = self.directory.choose(now, call.group, &call.tried, &mut self.rng, |member| {
-            let centre =
-                document.as_ref().and_then(|document| document.centres.get(&member.info.centre));
-            let state = if member.info.leaving {
-                TargetState::Draining
-            } else if centre.is_none_or(|centre| centre.state == CentreState::Out) {
-                TargetState::OutOfService
-            } else {
-                TargetState::InService
-            };
-            (member.info.centre == me.centre, state)
-        });
-        let choice = choice.map_err(|none| none.refusal().reason)?;
+        let choice = self.choose_target(now, key)?;
+        let Some(call) = self.calls.get_mut(key) else { return Err(Reason::Deadline) };
         let member = self.directory.get_mut(choice.key).ok_or(Reason::NoTarget)?;
         member.view.sent(now);
-        let hop = if member.info.id == me.id { Hop::Local } else { Hop::Peer(member.info.peer) };
+        let hop = if member.info.id == self.me.info.id {
+            Hop::Local
+        } else {
+            Hop::Peer(member.info.peer)
+        };
         call.attempts += 1;
         let number = call.attempts.into();
         call.open.push(OpenAttempt { number, member: choice.key, sent: now });
@@ -184,6 +184,7 @@
         }));
         let attempt = Attempt { number, member: member.info.id, hop, timeout };
         out.push(Effect::Call(key, CallStep::Attempt(attempt)));
+        self.sample_version(now, key, choice.key);
         Ok(())
     }
 
@@ -269,6 +270,7 @@
 
     pub(super) fn call_deadline(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
         if self.calls.get(key).is_some_and(|call| !call.is_answered) {
+            self.observe_timeout(now, key);
             self.refuse_call(now, key, Reason::Deadline, out);
         }
     }
@@ -368,10 +370,15 @@
 /// Returns whether a request may run more than once: the longest matching route decides, else the method
 /// (RFC 9110, section 9.2.2).
 fn is_idempotent(service: &Service, method: &Method, path: &str) -> bool {
+    let route = route(service, method, path);
+    route.map_or_else(|| method.is_idempotent(), |route| route.idempotent)
+}
+
+/// Returns the route with the longest matching prefix; one for the method takes precedence over one for all.
+fn route<'a>(service: &'a Service, method: &Method, path: &str) -> Option<&'a Route> {
     let matching = service.routes.iter().filter(|route| {
         let is_method = route.method.as_ref().is_none_or(|m| m.as_str() == method.as_str());
         is_method && path.starts_with(route.prefix.as_str())
     });
-    let longest = matching.max_by_key(|route| (route.prefix.len(), route.method.is_some()));
-    longest.map_or_else(|| method.is_idempotent(), |route| route.idempotent)
+    matching.max_by_key(|route| (route.prefix.len(), route.method.is_some()))
 }
--- a/src/reducer/members.rs
+++ b/src/reducer/members.rs
@@ -55,6 +55,7 @@
     }
 
     pub(super) fn tick_members(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.renew_payload(now);
         let mut outputs = Vec::new();
         self.membership.tick(now, &mut outputs);
         self.membership_outputs(now, outputs, out);
@@ -79,6 +80,7 @@
         for output in outputs {
             match output {
                 Output::Send { to, message } => {
+                    self.is_payload_sent = true;
                     out.push(Effect::Send { to, message: Box::new(message) })
                 }
                 Output::Joined(member) | Output::Changed(member) => self.member_seen(member, out),
@@ -88,7 +90,9 @@
                     let change = if suspected { "suspected" } else { "cleared" };
                     self.log_member(id, change, out);
                 }
-                Output::Payload { .. } => {}
+                Output::Payload { from, payload } => {
+                    self.payload_received(now, from, &payload, out)
+                }
                 Output::Synced => {
                     out.push(Effect::Log(Record::Synced { members: self.membership.group() }))
                 }
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -384,15 +384,19 @@
     /// Takes over a verdict, and returns whether it is new. Verdicts are never withdrawn; one about a schedule
     /// that is no longer in the document is ignored.
     pub fn learn(&mut self, verdict: Verdict) -> bool {
-        let Verdict { subject, revision, .. } = verdict;
-        let is_over = revision <= self.revision && !self.places.contains_key(&subject);
-        if is_over || self.verdicts.contains_key(&subject) || self.verdicts.len() >= MAX_VERDICTS {
+        let is_known = self.verdicts.contains_key(&verdict.subject);
+        if is_known || self.is_over(&verdict) || self.verdicts.len() >= MAX_VERDICTS {
             return false;
         }
-        self.verdicts.insert(subject, verdict);
+        self.verdicts.insert(verdict.subject, verdict);
         true
     }
 
+    /// Returns whether the document has replaced the schedule to which a verdict applies.
+    pub fn is_over(&self, verdict: &Verdict) -> bool {
+        verdict.revision <= self.revision && !self.places.contains_key(&verdict.subject)
+    }
+
     /// Returns a verdict in the form for the platform, if the document has the version.
     pub fn record(&self, verdict: &Verdict, document: &Document) -> Option<VerdictRecord> {
         let name = self.places.get(&verdict.subject)?;
--- a/src/seat.rs
+++ b/src/seat.rs
@@ -187,12 +187,12 @@
 
 /// A pause that doubles with each failure.
 #[derive(Default)]
-struct Pause {
+pub(crate) struct Pause {
     failures: u32,
 }
 
 impl Pause {
-    async fn wait(&mut self) {
+    pub(crate) async fn wait(&mut self) {
         let pause = MIN_PAUSE * (1 << self.failures.min(4));
         self.failures += 1;
         // A random part keeps nodes that failed together from retrying together.
