Add crash guard for requests that crash their targets

Cause: a request that crashes each target that runs it is sent again by its caller, and takes all targets. Change: the crash_guard module identifies requests over repeated sends, holds the crashes at which each was in progress as a set that nodes merge, and refuses a request after two. Completion clears it of all crashes so far; suspicion ends after 600 s; the table has 1,024 entries. Conclusion: pure part only; the reducer does not use it yet.

--- /dev/null
+++ b/src/crash_guard.rs
@@ -0,0 +1,382 @@
+//! Requests that crash the targets that run them: fingerprints, suspicions and refusals.
+//!
+//! Everything here is pure. `docs/crash-guard.md` states what operators can rely on; `docs/design.md`,
+//! section 5.8, gives the requirements.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt,
+    time::Duration,
+};
+
+use http::{HeaderMap, HeaderName, Method, Uri, header};
+use serde::{Deserialize, Serialize};
+
+use crate::{headers, keys::MemberId, time::Time};
+
+#[cfg(test)]
+mod tests;
+
+/// The crashes after which a request is refused.
+pub const BLOCK_CRASHES: usize = 2;
+
+/// How long a crash counts against the requests that were in progress. Callers send again within seconds or
+/// minutes; a longer time would only keep innocent requests from running together.
+pub const SUSPICION_TIME: Duration = Duration::from_secs(600);
+
+/// The most suspicions held: 85 crashes of targets with 12 requests each. Beyond it, those that end first are
+/// dropped.
+pub const MAX_SUSPICIONS: usize = 1_024;
+
+/// The time around a crash within which lost connections count as lost by it. The node notices the crash with
+/// its next connection, within 250 ms unless its retries are due.
+pub const CRASH_WINDOW: Duration = Duration::from_secs(1);
+
+/// The most crashes remembered for one request.
+const MAX_CRASHES: usize = 4;
+
+/// The most lost requests remembered before a crash; targets have 12 slots.
+const MAX_LOST: usize = 64;
+
+/// Headers that differ between sends of the same request, or that nodes and proxies add.
+const VOLATILE: [HeaderName; 20] = [
+    header::DATE,
+    header::VIA,
+    header::FORWARDED,
+    header::HOST,
+    header::EXPECT,
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    headers::IDENTITY,
+    HeaderName::from_static("traceparent"),
+    HeaderName::from_static("tracestate"),
+    HeaderName::from_static("baggage"),
+    HeaderName::from_static("b3"),
+    HeaderName::from_static("x-request-id"),
+    HeaderName::from_static("x-correlation-id"),
+    HeaderName::from_static("x-real-ip"),
+    HeaderName::from_static("x-amzn-trace-id"),
+];
+
+/// The starts of the names of further volatile headers.
+const VOLATILE_PREFIXES: [&str; 3] = ["poplarbarrow-", "x-forwarded-", "x-b3-"];
+
+/// Identifies a request over repeated sends.
+#[derive(
+    Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Fingerprint([u8; 8]);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request: its identity if the caller gave one, else a hash of the head.
+    ///
+    /// The body is streamed and takes part with its length only.
+    pub fn new(service: &str, method: &Method, uri: &Uri, headers: &HeaderMap) -> Fingerprint {
+        let mut hasher = blake3::Hasher::new();
+        let mut part = |bytes: &[u8]| {
+            // The length separates the parts.
+            hasher.update(&(bytes.len() as u64).to_be_bytes());
+            hasher.update(bytes);
+        };
+        part(service.as_bytes());
+        if let Some(identity) = headers.get(headers::IDENTITY) {
+            part(identity.as_bytes());
+        } else {
+            part(method.as_str().as_bytes());
+            part(uri.path().as_bytes());
+            part(uri.query().unwrap_or_default().as_bytes());
+            let length = headers.get(header::CONTENT_LENGTH).map_or(&b""[..], |v| v.as_bytes());
+            // Between nodes an empty body may be sent with or without a length.
+            part(if length == b"0" { b"" } else { length });
+            let mut stable: Vec<_> = headers.iter().filter(|(name, _)| is_stable(name)).collect();
+            stable.sort_by_key(|(name, _)| name.as_str());
+            for (name, value) in stable {
+                part(name.as_str().as_bytes());
+                part(value.as_bytes());
+            }
+        }
+        let mut bytes = [0; 8];
+        hasher.finalize_xof().fill(&mut bytes);
+        Fingerprint(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", u64::from_be_bytes(self.0))
+    }
+}
+
+fn is_stable(name: &HeaderName) -> bool {
+    let is_volatile = VOLATILE.contains(name)
+        || VOLATILE_PREFIXES.iter().any(|prefix| name.as_str().starts_with(prefix));
+    !is_volatile
+}
+
+/// Whether a request may run.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It is not suspected.
+    Clear,
+    /// It was in progress at one crash. It runs, but not together with another suspected request.
+    Suspected,
+    /// It was in progress at [`BLOCK_CRASHES`] crashes and does not run.
+    Blocked,
+}
+
+impl Standing {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Standing::Clear => "cleared",
+            Standing::Suspected => "suspected",
+            Standing::Blocked => "blocked",
+        }
+    }
+}
+
+/// A crash at which a request was in progress.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+struct Crash {
+    member: MemberId,
+    /// The number of the crash at that member, from 1, or 0 for a loss that only the entry node saw.
+    number: u32,
+    /// Whether the request has completed since.
+    is_cleared: bool,
+    ends: Time,
+}
+
+/// What is known of one request, as other members receive it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNote {
+    fingerprint: Fingerprint,
+    crashes: Vec<CrashNote>,
+}
+
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct CrashNote {
+    member: [u8; 8],
+    number: u32,
+    is_cleared: bool,
+    /// The seconds for which the crash still counts, rounded down so that no relay prolongs it.
+    left: u16,
+}
+
+/// A request whose standing has changed.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct Judged {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Its new standing.
+    pub standing: Standing,
+}
+
+/// Suspicions of requests at one node.
+///
+/// Suspicions are merged as sets of crashes, so a note that arrives repeatedly or late changes nothing.
+#[derive(Clone, Debug)]
+pub struct CrashGuard {
+    me: MemberId,
+    crashes: u32,
+    crashed: Option<Time>,
+    lost: VecDeque<(Time, Fingerprint)>,
+    suspicions: BTreeMap<Fingerprint, Vec<Crash>>,
+    /// The request in the last note, after which the next one starts.
+    noted: Option<Fingerprint>,
+}
+
+impl CrashGuard {
+    /// Creates the guard of member `me` without suspicions.
+    pub fn new(me: MemberId) -> CrashGuard {
+        CrashGuard {
+            me,
+            crashes: 0,
+            crashed: None,
+            lost: VecDeque::new(),
+            suspicions: BTreeMap::new(),
+            noted: None,
+        }
+    }
+
+    /// Returns whether a request may run.
+    pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
+        let Some(crashes) = self.suspicions.get(&fingerprint) else { return Standing::Clear };
+        let counts = |crash: &&Crash| crash.ends > now && !crash.is_cleared;
+        let known = |member| crashes.iter().any(|c| c.member == member && c.number > 0);
+        // A loss that the entry node saw is usually the crash that the target's node has counted too.
+        let distinct = |crash: &&Crash| crash.number > 0 || !known(crash.member);
+        match crashes.iter().filter(counts).filter(distinct).count() {
+            0 => Standing::Clear,
+            n if n < BLOCK_CRASHES => Standing::Suspected,
+            _ => Standing::Blocked,
+        }
+    }
+
+    /// Notes that the connection of a running request to this node's target was lost, and returns the change if
+    /// it was lost by a crash that is known already.
+    pub fn lost(&mut self, now: Time, fingerprint: Fingerprint) -> Option<Judged> {
+        if self.crashed.is_some_and(|at| now.since(at) < CRASH_WINDOW) {
+            return self.suspect(now, fingerprint, self.me, self.crashes);
+        }
+        if self.lost.len() >= MAX_LOST {
+            self.lost.pop_front();
+        }
+        self.lost.push_back((now, fingerprint));
+        None
+    }
+
+    /// Notes that this node's target has crashed, and returns the requests whose standing has changed.
+    pub fn crashed(&mut self, now: Time) -> Vec<Judged> {
+        self.crashes += 1;
+        self.crashed = Some(now);
+        let lost = std::mem::take(&mut self.lost);
+        let recent = lost.into_iter().filter(|(at, _)| now.since(*at) < CRASH_WINDOW);
+        recent
+            .filter_map(|(_, fingerprint)| self.suspect(now, fingerprint, self.me, self.crashes))
+            .collect()
+    }
+
+    /// Notes that this node's target accepts connections again; a later loss belongs to a later crash.
+    pub fn returned(&mut self) {
+        self.crashed = None;
+    }
+
+    /// Notes that an entry node lost the answer of a member. It does not know whether the target crashed, but
+    /// it need not wait for the news to keep the request from a third target.
+    pub fn lost_at(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        member: MemberId,
+    ) -> Option<Judged> {
+        self.suspect(now, fingerprint, member, 0)
+    }
+
+    /// Notes that a request has completed, which clears it of all crashes so far.
+    pub fn completed(&mut self, now: Time, fingerprint: Fingerprint) -> Option<Judged> {
+        self.change(now, fingerprint, |crashes| {
+            crashes.iter_mut().for_each(|crash| crash.is_cleared = true);
+        })
+    }
+
+    fn suspect(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        member: MemberId,
+        number: u32,
+    ) -> Option<Judged> {
+        let ends = now + SUSPICION_TIME;
+        self.add(now, fingerprint, Crash { member, number, is_cleared: false, ends })
+    }
+
+    fn add(&mut self, now: Time, fingerprint: Fingerprint, crash: Crash) -> Option<Judged> {
+        if !self.suspicions.contains_key(&fingerprint) {
+            self.make_room(now);
+            self.suspicions.insert(fingerprint, Vec::new());
+        }
+        self.change(now, fingerprint, |crashes| {
+            crashes.retain(|crash| crash.ends > now);
+            let same = |c: &&mut Crash| (c.member, c.number) == (crash.member, crash.number);
+            let has_room = crashes.len() < MAX_CRASHES;
+            match crashes.iter_mut().find(same) {
+                // A loss seen by this node alone has no number, so a later one is a new one.
+                Some(known) if crash.number == 0 => *known = crash,
+                Some(known) => known.is_cleared |= crash.is_cleared,
+                None if has_room => crashes.push(crash),
+                None => {
+                    // Crashes of which the request is cleared do not count any more.
+                    if let Some(cleared) = crashes.iter_mut().find(|c| c.is_cleared) {
+                        *cleared = crash;
+                    }
+                }
+            }
+        })
+    }
+
+    fn change(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        change: impl FnOnce(&mut Vec<Crash>),
+    ) -> Option<Judged> {
+        let before = self.standing(now, fingerprint);
+        change(self.suspicions.get_mut(&fingerprint)?);
+        let standing = self.standing(now, fingerprint);
+        (standing != before).then_some(Judged { fingerprint, standing })
+    }
+
+    /// Drops suspicions that have ended, and the one that ends first if the table is still full.
+    fn make_room(&mut self, now: Time) {
+        if self.suspicions.len() < MAX_SUSPICIONS {
+            return;
+        }
+        self.expire(now);
+        if self.suspicions.len() < MAX_SUSPICIONS {
+            return;
+        }
+        let ends = |crashes: &[Crash]| crashes.iter().map(|crash| crash.ends).max();
+        let standing = |fingerprint| self.standing(now, fingerprint);
+        let first = self.suspicions.iter().min_by_key(|(f, c)| (standing(**f), ends(c)));
+        if let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) {
+            self.suspicions.remove(&fingerprint);
+        }
+    }
+
+    /// Drops suspicions that have ended.
+    pub fn expire(&mut self, now: Time) {
+        self.suspicions.retain(|_, crashes| crashes.iter().any(|crash| crash.ends > now));
+    }
+
+    /// Returns the next notes for other members, in turn over all requests.
+    pub fn notes(&mut self, now: Time, count: usize) -> Vec<SuspectNote> {
+        let after = |f: &&Fingerprint| self.noted.is_none_or(|noted| **f > noted);
+        let keys = self.suspicions.keys();
+        let next = keys.clone().filter(after).chain(keys.filter(|f| !after(f)));
+        let next: Vec<Fingerprint> = next.take(count).copied().collect();
+        self.noted = next.last().copied();
+        next.into_iter().filter_map(|fingerprint| self.note(now, fingerprint)).collect()
+    }
+
+    /// Returns what other members should know of a request, or `None` if there is nothing.
+    pub fn note(&self, now: Time, fingerprint: Fingerprint) -> Option<SuspectNote> {
+        let shared = self.suspicions.get(&fingerprint)?.iter().filter(|crash| crash.number > 0);
+        let shared = shared.map(|crash| CrashNote {
+            member: crash.member.0.to_be_bytes(),
+            number: crash.number,
+            is_cleared: crash.is_cleared,
+            left: u16::try_from(crash.ends.since(now).as_secs()).unwrap_or(u16::MAX),
+        });
+        let crashes: Vec<_> = shared.filter(|crash| crash.left > 0).collect();
+        (!crashes.is_empty()).then_some(SuspectNote { fingerprint, crashes })
+    }
+
+    /// Merges a note of another member, and returns the change.
+    pub fn merge(&mut self, now: Time, note: &SuspectNote) -> Option<Judged> {
+        let fingerprint = note.fingerprint;
+        let before = self.standing(now, fingerprint);
+        for crash in note.crashes.iter().filter(|c| c.number > 0 && c.left > 0).take(MAX_CRASHES) {
+            let left = Duration::from_secs(crash.left.into()).min(SUSPICION_TIME);
+            let member = MemberId(u64::from_be_bytes(crash.member));
+            let &CrashNote { number, is_cleared, .. } = crash;
+            self.add(now, fingerprint, Crash { member, number, is_cleared, ends: now + left });
+        }
+        let standing = self.standing(now, fingerprint);
+        (standing != before).then_some(Judged { fingerprint, standing })
+    }
+
+    /// Returns the number of requests with a suspicion.
+    pub fn len(&self) -> usize {
+        self.suspicions.len()
+    }
+
+    /// Returns whether no request is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspicions.is_empty()
+    }
+}
--- /dev/null
+++ b/src/crash_guard/tests.rs
@@ -0,0 +1,260 @@
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use test_case::test_case;
+
+use super::*;
+
+fn at(ms: u64) -> Time {
+    Time::from_micros(ms * 1_000)
+}
+
+fn request(path: &str, headers: &[(&'static str, &str)]) -> Fingerprint {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.append(*name, value.parse().expect("a value"));
+    }
+    Fingerprint::new("orders", &Method::POST, &path.parse().expect("a path"), &map)
+}
+
+/// Guards against a repeated send that is not recognised, and against requests taken for each other.
+#[test_case("/a", &[("x-request-id", "2"), ("traceparent", "t")] => true; "volatile headers")]
+#[test_case("/a", &[("poplarbarrow-deadline-ms", "9"), ("poplarbarrow-depth", "1")] => true; "internal headers")]
+#[test_case("/a", &[("host", "10.0.0.1:80"), ("x-forwarded-for", "10.0.0.2")] => true; "way of the request")]
+#[test_case("/a", &[("content-length", "0")] => true; "empty body with a length")]
+#[test_case("/a", &[("content-length", "7")] => false; "other length")]
+#[test_case("/a", &[("accept", "text/html")] => false; "other header")]
+#[test_case("/a?b", &[] => false; "other query")]
+#[test_case("/b", &[] => false; "other path")]
+#[test_case("/a", &[("idempotency-key", "k")] => false; "identity")]
+fn is_same_as_plain_request(path: &str, headers: &[(&'static str, &str)]) -> bool {
+    request(path, headers) == request("/a", &[])
+}
+
+/// Guards against an identity that does not decide alone, and against the order of headers.
+#[test]
+fn identity_and_order_of_headers() {
+    let key = ("idempotency-key", "k");
+    assert_eq!(request("/a", &[key, ("accept", "a")]), request("/b", &[key]));
+    let (one, two) = (("accept", "a"), ("range", "b"));
+    assert_eq!(request("/a", &[one, two]), request("/a", &[two, one]));
+}
+
+/// Guards against suspicion of requests that no crash interrupted, and against one that never ends.
+#[test_case(0, 100, 200 => Standing::Suspected; "lost just before the crash was noticed")]
+#[test_case(500, 100, 600 => Standing::Suspected; "lost just after it")]
+#[test_case(0, 1_500, 1_600 => Standing::Clear; "lost long before")]
+#[test_case(2_000, 100, 2_100 => Standing::Clear; "lost long after")]
+#[test_case(0, 100, 599_000 => Standing::Suspected; "shortly before the end")]
+#[test_case(0, 100, 600_100 => Standing::Clear; "after the end")]
+fn crash_explains_losses(lost: u64, crashed: u64, asked: u64) -> Standing {
+    let mut guard = CrashGuard::new(MemberId(1));
+    let fingerprint = request("/a", &[]);
+    let mut events = [(lost, false), (crashed, true)];
+    events.sort_unstable();
+    for (ms, is_crash) in events {
+        if is_crash {
+            guard.crashed(at(ms));
+        } else {
+            guard.lost(at(ms), fingerprint);
+        }
+    }
+    guard.standing(at(asked), fingerprint)
+}
+
+/// One crash of a member's target with the given requests in progress.
+fn crash(guard: &mut CrashGuard, ms: u64, running: &[Fingerprint]) -> Vec<SuspectNote> {
+    for &fingerprint in running {
+        guard.lost(at(ms), fingerprint);
+    }
+    guard.crashed(at(ms));
+    guard.returned();
+    running.iter().filter_map(|&f| guard.note(at(ms), f)).collect()
+}
+
+/// Guards against a crash that counts twice, by repeated notes or because the entry node saw the loss as well,
+/// and against two crashes that count once.
+#[test_case(&[(1, 1)], &[] => Standing::Suspected; "one crash")]
+#[test_case(&[(1, 1), (1, 1)], &[] => Standing::Suspected; "one crash told twice")]
+#[test_case(&[(1, 1)], &[1] => Standing::Suspected; "one crash that the entry node saw")]
+#[test_case(&[], &[1, 1] => Standing::Suspected; "two losses at one member")]
+#[test_case(&[(1, 1), (1, 2)], &[] => Standing::Blocked; "two crashes of one target")]
+#[test_case(&[(1, 1), (2, 1)], &[] => Standing::Blocked; "crashes of two targets")]
+#[test_case(&[(1, 1)], &[2] => Standing::Blocked; "a crash and a loss elsewhere")]
+#[test_case(&[], &[1, 2] => Standing::Blocked; "losses at two members")]
+fn crashes_are_counted_once(crashes: &[(u64, u32)], losses: &[u64]) -> Standing {
+    let mut guard = CrashGuard::new(MemberId(9));
+    let fingerprint = request("/a", &[]);
+    for &member in losses {
+        guard.lost_at(at(0), fingerprint, MemberId(member));
+    }
+    for &(member, number) in crashes {
+        let crash =
+            CrashNote { member: member.to_be_bytes(), number, is_cleared: false, left: 600 };
+        guard.merge(at(0), &SuspectNote { fingerprint, crashes: vec![crash] });
+    }
+    guard.standing(at(1), fingerprint)
+}
+
+/// Guards against innocent requests that stay suspected, also when an older note arrives after the clearance.
+#[test]
+fn completion_clears_for_good() {
+    let (mut one, mut two) = (CrashGuard::new(MemberId(1)), CrashGuard::new(MemberId(2)));
+    let fingerprint = request("/a", &[]);
+    let notes = crash(&mut one, 0, &[fingerprint]);
+    two.merge(at(1), &notes[0]);
+    let cleared = two.completed(at(2), fingerprint);
+    assert_eq!(cleared, Some(Judged { fingerprint, standing: Standing::Clear }));
+    two.merge(at(3), &notes[0]);
+    assert_eq!(two.standing(at(3), fingerprint), Standing::Clear);
+    one.merge(at(4), &two.note(at(4), fingerprint).expect("a note"));
+    assert_eq!(one.standing(at(4), fingerprint), Standing::Clear);
+    // A later crash counts again.
+    crash(&mut one, 5, &[fingerprint]);
+    assert_eq!(one.standing(at(5), fingerprint), Standing::Suspected);
+}
+
+/// Guards against a suspicion that members keep alive by telling it to each other.
+#[test]
+fn relays_do_not_prolong_a_suspicion() {
+    let mut guards = [1, 2].map(|id| CrashGuard::new(MemberId(id)));
+    let fingerprint = request("/a", &[]);
+    crash(&mut guards[0], 0, &[fingerprint]);
+    for second in 0..700 {
+        let now = at(second * 1_000 + 500);
+        let from = second as usize % 2;
+        let notes = guards[from].notes(now, 1);
+        for note in notes {
+            guards[1 - from].merge(now, &note);
+        }
+        guards[from].expire(now);
+        assert!(second < 600 || guards[from].is_empty(), "{second}");
+    }
+}
+
+/// Guards against a table without a bound, and against a blocked request that new suspicions push out.
+#[test]
+fn table_is_bounded() {
+    let mut guard = CrashGuard::new(MemberId(1));
+    let fingerprint = request("/a", &[]);
+    for ms in [0, 2_000] {
+        crash(&mut guard, ms, &[fingerprint]);
+    }
+    for i in 0..2 * MAX_SUSPICIONS as u64 {
+        crash(&mut guard, 4_000 + i * 10, &[request(&format!("/{i}"), &[])]);
+    }
+    assert_eq!(guard.len(), MAX_SUSPICIONS);
+    assert_eq!(guard.standing(at(30_000), fingerprint), Standing::Blocked);
+    let notes = guard.notes(at(30_000), 2 * MAX_SUSPICIONS);
+    assert_eq!(notes.len(), MAX_SUSPICIONS);
+}
+
+/// A service whose targets all crash on one request, which its caller keeps sending through different nodes.
+struct Service {
+    guards: Vec<CrashGuard>,
+    /// Requests in progress by target, 0 for the one that crashes it.
+    running: Vec<Vec<usize>>,
+    rng: SmallRng,
+    ms: u64,
+    crashes: usize,
+    /// Copies of the request in progress when the second crash was known everywhere.
+    in_flight: Option<usize>,
+}
+
+const TARGETS: usize = 8;
+
+impl Service {
+    fn fingerprint(id: usize) -> Fingerprint {
+        request(&format!("/{id}"), &[])
+    }
+
+    /// Sends a request to a target, whose node decides as the reducer does.
+    fn send(&mut self, id: usize, target: usize) {
+        let now = at(self.ms);
+        let guard = &self.guards[target];
+        let standing = |id| guard.standing(now, Service::fingerprint(id));
+        let is_other_suspected =
+            self.running[target].iter().any(|&other| standing(other) != Standing::Clear);
+        match standing(id) {
+            Standing::Blocked => {}
+            Standing::Suspected if is_other_suspected => {}
+            _ => self.running[target].push(id),
+        }
+    }
+
+    fn crash(&mut self, target: usize, tells: bool) {
+        self.crashes += 1;
+        let running: Vec<_> = self.running[target].drain(..).map(Service::fingerprint).collect();
+        let notes = crash(&mut self.guards[target], self.ms, &running);
+        for guard in self.guards.iter_mut().filter(|_| tells) {
+            for note in &notes {
+                guard.merge(at(self.ms), note);
+            }
+        }
+        if self.crashes == BLOCK_CRASHES {
+            let copies = self.running.iter().flatten().filter(|&&id| id == 0).count();
+            self.in_flight = Some(copies);
+        }
+    }
+
+    /// Sends `copies` at once and repeats each lost one, between other requests.
+    fn run(seed: u64, copies: usize, tells: bool) -> Service {
+        let mut service = Service {
+            guards: (0..TARGETS as u64).map(|id| CrashGuard::new(MemberId(id))).collect(),
+            running: vec![vec![]; TARGETS],
+            rng: SmallRng::seed_from_u64(seed),
+            ms: 0,
+            crashes: 0,
+            in_flight: None,
+        };
+        for target in 0..copies {
+            service.send(0, target);
+        }
+        for step in 1..400 {
+            service.ms += 20;
+            let target = service.rng.random_range(0..TARGETS);
+            let innocent = 1 + step % 20;
+            // Other callers wait for the end before they send again.
+            if !service.running.iter().flatten().any(|&id| id == innocent) {
+                service.send(innocent, target);
+            }
+            let target = service.rng.random_range(0..TARGETS);
+            if service.running[target].contains(&0) {
+                service.crash(target, tells);
+                let next = service.rng.random_range(0..TARGETS);
+                service.send(0, next);
+            } else if !service.running[target].is_empty() {
+                let id = service.running[target].remove(0);
+                let now = at(service.ms);
+                service.guards[target].completed(now, Service::fingerprint(id));
+            }
+            // The caller sends again at any time, without waiting.
+            if service.rng.random_bool(0.2) {
+                let target = service.rng.random_range(0..TARGETS);
+                service.send(0, target);
+            }
+        }
+        service
+    }
+}
+
+/// Guards against a request that takes more targets than two and those that run it already when the second
+/// crash is known, and against the refusal of innocent requests. Without news from other nodes it takes more.
+#[test_case(1; "one send at a time")]
+#[test_case(2; "two sends at once")]
+#[test_case(5; "five sends through different nodes at once")]
+fn request_takes_few_targets(copies: usize) {
+    let mut without = 0;
+    for seed in 0..100 {
+        let service = Service::run(seed, copies, true);
+        let bound = BLOCK_CRASHES + service.in_flight.unwrap_or(0);
+        assert!(service.crashes <= bound, "seed {seed}: {} > {bound}", service.crashes);
+        let now = at(service.ms);
+        for guard in &service.guards {
+            for innocent in 1..=20 {
+                let standing = guard.standing(now, Service::fingerprint(innocent));
+                assert_ne!(standing, Standing::Blocked, "seed {seed}: request {innocent}");
+            }
+        }
+        without += usize::from(Service::run(seed, copies, false).crashes > bound);
+    }
+    assert!(without > 50, "only {without} of 100 runs depend on the news");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 mod config;
 mod control;
+pub mod crash_guard;
 mod directory;
 pub mod document;
 mod driver;
