Limit the time for which cold start excuses a version

Cause: a version that never answers never leaves cold start, so none of its requests counted and it was never rolled back. A node that started also logged each rollout that had ended before. Change: cold start explains a slow answer, a timeout or shed work for 120 s. A rollout that has ended before this node looked at it is not logged. Conclusion: a version that stalls at once is rolled back.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -44,6 +44,8 @@
     pub(crate) info: membership::Member,
     pub(crate) service: ServiceKey,
     pub(crate) view: TargetView,
+    /// The time from which the target has been in cold start without a break, as far as calls have shown.
+    pub(crate) cold_since: Option<Time>,
 }
 
 /// What an announcement changed.
@@ -75,7 +77,12 @@
         }
         let service = self.service(&info.service);
         let id = info.id;
-        let key = self.members.insert(Member { info, service, view: TargetView::new() });
+        let key = self.members.insert(Member {
+            info,
+            service,
+            view: TargetView::new(),
+            cold_since: None,
+        });
         self.ids.insert(id, key);
         self.services[service].members.push(key);
         Change::Joined
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -10,7 +10,7 @@
     document::{Route, Service},
     effect::{Attempt, CallStep, Effect, Hop, Record},
     event::{CallEvent, CallHead, Failure, Timer},
-    keys::{CallKey, MemberKey, ServiceKey},
+    keys::{CallKey, MemberId, MemberKey, ServiceKey},
     load::{LoadReport, Observed},
     refusal::{Outcome, Reason, Refusal},
     retry::{Attempted, hop_time},
@@ -40,8 +40,8 @@
     pub(super) is_answered: bool,
     /// The hash of the matching route, which separates evidence about versions.
     pub(super) route: u16,
-    /// What the first attempt will show about a version, and when it was sent.
-    pub(super) sample: Option<(Sample, Time)>,
+    /// What the first attempt will show about a version, and when and to whom it was sent.
+    pub(super) sample: Option<(Sample, Time, MemberId)>,
     pub(super) crashes: CallCrashes,
 }
 
--- a/src/reducer/tests.rs
+++ b/src/reducer/tests.rs
@@ -255,6 +255,29 @@
     assert_eq!(served.contains(&MemberId(3)), !is_faulty);
 }
 
+/// Guards against a version that never answers and is excused for ever, because its targets seem to be in cold
+/// start.
+#[test]
+fn version_that_stalls_from_the_start_is_rolled_back() {
+    let mut bench = Bench::new(1, document(6_000_000));
+    bench.join(&fleet());
+    let mut stalled = Vec::new();
+    for _ in 0..300 {
+        for key in std::mem::take(&mut stalled) {
+            bench.apply(Event::Timer(Timer::CallDeadline(key)));
+        }
+        for _ in 0..4 {
+            let (key, attempt) = bench.call();
+            match attempt.expect("an attempt") {
+                attempt if attempt.member == MemberId(3) => stalled.push(key),
+                attempt => bench.answer(key, attempt.number, 200),
+            }
+        }
+        bench.pass(Duration::from_millis(500));
+    }
+    assert_eq!(bench.stage(), "rolled-back");
+}
+
 /// Guards against a node that missed the verdict: it arrives with any membership message, and a node with a
 /// seat has it recorded. One that has no document yet enforces it once the document arrives.
 #[test_case(true; "with the document")]
--- a/src/reducer/versions.rs
+++ b/src/reducer/versions.rs
@@ -1,5 +1,7 @@
 //! Decisions by version: the share of traffic that each receives, and what is observed of it.
 
+use std::time::Duration;
+
 use rand::{Rng as _, rngs::SmallRng};
 
 use crate::{
@@ -16,6 +18,10 @@
 
 use super::Reducer;
 
+/// The longest time for which cold start explains a slow answer, a timeout or shed work. A version that stalls
+/// from its first request on never leaves cold start, and has to be judged all the same.
+const COLD_EXCUSE: Duration = Duration::from_secs(120);
+
 impl Reducer {
     /// Returns the wall-clock time, or the epoch before the clock was first read; no rollout has started then.
     pub(super) fn wall_time(&self, now: Time) -> Wall {
@@ -98,22 +104,30 @@
         if call.attempts != 1 || !self.rollouts.is_moving(&call.service) {
             return;
         }
-        let Some(member) = self.directory.get(target) else { return };
+        let Some(member) = self.directory.get_mut(target) else { return };
+        member.cold_since = member.view.is_cold().then(|| member.cold_since.unwrap_or(now));
+        let is_cold = member.cold_since.is_some_and(|since| now.since(since) < COLD_EXCUSE);
         let local = member.info.centre == self.me.info.centre;
         let stratum = Stratum { route: call.route, local };
         let version = member.info.version.clone();
-        call.sample = Some((Sample { version, stratum, is_cold: member.view.is_cold() }, now));
+        call.sample = Some((Sample { version, stratum, is_cold }, now, member.info.id));
     }
 
     /// Counts what an event shows about the version of the first attempt.
     pub(super) fn observe_version(&mut self, now: Time, key: CallKey, event: &CallEvent) {
         let Some(call) = self.calls.get_mut(key) else { return };
-        let Some((_, sent)) = call.sample else { return };
+        let Some((_, sent, target)) = call.sample else { return };
         let passed = now.since(sent);
         let seen = match event {
             CallEvent::Answered { attempt: 1, status, report } => {
-                if let Some((sample, _)) = &mut call.sample {
-                    sample.is_cold |= report.is_some_and(|report| report.cold);
+                // A target can return to cold start between the request and its answer.
+                let is_cold = report.is_some_and(|report| report.cold);
+                let member = self.directory.key(target).and_then(|key| self.directory.get_mut(key));
+                if let (Some((sample, ..)), Some(member)) = (&mut call.sample, member)
+                    && is_cold
+                {
+                    let since = *member.cold_since.get_or_insert(now);
+                    sample.is_cold |= now.since(since) < COLD_EXCUSE;
                 }
                 match status {
                     503 => Seen::Shed,
@@ -148,7 +162,7 @@
     fn count_sample(&mut self, now: Time, key: CallKey, seen: Seen) {
         let wall = self.wall_time(now);
         let Some(call) = self.calls.get_mut(key) else { return };
-        let Some((sample, _)) = call.sample.take() else { return };
+        let Some((sample, ..)) = call.sample.take() else { return };
         let services = self.document.as_deref().map(|document| &document.services);
         if let Some(service) = services.and_then(|services| services.get(&call.service)) {
             self.rollouts.observe(wall, &call.service, service, &sample, seen);
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -340,7 +340,13 @@
             None => Stage::Unjudged,
         };
         if track.stage != Some(stage) {
+            // A node that starts after the end saw no change, and thousands of rollouts may be over.
+            let is_change =
+                track.stage.is_some() || !matches!(stage, Stage::Done | Stage::Unjudged);
             track.stage = Some(stage);
+            if !is_change {
+                return;
+            }
             // The share depends on all versions; `tick` adds it.
             out.push(Change::Stage(status(name, service, version, stage, 0.0)));
         }
