--- a/src/bin/poplarbarrow/main.rs
+++ b/src/bin/poplarbarrow/main.rs
@@ -10,11 +10,14 @@
 use gumdrop::Options;
 use poplarbarrow::{
     cli,
+    demo::{self, Demo, DemoError},
     operator::{self, OperatorError},
     platform::{Http, http::Limits},
+    settings::LogLevel,
 };
+use snafu::{ResultExt, Snafu};
 
-/// Checks, compares and applies the configuration document.
+/// Checks, compares and applies the configuration document, and shows the state of nodes.
 ///
 /// Example: poplarbarrow check document.json
 #[derive(Debug, Options)]
@@ -31,6 +34,9 @@
 
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "run the whole system in one process on loopback")]
+    Demo(DemoArgs),
+
     #[options(help = "check a document offline and print every problem")]
     Check(Check),
 
@@ -39,6 +45,24 @@
 
     #[options(help = "put a document in force")]
     Apply(Apply),
+
+    #[options(help = "print the state of a node")]
+    Status(Status),
+}
+
+/// Runs a platform, ten targets and their nodes in one process on loopback until Ctrl-C.
+///
+/// Example: poplarbarrow demo
+#[derive(Debug, Options)]
+struct DemoArgs {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(no_short, meta = "ADDR", help = "address for callers; 127.0.0.1:7480 if absent")]
+    listen: Option<SocketAddr>,
+
+    #[options(no_short, help = "log each event and decision to the standard error output")]
+    log: bool,
 }
 
 /// Checks a document offline and prints every problem; exits with 1 if there are any.
@@ -92,7 +116,34 @@
     submission: Option<String>,
 }
 
-#[tokio::main(flavor = "current_thread")]
+/// A command failed.
+#[derive(Debug, Snafu)]
+enum RunError {
+    #[snafu(display("{source}"))]
+    Operator { source: OperatorError },
+    #[snafu(display("{source}"))]
+    Demo { source: DemoError },
+}
+
+/// Prints the state of a node and the members that it knows.
+///
+/// Example: poplarbarrow status --node 127.0.0.1:7300
+#[derive(Debug, Options)]
+struct Status {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(meta = "ADDR", required, help = "operator address of the node")]
+    node: Option<SocketAddr>,
+
+    #[options(meta = "TOKEN", help = "token from the settings of the node")]
+    token: Option<String>,
+
+    #[options(no_short, help = "print one line of JSON")]
+    json: bool,
+}
+
+#[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = match cli::parse("poplarbarrow") {
         Ok(args) => args,
@@ -116,12 +167,35 @@
     }
 }
 
-async fn run(command: Command, out: &mut impl Write) -> Result<(), OperatorError> {
+async fn run(command: Command, out: &mut impl Write) -> Result<(), RunError> {
+    if let Command::Demo(args) = command {
+        return demo(args, out).await.context(DemoSnafu);
+    }
+    operate(command, out).await.context(OperatorSnafu)
+}
+
+async fn demo(args: DemoArgs, out: &mut impl Write) -> Result<(), DemoError> {
+    let level = if args.log { LogLevel::Info } else { LogLevel::Error };
+    let demo = Demo::start(args.listen.unwrap_or(demo::CALLERS), level).await?;
+    demo.describe(out)?;
+    let _ = out.flush();
+    // Without a handler for Ctrl-C the demo ends at once, which is what was asked for.
+    let _ = tokio::signal::ctrl_c().await;
+    demo.stop().await;
+    Ok(())
+}
+
+async fn operate(command: Command, out: &mut impl Write) -> Result<(), OperatorError> {
     match command {
+        Command::Demo(_) => Ok(()),
         Command::Check(args) => operator::check(&args.file, out),
         Command::Diff(args) => {
             operator::diff(&args.file, &client(args.platform), args.json, out).await
         }
+        Command::Status(args) => {
+            let node = args.node.expect("the option is required");
+            operator::status(node, args.token.as_deref(), args.json, out).await
+        }
         Command::Apply(args) => {
             let platform = client(args.platform);
             let expect = args.expect;
--- a/src/crash_guard.rs
+++ b/src/crash_guard.rs
@@ -71,13 +71,13 @@
     Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct Fingerprint([u8; 8]);
+pub struct RequestHash([u8; 8]);
 
-impl Fingerprint {
+impl RequestHash {
     /// Returns the fingerprint of a request: its identity if the caller gave one, else a hash of the head.
     ///
     /// The body is streamed and takes part with its length only.
-    pub fn new(service: &str, method: &Method, uri: &Uri, headers: &HeaderMap) -> Fingerprint {
+    pub fn new(service: &str, method: &Method, uri: &Uri, headers: &HeaderMap) -> RequestHash {
         let mut hasher = blake3::Hasher::new();
         let mut part = |bytes: &[u8]| {
             // The length separates the parts.
@@ -103,11 +103,11 @@
         }
         let mut bytes = [0; 8];
         hasher.finalize_xof().fill(&mut bytes);
-        Fingerprint(bytes)
+        RequestHash(bytes)
     }
 }
 
-impl fmt::Display for Fingerprint {
+impl fmt::Display for RequestHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", u64::from_be_bytes(self.0))
     }
@@ -158,7 +158,7 @@
 /// What is known of one request, as other members receive it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectNote {
-    fingerprint: Fingerprint,
+    fingerprint: RequestHash,
     crashes: Vec<CrashNote>,
 }
 
@@ -176,7 +176,7 @@
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub struct Judged {
     /// The request.
-    pub fingerprint: Fingerprint,
+    pub fingerprint: RequestHash,
     /// Whether it may run.
     pub standing: Standing,
 }
@@ -185,7 +185,7 @@
 #[derive(Copy, Clone, Debug)]
 struct Lost {
     at: Time,
-    fingerprint: Fingerprint,
+    fingerprint: RequestHash,
     was_suspected: bool,
 }
 
@@ -198,9 +198,9 @@
     crashes: u32,
     crashed: Option<Time>,
     lost: VecDeque<Lost>,
-    suspicions: BTreeMap<Fingerprint, Vec<Crash>>,
+    suspicions: BTreeMap<RequestHash, Vec<Crash>>,
     /// The request in the last note, after which the next one starts.
-    noted: Option<Fingerprint>,
+    noted: Option<RequestHash>,
 }
 
 impl CrashGuard {
@@ -217,7 +217,7 @@
     }
 
     /// Returns whether a request may run.
-    pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
+    pub fn standing(&self, now: Time, fingerprint: RequestHash) -> Standing {
         let Some(crashes) = self.suspicions.get(&fingerprint) else { return Standing::Clear };
         let counts = |crash: &&Crash| crash.ends > now && !crash.is_cleared;
         let counted = crashes.iter().filter(counts).count();
@@ -237,7 +237,7 @@
     pub fn lost(
         &mut self,
         now: Time,
-        fingerprint: Fingerprint,
+        fingerprint: RequestHash,
         was_suspected: bool,
     ) -> Option<Judged> {
         if self.crashed.is_some_and(|at| now.since(at) < CRASH_WINDOW) {
@@ -269,20 +269,20 @@
     }
 
     /// Notes that a request has completed, which clears it of all crashes so far.
-    pub fn completed(&mut self, now: Time, fingerprint: Fingerprint) -> Option<Judged> {
+    pub fn completed(&mut self, now: Time, fingerprint: RequestHash) -> Option<Judged> {
         self.change(now, fingerprint, |crashes| {
             crashes.iter_mut().for_each(|crash| crash.is_cleared = true);
         })
     }
 
-    fn suspect(&mut self, now: Time, fingerprint: Fingerprint, is_sure: bool) -> Judged {
+    fn suspect(&mut self, now: Time, fingerprint: RequestHash, is_sure: bool) -> Judged {
         let (member, number, ends) = (self.me, self.crashes, now + SUSPICION_TIME);
         let crash = Crash { member, number, is_sure, is_cleared: false, ends };
         self.add(now, fingerprint, crash);
         Judged { fingerprint, standing: self.standing(now, fingerprint) }
     }
 
-    fn add(&mut self, now: Time, fingerprint: Fingerprint, crash: Crash) {
+    fn add(&mut self, now: Time, fingerprint: RequestHash, crash: Crash) {
         if !self.suspicions.contains_key(&fingerprint) {
             self.make_room(now);
             self.suspicions.insert(fingerprint, Vec::new());
@@ -310,7 +310,7 @@
     fn change(
         &mut self,
         now: Time,
-        fingerprint: Fingerprint,
+        fingerprint: RequestHash,
         change: impl FnOnce(&mut Vec<Crash>),
     ) -> Option<Judged> {
         let before = self.standing(now, fingerprint);
@@ -344,16 +344,16 @@
     /// Returns the next notes for other members, in turn over all requests.
     pub fn notes(&mut self, now: Time, count: usize) -> Vec<SuspectNote> {
         self.expire(now);
-        let after = |f: &&Fingerprint| self.noted.is_none_or(|noted| **f > noted);
+        let after = |f: &&RequestHash| self.noted.is_none_or(|noted| **f > noted);
         let keys = self.suspicions.keys();
         let next = keys.clone().filter(after).chain(keys.filter(|f| !after(f)));
-        let next: Vec<Fingerprint> = next.take(count).copied().collect();
+        let next: Vec<RequestHash> = next.take(count).copied().collect();
         self.noted = next.last().copied();
         next.into_iter().filter_map(|fingerprint| self.note(now, fingerprint)).collect()
     }
 
     /// Returns what other members should know of a request, or `None` if there is nothing.
-    pub fn note(&self, now: Time, fingerprint: Fingerprint) -> Option<SuspectNote> {
+    pub fn note(&self, now: Time, fingerprint: RequestHash) -> Option<SuspectNote> {
         let crashes = self.suspicions.get(&fingerprint)?.iter();
         let crashes = crashes.map(|crash| CrashNote {
             member: crash.member.0.to_be_bytes(),
--- a/src/crash_guard/tests.rs
+++ b/src/crash_guard/tests.rs
@@ -7,12 +7,12 @@
     Time::from_micros(ms * 1_000)
 }
 
-fn request(path: &str, headers: &[(&'static str, &str)]) -> Fingerprint {
+fn request(path: &str, headers: &[(&'static str, &str)]) -> RequestHash {
     let mut map = HeaderMap::new();
     for (name, value) in headers {
         map.append(*name, value.parse().expect("a value"));
     }
-    Fingerprint::new("orders", &Method::POST, &path.parse().expect("a path"), &map)
+    RequestHash::new("orders", &Method::POST, &path.parse().expect("a path"), &map)
 }
 
 /// Guards against a repeated send that is not recognised, and against requests taken for each other.
@@ -61,7 +61,7 @@
 }
 
 /// One crash of a member's target with the given requests in progress, none of which was suspected before.
-fn crash(guard: &mut CrashGuard, ms: u64, running: &[Fingerprint]) -> Vec<SuspectNote> {
+fn crash(guard: &mut CrashGuard, ms: u64, running: &[RequestHash]) -> Vec<SuspectNote> {
     for &fingerprint in running {
         guard.lost(at(ms), fingerprint, false);
     }
@@ -174,7 +174,7 @@
 const TARGETS: usize = 8;
 
 impl Service {
-    fn fingerprint(id: usize) -> Fingerprint {
+    fn fingerprint(id: usize) -> RequestHash {
         request(&format!("/{id}"), &[])
     }
 
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -46,6 +46,8 @@
     pub(crate) view: TargetView,
     /// The time from which the target has been in cold start without a break, as far as calls have shown.
     pub(crate) cold_since: Option<Time>,
+    /// Whether a probe is in progress.
+    pub(crate) is_probing: bool,
 }
 
 /// What an announcement changed.
@@ -82,6 +84,7 @@
             service,
             view: TargetView::new(),
             cold_since: None,
+            is_probing: false,
         });
         self.ids.insert(id, key);
         self.services[service].members.push(key);
@@ -159,6 +162,13 @@
         }
     }
 
+    /// Returns whether a member is ejected because its requests failed.
+    pub(crate) fn is_ejected(&self, now: Time, id: MemberId) -> bool {
+        let Some(key) = self.key(id) else { return false };
+        let group = self.members.get(key).and_then(|member| self.services.get(member.service));
+        group.is_some_and(|group| group.ejector.is_ejected(now, key))
+    }
+
     /// Returns a member unless it is gone.
     pub(crate) fn get(&self, key: MemberKey) -> Option<&Member> {
         self.members.get(key)
--- a/src/document.rs
+++ b/src/document.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 pub mod diff;
-mod read;
+pub(crate) mod read;
 pub mod validate;
 
 /// The operators' document.
@@ -72,7 +72,7 @@
             deadline_ms: 2_000,
             retry_percent: 10,
             eject_percent: 34,
-            hedge: false,
+            hedge: true,
         }
     }
 }
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -16,14 +16,16 @@
 };
 
 use crate::{
-    effect::{CallStep, Effect, WorkStep},
+    effect::{CallStep, ClaimIo, Effect, WorkStep},
     event::{CallEvent, Event, WorkEvent},
     gossip,
+    identity::{Handover, Identity},
     keys::{CallKey, MemberId, WorkKey},
     load::LoadReport,
     logging,
     metrics::Metrics,
     peer::Peers,
+    probe::Probe,
     reducer::Reducer,
     tell::Tell,
     time::Time,
@@ -48,6 +50,9 @@
 pub(crate) struct Outlets {
     pub(crate) gossip: gossip::Sender,
     pub(crate) pulls: mpsc::UnboundedSender<Pull>,
+    pub(crate) probes: mpsc::UnboundedSender<Probe>,
+    pub(crate) claims: mpsc::UnboundedSender<(CallKey, ClaimIo)>,
+    pub(crate) handovers: mpsc::UnboundedSender<HandOver>,
     pub(crate) seat: watch::Sender<Option<usize>>,
     pub(crate) verdicts: mpsc::UnboundedSender<Task>,
     pub(crate) tell: mpsc::UnboundedSender<Tell>,
@@ -62,6 +67,14 @@
     pub(crate) control: SocketAddr,
 }
 
+/// A hand-over of outcomes to another member.
+#[derive(Clone, Debug)]
+pub(crate) struct HandOver {
+    pub(crate) to: MemberId,
+    pub(crate) control: SocketAddr,
+    pub(crate) handover: Handover,
+}
+
 struct Core {
     reducer: Reducer,
     outlets: Option<Outlets>,
@@ -146,6 +159,17 @@
         self.lock().reducer.report_load(now)
     }
 
+    /// Issues an identity for a caller.
+    pub(crate) fn issue_identity(&self) -> Identity {
+        self.lock().reducer.issue_identity()
+    }
+
+    /// Takes over the outcomes of a member that leaves; returns whether they were accepted.
+    pub(crate) fn import(&self, handover: Handover) -> bool {
+        let now = self.now();
+        self.lock().reducer.import(now, handover)
+    }
+
     /// Reads the state of the reducer.
     pub(crate) fn inspect<T>(&self, read: impl FnOnce(&Reducer) -> T) -> T {
         read(&self.lock().reducer)
@@ -220,6 +244,15 @@
                 // The receiver ends with the node.
                 let _ = self.pulls.send(Pull { from, control });
             }
+            Effect::Claim { call, io } => {
+                let _ = self.claims.send((call, io));
+            }
+            Effect::HandOver { to, control, handover } => {
+                let _ = self.handovers.send(HandOver { to, control, handover: *handover });
+            }
+            Effect::Probe { to, peer } => {
+                let _ = self.probes.send(Probe { to, peer });
+            }
             Effect::Forget(peer) => self.peers.forget(peer),
             Effect::Seat(seat) => {
                 self.seat.send_replace(seat);
--- a/src/identity/tests.rs
+++ b/src/identity/tests.rs
@@ -47,6 +47,18 @@
     assert_eq!(matches!(presented, Presented::Issued(i) if i.to_string() == text), issued);
 }
 
+// Guards against a header that is read as another tag than the one sent.
+#[test]
+fn tag_text() {
+    let tag = AttemptTag { identity: id(ME, 12), attempt: 2, sequence: 345, destination: TARGET };
+    assert_eq!(tag.to_string().parse(), Ok(tag));
+    assert_eq!(tag.stamp().to_string().parse(), Ok(tag.stamp()));
+    for bad in ["", "1;2;3", &format!("{tag};4"), &format!("{tag}x")] {
+        assert_eq!(bad.parse::<AttemptTag>(), Err(ParseTagError));
+        assert_eq!(bad.parse::<Stamp>(), Err(ParseTagError));
+    }
+}
+
 // Guards against unbounded or unprintable keys, and against one key shared by two services.
 #[test]
 fn key_text() {
@@ -272,6 +284,14 @@
     owner.claimed(at(0), key, id(ME, 9));
     assert_eq!(owner.claimed_identity(at(600), key), Some(identity));
     assert_eq!(owner.claimed_identity(at(601), key), None);
+    let keys: Vec<_> =
+        (0..=MAX_KEYS).map(|n| Key::new("orders", &n.to_string()).unwrap()).collect();
+    for key in &keys {
+        let identity = owner.issue();
+        owner.claimed(at(601), *key, identity);
+    }
+    assert_eq!(owner.claimed_identity(at(601), keys[0]), None);
+    assert!(owner.claimed_identity(at(601), keys[1]).is_some());
 }
 
 // Guards against a table whose memory exceeds a quarter of the 32 MB of a node.
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -6,14 +6,16 @@
 mod calls;
 mod crashes;
 mod exchange;
+mod identities;
 mod members;
+mod status;
 mod versions;
 mod works;
 
 #[cfg(test)]
 mod tests;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SecondaryMap;
@@ -25,6 +27,7 @@
     document::{Budgets, Document},
     effect::{Effect, Record},
     event::{Event, Timer},
+    identity::{ClaimBudget, ClaimEvent, Owner, Receipts},
     keys::{CallKey, WorkKey},
     load::MeasureBudget,
     membership::{self, Member, Membership},
@@ -33,6 +36,8 @@
     time::{Time, Wall},
 };
 
+pub(crate) use self::identities::Presentation;
+
 use self::{calls::Call, members::Pull, works::Work};
 
 /// The interval of periodic work.
@@ -42,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Me {
     pub(crate) info: Member,
+    /// The wall clock at the start; sequence numbers begin there.
+    pub(crate) started: Wall,
     pub(crate) slots: u16,
     /// Gossip addresses from the settings, for starts while the platform is down.
     pub(crate) contacts: Vec<SocketAddr>,
@@ -65,9 +72,16 @@
     guard: CrashGuard,
     /// Whether the payload of membership messages is to be replaced.
     is_payload_sent: bool,
+    /// The time at which the document came into force here.
+    revised: Option<Time>,
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
     gate: Gate,
+    owner: Owner,
+    receipts: Receipts,
+    claim_budget: ClaimBudget,
+    has_handed_over: bool,
+    is_handing_over: bool,
     measure: MeasureBudget,
     is_target_up: bool,
     is_stopping: bool,
@@ -83,6 +97,7 @@
         directory.upsert(me.info.clone());
         let guard = CrashGuard::new(me.info.id);
         let rollouts = Rollouts::new(me.info.id);
+        let owner = Owner::new(me.info.id, me.started.as_millis().saturating_mul(1_000));
         let gate = Gate::new(me.slots, Time::ZERO);
         let membership = Membership::new(me.info.clone(), membership::Settings::default(), seed);
         Reducer {
@@ -99,9 +114,15 @@
             rollouts,
             guard,
             is_payload_sent: true,
+            revised: None,
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
             gate,
+            owner,
+            receipts: Receipts::new(),
+            claim_budget: ClaimBudget::new(Budgets::default().claim_rate, 1),
+            has_handed_over: false,
+            is_handing_over: false,
             measure: MeasureBudget::new(&Budgets::default(), Time::ZERO),
             // Until a connection fails, requests may try the target; a failed connection proves "not run".
             is_target_up: true,
@@ -132,8 +153,10 @@
             Event::Call(key, event) => self.apply_call(now, key, event, out),
             Event::Work(key, event) => self.apply_work(now, key, event, out),
             Event::Gossip(from, message) => self.gossip(now, from, *message, out),
+            Event::Probed { member, report } => self.probed(now, member, report),
             Event::Contacts(contacts) => self.contacts(now, &contacts, out),
             Event::PullEnded => self.pull_ended(),
+            Event::HandedOver => self.is_handing_over = false,
             Event::Document { revision, document } => {
                 self.set_document(now, revision, document, out);
             }
@@ -158,11 +181,17 @@
             return;
         }
         self.revision = revision;
+        self.revised = Some(now);
         self.membership.set_revision(revision);
         self.measure.set(&document.budgets, now);
         self.rollouts.set_document(revision, &document);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
+        let was_out = self.is_centre_out();
         self.document = Some(document);
+        if was_out && !self.is_centre_out() {
+            // Caches and connections of a target without work are cold, so its share returns step by step.
+            self.gate.chill(now);
+        }
     }
 
     fn set_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Effect>) {
@@ -179,12 +208,16 @@
     fn expire(&mut self, now: Time, timer: Timer, out: &mut Vec<Effect>) {
         match timer {
             Timer::CallDeadline(key) => self.call_deadline(now, key, out),
+            Timer::ClaimWrite(key) => self.write_claim(key, out),
+            Timer::ClaimTimeout(key) => self.claim_result(now, key, ClaimEvent::Timeout, out),
             Timer::Hedge(key) => self.hedge(now, key, out),
             Timer::Tick => {
                 let next = self.gate.tick(now);
                 self.advance_queue(next, out);
                 self.tick_rollouts(now, out);
                 self.tick_members(now, out);
+                self.owner.sweep(now);
+                self.share_claims();
                 self.check_stopped(out);
                 out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
             }
@@ -198,6 +231,7 @@
         }
         self.is_stopping = true;
         self.gate.drain();
+        self.owner.leave();
         self.me.info.leaving = true;
         self.directory.upsert(self.me.info.clone());
         self.announce_leave(now, out);
@@ -205,10 +239,18 @@
         out.push(Effect::Arm { timer: Timer::StopDeadline, after: self.me.drain });
     }
 
+    /// Divides the fleet's claims among the nodes, of which this node knows those of its own region.
+    fn share_claims(&mut self) {
+        let Some(document) = &self.document else { return };
+        let regions: BTreeSet<_> = document.centres.values().map(|centre| &centre.region).collect();
+        let nodes = self.membership.group() * regions.len().max(1);
+        self.claim_budget.set_rate(document.budgets.claim_rate, nodes as u64);
+    }
+
     fn check_stopped(&mut self, out: &mut Vec<Effect>) {
         let is_idle = self.calls.is_empty() && self.works.is_empty();
         let has_told = self.membership.has_left() || self.membership.group() <= 1;
-        if self.is_stopping && is_idle && has_told {
+        if self.is_stopping && is_idle && has_told && self.hand_over(out) {
             self.exit("idle", out);
         }
     }
--- a/src/reducer/crashes.rs
+++ b/src/reducer/crashes.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     body::End,
-    crash_guard::{BLOCK_CRASHES, Fingerprint, Judged, Standing, SuspectNote},
+    crash_guard::{BLOCK_CRASHES, Judged, RequestHash, Standing, SuspectNote},
     effect::{Effect, Record, WorkStep},
     event::{CallEvent, Failure, WorkEvent, WorkHead},
     keys::{CallKey, MemberId, WorkKey},
@@ -24,13 +24,13 @@
 /// What the entry node knows about crashes by one request.
 #[derive(Copy, Clone, Debug)]
 pub(super) struct CallCrashes {
-    fingerprint: Fingerprint,
+    fingerprint: RequestHash,
     /// The attempts of this send whose answer was lost.
     lost: usize,
 }
 
 impl CallCrashes {
-    pub(super) fn new(fingerprint: Fingerprint) -> CallCrashes {
+    pub(super) fn new(fingerprint: RequestHash) -> CallCrashes {
         CallCrashes { fingerprint, lost: 0 }
     }
 }
@@ -71,8 +71,8 @@
     /// for another is refused as overload, which another target may take.
     pub(super) fn refuse_suspect(&self, now: Time, head: &WorkHead) -> Option<Refusal> {
         let standing = |fingerprint| self.guard.standing(now, fingerprint);
-        let is_suspected = |work: &super::Work| standing(work.fingerprint) != Standing::Clear;
-        match standing(head.fingerprint) {
+        let is_suspected = |work: &super::Work| standing(work.hash) != Standing::Clear;
+        match standing(head.hash) {
             Standing::Blocked => Some(Refusal::not_run(Reason::CrashSuspect)),
             Standing::Suspected if self.works.values().any(is_suspected) => {
                 Some(Refusal::not_run(Reason::Overloaded))
@@ -90,7 +90,7 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(work) = self.works.get(key) else { return };
-        let (fingerprint, was_suspected) = (work.fingerprint, work.is_suspected);
+        let (fingerprint, was_suspected) = (work.hash, work.is_suspected);
         let judged = match (event, work.status) {
             (WorkEvent::Failed(Failure::Lost), _) | (WorkEvent::Ended(End::Cut), Some(_)) => {
                 self.guard.lost(now, fingerprint, was_suspected)
@@ -154,7 +154,7 @@
     /// Refuses requests that wait for the target and have been found to crash targets.
     fn refuse_blocked(&mut self, now: Time, out: &mut Vec<Effect>) {
         let is_blocked = |work: &super::Work| {
-            !work.is_running && self.guard.standing(now, work.fingerprint) == Standing::Blocked
+            !work.is_running && self.guard.standing(now, work.hash) == Standing::Blocked
         };
         let blocked = self.works.iter().filter(|(_, work)| is_blocked(work));
         let blocked: Vec<WorkKey> = blocked.map(|(key, _)| key).collect();
--- a/src/reducer/members.rs
+++ b/src/reducer/members.rs
@@ -81,7 +81,7 @@
             match output {
                 Output::Send { to, message } => {
                     self.is_payload_sent = true;
-                    out.push(Effect::Send { to, message: Box::new(message) })
+                    out.push(Effect::Send { to, message: Box::new(message) });
                 }
                 Output::Joined(member) | Output::Changed(member) => self.member_seen(member, out),
                 Output::Lost { id, reason } => self.member_lost(id, reason, out),
@@ -94,10 +94,10 @@
                     self.payload_received(now, from, &payload, out);
                 }
                 Output::Synced => {
-                    out.push(Effect::Log(Record::Synced { members: self.membership.group() }))
+                    out.push(Effect::Log(Record::Synced { members: self.membership.group() }));
                 }
                 Output::TableFull { refused } => {
-                    out.push(Effect::Log(Record::TableFull { refused }))
+                    out.push(Effect::Log(Record::TableFull { refused }));
                 }
             }
         }
--- a/src/reducer/tests.rs
+++ b/src/reducer/tests.rs
@@ -7,10 +7,11 @@
 
 use super::*;
 use crate::{
-    crash_guard::{Fingerprint, SuspectNote},
+    crash_guard::{RequestHash, SuspectNote},
     document::{Centre, CentreState, Route, Service, Version},
     effect::{CallStep, WorkStep},
     event::{CallEvent, CallHead, Failure, WorkEvent, WorkHead},
+    identity::Fingerprint,
     keys::MemberId,
     membership::{Body, Message, Source, Update},
     refusal::{Reason, Refusal},
@@ -54,6 +55,7 @@
             slots: 12,
             contacts: vec![],
             drain: Duration::from_secs(1),
+            started: Wall::from_millis(START),
         };
         let mut bench = Bench {
             reducer: Reducer::new(me, id),
@@ -113,7 +115,9 @@
             path: "/stock".into(),
             timeout: None,
             depth: 0,
-            fingerprint: Fingerprint::default(),
+            fingerprint: Fingerprint::new("catalogue", "GET", "/stock", None),
+            presentation: Presentation { identity: None, relay: None },
+            hash: RequestHash::default(),
         };
         self.apply(Event::Call(key, CallEvent::Arrived(head)));
         (key, self.last_attempt(key))
@@ -339,7 +343,8 @@
         path: "/".into(),
         from: MemberId(2),
         timeout: Duration::from_secs(1),
-        fingerprint: Fingerprint::new("catalogue", &Method::GET, &uri, &headers),
+        tag: None,
+        hash: RequestHash::new("catalogue", &Method::GET, &uri, &headers),
     }
 }
 
--- a/src/reducer/versions.rs
+++ b/src/reducer/versions.rs
@@ -149,7 +149,11 @@
                 call.sample = None;
                 return;
             }
-            CallEvent::Arrived(_) | CallEvent::Refused { .. } | CallEvent::Failed { .. } => return,
+            CallEvent::Arrived(_)
+            | CallEvent::Refused { .. }
+            | CallEvent::Failed { .. }
+            | CallEvent::Claim(_)
+            | CallEvent::Kept(_) => return,
         };
         self.count_sample(now, key, seen);
     }
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -3,10 +3,11 @@
 use crate::{
     admission::{Decision, Finish, Next},
     body::End,
-    crash_guard::{Fingerprint, Standing},
+    crash_guard::{RequestHash, Standing},
     document::CentreState,
     effect::{Effect, Record, WorkStep},
     event::{WorkEvent, WorkHead},
+    identity::Accept,
     keys::WorkKey,
     load::{LoadReport, Measure},
     refusal::{Reason, Refusal},
@@ -19,7 +20,7 @@
 #[derive(Debug)]
 pub(super) struct Work {
     pub(super) status: Option<u16>,
-    pub(super) fingerprint: Fingerprint,
+    pub(super) hash: RequestHash,
     /// Whether the request was suspected of crashing targets when it was admitted.
     pub(super) is_suspected: bool,
     /// Whether the request was sent to the target; otherwise it waits.
@@ -42,11 +43,22 @@
                     work.status = Some(status);
                 }
             }
-            WorkEvent::Failed(_) => self.work_finished(now, key, Finish::Failure, out),
+            WorkEvent::Failed(failure) => {
+                out.push(Effect::Log(Record::TargetFailed {
+                    work: key,
+                    failure: failure.as_str(),
+                }));
+                self.work_finished(now, key, Finish::Failure, out);
+            }
             WorkEvent::Ended(end) => self.work_ended(now, key, end, out),
         }
     }
 
+    /// Returns the load report for the answer to a probe.
+    pub(crate) fn load_report(&self) -> LoadReport {
+        self.gate.report()
+    }
+
     /// Returns the load report for an answer, or `None` if the measuring budget is spent.
     pub(crate) fn report_load(&mut self, now: Time) -> Option<LoadReport> {
         let report = self.gate.report();
@@ -54,10 +66,21 @@
     }
 
     fn work_arrived(&mut self, now: Time, key: WorkKey, head: &WorkHead, out: &mut Vec<Effect>) {
-        let refusal = self.refuse_work(head).or_else(|| self.refuse_suspect(now, head));
-        let fingerprint = head.fingerprint;
-        let is_suspected = self.guard.standing(now, fingerprint) != Standing::Clear;
-        let work = |is_running| Work { status: None, fingerprint, is_suspected, is_running };
+        // The receipt is recorded before anything else is decided, so that a duplicate of an attempt that is
+        // refused now does not run later.
+        let receipt = head.tag.map(|tag| self.receipts.accept(tag.stamp(), self.me.info.id));
+        let refusal = match receipt {
+            None | Some(Accept::Run) => {
+                self.refuse_work(head).or_else(|| self.refuse_suspect(now, head))
+            }
+            Some(Accept::Duplicate) => Some(Refusal::unknown(Reason::InProgress)),
+            Some(Accept::WrongMember | Accept::BelowFloor) => {
+                Some(Refusal::unknown(Reason::AnswerLost))
+            }
+        };
+        let hash = head.hash;
+        let is_suspected = self.guard.standing(now, hash) != Standing::Clear;
+        let work = |is_running| Work { status: None, hash, is_suspected, is_running };
         let decision = match refusal {
             Some(refusal) => Decision::Refuse(refusal),
             None => self.gate.arrive(now, key, now + head.timeout),
@@ -66,6 +89,7 @@
         out.push(Effect::Log(Record::Admit {
             work: key,
             from: head.from,
+            path: head.path.clone(),
             decision: match decision {
                 Decision::Run => "run",
                 Decision::Queue => "queue",
@@ -102,7 +126,7 @@
     /// Returns whether operators have taken this data centre out of service.
     ///
     /// Checked here as well as by the choosing node, which may not have the document yet.
-    fn is_centre_out(&self) -> bool {
+    pub(super) fn is_centre_out(&self) -> bool {
         let centre = self.document.as_ref().and_then(|d| d.centres.get(&self.me.info.centre));
         centre.is_some_and(|centre| centre.state == CentreState::Out)
     }
