--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -9,7 +9,6 @@
 };
 
 use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
 
 use crate::{
     document::{Document, Route, Service, Version},
@@ -21,6 +20,7 @@
 pub mod judge;
 mod note;
 mod share;
+mod state;
 
 #[cfg(test)]
 mod tests;
@@ -29,6 +29,7 @@
 pub use judge::{FALSE_ALARM, Finding, MIN_SAMPLES, Measure, Part};
 pub use note::{EvidenceNote, VerdictNote};
 pub use share::{FIRST_SHARE, draw, shares};
+pub use state::{Change, Sample, Stage, Status, Subject, Verdict, VerdictRecord};
 
 use evidence::{Evidence, Scale, Tally};
 use judge::{MEASURES, Opinion};
@@ -43,129 +44,6 @@
 /// The most verdicts held; one for nearly every service within two years.
 pub const MAX_VERDICTS: usize = 4_096;
 
-/// Identifies one scheduled rollout: a hash of the service, the version and its times.
-///
-/// The revision of the document is not part of it, because the document has 53,000 revisions a day; a verdict
-/// that ended with the next one would let a faulty version back in within two seconds. A new schedule for the
-/// version makes a new subject, for which no verdict is in force.
-#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Subject([u8; 8]);
-
-impl Subject {
-    /// Returns the subject of a version in the document.
-    pub fn new(service: &str, version: &Version) -> Subject {
-        let mut hasher = blake3::Hasher::new();
-        for text in [service, &version.name] {
-            // The length separates the parts.
-            hasher.update(&(text.len() as u64).to_be_bytes());
-            hasher.update(text.as_bytes());
-        }
-        hasher.update(&version.start_ms.to_be_bytes());
-        hasher.update(&version.end_ms.to_be_bytes());
-        let mut bytes = [0; 8];
-        hasher.finalize_xof().fill(&mut bytes);
-        Subject(bytes)
-    }
-}
-
-/// The decision that a version receives no more traffic.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub struct Verdict {
-    /// The rollout that failed.
-    pub subject: Subject,
-    /// The revision of the document in force where the verdict was reached.
-    pub revision: u64,
-    /// The evidence.
-    pub finding: Finding,
-}
-
-/// A verdict in the form that the platform stores.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VerdictRecord {
-    /// The service.
-    pub service: CompactString,
-    /// The version that was rolled back, with the schedule that failed.
-    pub version: Version,
-    /// The revision of the document in force where the verdict was reached.
-    pub revision: u64,
-    /// The prefix of the route that showed the fault; none for all routes together.
-    pub route: Option<CompactString>,
-    /// The evidence.
-    pub finding: Finding,
-}
-
-impl VerdictRecord {
-    /// Returns the verdict that is recorded.
-    pub fn verdict(&self) -> Verdict {
-        let subject = Subject::new(&self.service, &self.version);
-        Verdict { subject, revision: self.revision, finding: self.finding }
-    }
-}
-
-/// How far a rollout is.
-#[derive(Copy, Clone, Debug, PartialEq)]
-pub enum Stage {
-    /// The start lies in the future.
-    Scheduled,
-    /// The share rises.
-    Moving,
-    /// The version has its full share, and was compared with the old one on the way.
-    Done,
-    /// The version has its full share, but this node knew of too little traffic for a comparison.
-    Unjudged,
-    /// The version was found to be faulty and has no share.
-    RolledBack(Finding),
-}
-
-impl Stage {
-    /// Returns the name used in logs.
-    pub const fn as_str(&self) -> &'static str {
-        match self {
-            Stage::Scheduled => "scheduled",
-            Stage::Moving => "moving",
-            Stage::Done => "done",
-            Stage::Unjudged => "unjudged",
-            Stage::RolledBack(_) => "rolled-back",
-        }
-    }
-}
-
-/// The state of one rollout.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Status {
-    /// The service.
-    pub service: CompactString,
-    /// The version.
-    pub version: CompactString,
-    /// How far the rollout is.
-    pub stage: Stage,
-    /// The share of traffic by schedule and verdicts, from 0 to 1.
-    pub share: f64,
-    /// The prefix of the route that showed the fault.
-    pub route: Option<CompactString>,
-}
-
-/// Something that the driver of this module makes known.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Change {
-    /// A rollout has come to another stage.
-    Stage(Status),
-    /// This node has reached a verdict.
-    Verdict(VerdictRecord),
-}
-
-/// What is known of a first attempt when it is sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Sample {
-    /// The version of the target.
-    pub version: CompactString,
-    /// What the attempt is comparable with.
-    pub stratum: Stratum,
-    /// Whether the target is in cold start.
-    pub is_cold: bool,
-}
-
 /// One version of a service in the document.
 #[derive(Clone, Debug)]
 struct Track {
