--- a/src/directory.rs
+++ b/src/directory.rs
@@ -44,6 +44,8 @@
     pub(crate) info: membership::Member,
     pub(crate) service: ServiceKey,
     pub(crate) view: TargetView,
+    /// The time from which the target has been in cold start without a break, as far as calls have shown.
+    pub(crate) cold_since: Option<Time>,
     /// Whether a probe is in progress.
     pub(crate) is_probing: bool,
 }
@@ -81,6 +83,7 @@
             info,
             service,
             view: TargetView::new(),
+            cold_since: None,
             is_probing: false,
         });
         self.ids.insert(id, key);
@@ -118,6 +121,11 @@
         self.members.values()
     }
 
+    /// Iterates over the members of one service.
+    pub(crate) fn members_of(&self, service: ServiceKey) -> impl Iterator<Item = &Member> {
+        self.services[service].members.iter().filter_map(|&key| self.members.get(key))
+    }
+
     /// Chooses a target of a service; `state` says which members may receive work.
     pub(crate) fn choose(
         &mut self,
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -27,8 +27,10 @@
     peer::Peers,
     probe::Probe,
     reducer::Reducer,
+    tell::Tell,
     time::Time,
     timer::Timers,
+    verdicts::Task,
 };
 
 /// The largest number of requests that a node handles at the same time, as entry node and as target's node each.
@@ -52,6 +54,8 @@
     pub(crate) claims: mpsc::UnboundedSender<(CallKey, ClaimIo)>,
     pub(crate) handovers: mpsc::UnboundedSender<HandOver>,
     pub(crate) seat: watch::Sender<Option<usize>>,
+    pub(crate) verdicts: mpsc::UnboundedSender<Task>,
+    pub(crate) tell: mpsc::UnboundedSender<Tell>,
     pub(crate) peers: Peers,
     pub(crate) timers: Timers,
 }
@@ -253,6 +257,15 @@
             Effect::Seat(seat) => {
                 self.seat.send_replace(seat);
             }
+            Effect::RecordVerdict(record) => {
+                let _ = self.verdicts.send(Task::Record(record));
+            }
+            Effect::DropVerdict(record) => {
+                let _ = self.verdicts.send(Task::Drop(record));
+            }
+            Effect::Tell { to, notes } => {
+                let _ = self.tell.send(Tell { to, notes });
+            }
             Effect::Arm { timer, after } => self.timers.arm(timer, after),
             Effect::Call(..) | Effect::Work(..) | Effect::Log(_) | Effect::Exit => {}
         }
--- a/src/event.rs
+++ b/src/event.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     body::End,
+    crash_guard::{RequestHash, SuspectNote},
     document::Document,
     identity::{Answer, AttemptTag, ClaimEvent, Fingerprint},
     keys::{CallKey, MemberId, WorkKey},
@@ -15,6 +16,7 @@
     pool::Reach,
     reducer::Presentation,
     refusal::Refusal,
+    rollout::VerdictRecord,
     seat::Contact,
     time::Wall,
 };
@@ -38,6 +40,10 @@
     HandedOver,
     /// A document came into force.
     Document { revision: u64, document: Arc<Document> },
+    /// Verdicts on versions were read from the platform.
+    Verdicts(Vec<VerdictRecord>),
+    /// Another member told of requests that may crash targets.
+    Suspects(Vec<SuspectNote>),
     /// The target became reachable or unreachable.
     Target(Reach),
     /// A timer that the reducer set has expired.
@@ -101,6 +107,8 @@
     pub(crate) depth: u32,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) presentation: Presentation,
+    /// What the crash guard knows the request by.
+    pub(crate) hash: RequestHash,
 }
 
 /// A step of a request at the target's node.
@@ -127,6 +135,8 @@
     pub(crate) tag: Option<AttemptTag>,
     /// The time that the entry node still waits.
     pub(crate) timeout: Duration,
+    /// What the crash guard knows the request by.
+    pub(crate) hash: RequestHash,
 }
 
 /// A timer that the reducer sets; an expired timer of a request that is gone is ignored.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -58,6 +58,9 @@
             Record::Seat { .. } => "seats.changed",
             Record::Pull { .. } => "documents.pulled",
             Record::Document { .. } => "documents",
+            Record::Rollout { stage: "rolled-back", .. } => "rollouts.rolled_back",
+            Record::Rollout { .. } => "rollouts.changed",
+            Record::Suspect(_) => "suspects.changed",
             Record::Target { .. } => "targets.changed",
             Record::Stop { .. } => "stops",
         };
