Report dropped datagrams and the cost of measuring load

Cause: dropped datagrams were counted but never shown, and the spending of the measuring budget was visible in the status page only. Conclusion: a wrong key or address range, and a spent budget, now show in the log.

--- a/src/effect.rs
+++ b/src/effect.rs
@@ -156,6 +156,8 @@
     Seat { seat: Option<usize> },
     /// A newer document is pulled from a member.
     Pull { from: MemberId, revision: u64 },
+    /// What measuring load has cost since the start.
+    Measured { bytes: u64, reports: u64, probes: u64, denied: u64 },
     /// A document came into force.
     Document { revision: u64, services: usize },
     /// A rollout came to another stage.
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -69,6 +69,8 @@
         Record::Pull { from, revision } => {
             info!(log, "pull"; "from" => %from, "revision" => revision);
         }
+        Record::Measured { bytes, reports, probes, denied } => info!(log, "measured";
+            "bytes" => bytes, "reports" => reports, "probes" => probes, "denied" => denied),
         Record::Document { revision, services } => info!(log, "document";
             "revision" => revision, "services" => services),
         Record::Rollout { service, version, stage, share, finding: None } => info!(log, "rollout";
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,7 +8,7 @@
 };
 
 use cadence::{
-    Counted, Histogrammed, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink,
+    Counted, Gauged, Histogrammed, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink,
 };
 
 use crate::effect::Record;
@@ -57,6 +57,7 @@
             Record::TableFull { .. } => "members.table_full",
             Record::Seat { .. } => "seats.changed",
             Record::Pull { .. } => "documents.pulled",
+            Record::Measured { bytes, .. } => return self.spent(*bytes),
             Record::Document { .. } => "documents",
             Record::Rollout { stage: "rolled-back", .. } => "rollouts.rolled_back",
             Record::Rollout { .. } => "rollouts.changed",
@@ -68,6 +69,13 @@
         let _ = self.client.count(name, 1);
     }
 
+    /// Counts datagrams that were dropped.
+    pub(crate) fn dropped(&self, kind: &str, count: u64) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        let _ =
+            self.client.count_with_tags("gossip.dropped", count).with_tag("kind", kind).try_send();
+    }
+
     /// Records the time that this node took to hand a request on to its target's node.
     pub(crate) fn handed_on(&self, elapsed: Duration) {
         let _ = self.client.histogram("call.request_us", micros(elapsed));
@@ -78,6 +86,10 @@
         let _ = self.client.histogram("call.answer_us", micros(elapsed));
     }
 
+    fn spent(&self, bytes: u64) {
+        let _ = self.client.gauge("measure.bytes", bytes);
+    }
+
     fn count_refusal(&self, reason: &str) {
         let _ = self.client.count_with_tags("refusals", 1).with_tag("reason", reason).try_send();
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -30,7 +30,7 @@
     driver::{Driver, HandOver, Outlets, Pull},
     egress::Egress,
     event::Event,
-    gossip,
+    gossip::{self, DropKind},
     ingress::Ingress,
     keys::MemberId,
     membership::{Member, Message, Source},
@@ -57,6 +57,9 @@
 /// Messages about requests that may crash targets that may wait for the reducer.
 const MAX_TOLD: usize = 64;
 
+/// The interval at which counts of dropped datagrams are reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
 /// A node cannot start.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -182,6 +185,7 @@
         tasks.spawn(pool.clone().keep_warm());
         tasks.spawn(forward(reached, driver.clone()));
         tasks.spawn(receive(gossip.messages, driver.clone()));
+        tasks.spawn(report_drops(gossip.counters, driver.clone()));
         tasks.spawn(read_clock(driver.clone()));
         tasks.spawn(hear(told, driver.clone()));
         let (tell, news) = mpsc::unbounded_channel();
@@ -409,6 +413,24 @@
     }
 }
 
+/// Logs and counts datagrams that were dropped; the decoder itself must not, because anybody can send datagrams.
+async fn report_drops(counters: Arc<gossip::Counters>, driver: Arc<Driver>) {
+    let mut reported = [0; DropKind::ALL.len()];
+    let mut interval = time::interval(REPORT_INTERVAL);
+    loop {
+        interval.tick().await;
+        for (kind, reported) in DropKind::ALL.into_iter().zip(&mut reported) {
+            let total = counters.dropped(kind);
+            if total > *reported {
+                let new = total - *reported;
+                slog::warn!(driver.log(), "gossip-dropped"; "kind" => kind.name(), "new" => new, "total" => total);
+                driver.metrics().dropped(kind.name(), new);
+                *reported = total;
+            }
+        }
+    }
+}
+
 async fn receive(mut messages: mpsc::Receiver<(Source, Message)>, driver: Arc<Driver>) {
     while let Some((from, message)) = messages.recv().await {
         driver.dispatch(Event::Gossip(from, Box::new(message)));
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -43,6 +43,9 @@
 /// The interval of periodic work.
 const TICK: Duration = Duration::from_millis(100);
 
+/// The interval at which the cost of measuring load is logged.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
 /// What a node knows about itself.
 #[derive(Clone, Debug)]
 pub(crate) struct Me {
@@ -64,6 +67,9 @@
     membership: Membership,
     has_joined: bool,
     next_seat: Time,
+    next_report: Time,
+    /// The bytes spent on measuring load at the last report.
+    reported: u64,
     seat: Option<usize>,
     pull: Option<Pull>,
     document: Option<Arc<Document>>,
@@ -107,6 +113,8 @@
             membership,
             has_joined: false,
             next_seat: Time::ZERO,
+            next_report: Time::ZERO,
+            reported: 0,
             seat: None,
             pull: None,
             document: None,
@@ -218,6 +226,7 @@
                 self.tick_members(now, out);
                 self.owner.sweep(now);
                 self.share_claims();
+                self.report_measuring(now, out);
                 self.check_stopped(out);
                 out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
             }
@@ -247,6 +256,22 @@
         self.claim_budget.set_rate(document.budgets.claim_rate, nodes as u64);
     }
 
+    /// Logs what measuring load has cost, at a low rate and only if it changed.
+    fn report_measuring(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let counts = self.measure.counts();
+        if now < self.next_report || counts.bytes == self.reported {
+            return;
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        self.reported = counts.bytes;
+        out.push(Effect::Log(Record::Measured {
+            bytes: counts.bytes,
+            reports: counts.reports,
+            probes: counts.probes,
+            denied: counts.reports_denied + counts.probes_denied,
+        }));
+    }
+
     fn check_stopped(&mut self, out: &mut Vec<Effect>) {
         let is_idle = self.calls.is_empty() && self.works.is_empty();
         let has_told = self.membership.has_left() || self.membership.group() <= 1;
