Let a target drain by its health endpoint, as a hint

Cause: a target that drains was noticed by its refusals only, and its health endpoint was not read at all. Change: with target.health in the settings the node reads the endpoint once a second. "Failed" takes the target out of service, for all callers, only together with three failed requests in a row; a healthy answer brings it back cold.

--- a/src/demo.rs
+++ b/src/demo.rs
@@ -177,7 +177,7 @@
         centre: centre.into(),
         region: CompactString::const_new("oaxaca"),
         listen: Listen::default(),
-        target: TargetSettings { address: target, slots: 12, connections: 200 },
+        target: TargetSettings { address: target, slots: 12, connections: 200, health: None },
         // Not used: the nodes of the demo share a platform in memory.
         platform: SocketAddr::from(([127, 0, 0, 1], 9)),
         contacts: Vec::new(),
--- a/src/event.rs
+++ b/src/event.rs
@@ -11,7 +11,7 @@
     document::Document,
     identity::{Answer, AttemptTag, ClaimEvent, Fingerprint},
     keys::{CallKey, MemberId, WorkKey},
-    load::LoadReport,
+    load::{Health, LoadReport},
     membership::{Message, Source},
     pool::Reach,
     reducer::Presentation,
@@ -46,6 +46,8 @@
     Suspects(Vec<SuspectNote>),
     /// The target became reachable or unreachable.
     Target(Reach),
+    /// The target's health endpoint was read.
+    Health(Health),
     /// A timer that the reducer set has expired.
     Timer(Timer),
     /// The wall clock was read; schedules depend on it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod gossip;
 pub mod headers;
 pub mod identity;
+mod health;
 mod ingress;
 pub mod keys;
 pub mod load;
--- a/src/node.rs
+++ b/src/node.rs
@@ -31,6 +31,7 @@
     egress::Egress,
     event::Event,
     gossip::{self, DropKind},
+    health,
     ingress::Ingress,
     keys::MemberId,
     membership::{Member, Message, Source},
@@ -186,6 +187,9 @@
         tasks.spawn(forward(reached, driver.clone()));
         tasks.spawn(receive(gossip.messages, driver.clone()));
         tasks.spawn(report_drops(gossip.counters, driver.clone()));
+        if let Some(path) = &target.health {
+            tasks.spawn(health::watch(target.address, path.clone(), driver.clone()));
+        }
         tasks.spawn(read_clock(driver.clone()));
         tasks.spawn(hear(told, driver.clone()));
         let (tell, news) = mpsc::unbounded_channel();
@@ -309,6 +313,11 @@
         self.driver.inspect(|reducer| reducer.rollouts(now))
     }
 
+    /// Returns the number of members of a service that take no new work because they are leaving.
+    pub fn leaving(&self, service: &str) -> usize {
+        self.driver.inspect(|reducer| reducer.leaving(service))
+    }
+
     /// Returns the number of members of a service that this node knows.
     pub fn known(&self, service: &str) -> usize {
         self.driver.inspect(|reducer| reducer.known(service))
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod crashes;
 mod exchange;
+mod health;
 mod identities;
 mod members;
 mod status;
@@ -38,7 +39,7 @@
 
 pub(crate) use self::identities::Presentation;
 
-use self::{calls::Call, members::Pull, works::Work};
+use self::{calls::Call, health::TargetHealth, members::Pull, works::Work};
 
 /// The interval of periodic work.
 const TICK: Duration = Duration::from_millis(100);
@@ -90,6 +91,7 @@
     is_handing_over: bool,
     measure: MeasureBudget,
     is_target_up: bool,
+    health: TargetHealth,
     is_stopping: bool,
     has_exited: bool,
     /// The difference between wall clock and monotonic time at the last reading.
@@ -134,6 +136,7 @@
             measure: MeasureBudget::new(&Budgets::default(), Time::ZERO),
             // Until a connection fails, requests may try the target; a failed connection proves "not run".
             is_target_up: true,
+            health: TargetHealth::default(),
             is_stopping: false,
             has_exited: false,
             wall: None,
@@ -150,6 +153,12 @@
         self.revision
     }
 
+    /// Returns the number of members of a service that are leaving.
+    pub(crate) fn leaving(&self, service: &str) -> usize {
+        let members = self.directory.members();
+        members.filter(|member| member.info.service == service && member.info.leaving).count()
+    }
+
     /// Returns the number of known members of a service.
     pub(crate) fn known(&self, service: &str) -> usize {
         self.directory.members().filter(|member| member.info.service == service).count()
@@ -173,6 +182,7 @@
             Event::Target(reach) => self.set_reach(now, reach, out),
             Event::Timer(timer) => self.expire(now, timer, out),
             Event::Clock(wall) => self.wall = Some((now, wall)),
+            Event::Health(health) => self.health_read(now, health, out),
             Event::Stop => self.stop(now, out),
         }
     }
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -113,7 +113,7 @@
     fn refuse_work(&self, head: &WorkHead) -> Option<Refusal> {
         let reason = if head.service != self.me.info.service || !self.is_target_up {
             Reason::NoTarget
-        } else if self.is_stopping || self.is_centre_out() {
+        } else if self.is_stopping || self.health.is_leaving || self.is_centre_out() {
             Reason::Draining
         } else if head.timeout.is_zero() {
             Reason::Deadline
@@ -149,6 +149,7 @@
 
     fn work_finished(&mut self, now: Time, key: WorkKey, finish: Finish, out: &mut Vec<Effect>) {
         if self.works.remove(key).is_some() {
+            self.weigh_health(finish == Finish::Answer, out);
             let next = self.gate.finish(now, key, finish);
             self.advance_queue(next, out);
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -102,6 +102,9 @@
     /// The number of connections that the target accepts.
     #[serde(default = "default_connections")]
     pub connections: u16,
+    /// The path of the target's health endpoint, which is read once a second if it is named.
+    #[serde(default)]
+    pub health: Option<CompactString>,
 }
 
 /// The lowest severity that is logged.
@@ -137,6 +140,9 @@
         /// The message of the JSON parser.
         message: String,
     },
+    /// A path is not valid.
+    #[snafu(display("use a path that begins with '/'"))]
+    Path,
     /// A name is empty or has characters that are not allowed.
     #[snafu(display("use 1 to 63 letters, digits, '-', '_' or '.'"))]
     Name,
@@ -228,6 +234,8 @@
         check("target.slots", in_range(slots, 1, MAX_SLOTS), range(1, MAX_SLOTS));
         let connections = self.target.connections;
         check("target.connections", in_range(connections, slots, u16::MAX), range(slots, u16::MAX));
+        let is_path = self.target.health.as_deref().is_none_or(is_path);
+        check("target.health", is_path, Fault::Path);
         check(
             "drain_ms",
             self.drain_ms <= MAX_DRAIN_MS,
@@ -253,6 +261,10 @@
     (1..=63).contains(&s.len()) && s.chars().all(allowed)
 }
 
+fn is_path(s: &str) -> bool {
+    s.starts_with('/') && s.parse::<http::uri::PathAndQuery>().is_ok()
+}
+
 fn is_specific(addr: SocketAddr) -> bool {
     !addr.ip().is_unspecified()
 }
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -27,6 +27,7 @@
 #[test_case("centre", serde_json::json!("a b"), "centre"; "space in a name")]
 #[test_case("target.slots", serde_json::json!(0), "target.slots"; "no slots")]
 #[test_case("target.connections", serde_json::json!(3), "target.connections"; "fewer connections than slots")]
+#[test_case("target.health", serde_json::json!("health"), "target.health"; "health path without a slash")]
 #[test_case("key", serde_json::json!("short"), "key"; "short key")]
 #[test_case("networks", serde_json::json!([]), "networks"; "no network")]
 #[test_case("drain_ms", serde_json::json!(700_000), "drain_ms"; "stop takes too long")]
