Probe the successor in the id order to bound crash detection

Probes now go every 500 ms, in turn to the member with the next higher id and to a random one. A probe that is not answered in 300 ms is followed by one of the next successor, so that neighbours that crashed together are found in sequence. An update is sent 4 x (digits of the group size + 1) times instead of 4 x digits.

--- a/src/membership/budget.rs
+++ b/src/membership/budget.rs
@@ -16,9 +16,9 @@
 
 /// Bytes left to probes when other messages have exhausted the rest.
 ///
-/// A second of probing takes one ping, one ack, three ping requests and three relayed pings and acks, about 130
-/// bytes each without updates: 11 x 130 = 1,430 bytes.
-const PROBE_RESERVE: u64 = 1_500;
+/// A second of probing takes two pings, two acks, six ping requests and six relayed pings and acks, about 130
+/// bytes each without updates: 22 x 130 = 2,860 bytes.
+const PROBE_RESERVE: u64 = 3_000;
 
 /// IPv4 and UDP headers of a datagram in bytes.
 pub(super) const HEADER_BYTES: usize = 28;
--- a/src/membership/probe.rs
+++ b/src/membership/probe.rs
@@ -10,8 +10,15 @@
 };
 use crate::{keys::MemberId, time::Time};
 
-/// The interval between probes, and the time in which a probe has to succeed.
-pub const PROBE_PERIOD: Duration = Duration::from_secs(1);
+/// The interval between probes. They go in turn to the member with the next higher id and to a random one.
+///
+/// With random probes alone the number of probes that a crashed member receives is a matter of chance: of 400
+/// simulated crashes among 30 members, 8 were first suspected after 4.6 s or more. Its predecessor probes it
+/// every second, and the random probes cover the time in which the predecessor is gone too.
+pub const PROBE_PERIOD: Duration = Duration::from_millis(500);
+
+/// The time in which a probe has to succeed.
+const PROBE_TIME: Duration = Duration::from_secs(1);
 
 /// The time after which other members are asked to probe. Members of a region are 1 ms apart, so an answer this
 /// late is a lost datagram or a stalled process.
@@ -28,11 +35,11 @@
 /// within this time, which costs 26 bytes/s.
 const DEAD_PERIOD: Duration = Duration::from_secs(5);
 
-/// Outstanding probes: one a second, and those that verify claims of an exchange.
+/// Outstanding probes: two a second, and those that verify claims of an exchange.
 const PROBES: usize = 16;
 
-/// Outstanding pings on behalf of others. A member receives three requests a second if as many members as there
-/// are in the region fail to answer, so this covers twenty times that rate.
+/// Outstanding pings on behalf of others. A member receives six requests a second if as many members as there are
+/// in the region fail to answer, so this covers ten times that rate.
 const RELAYS: usize = 64;
 
 #[derive(Debug)]
@@ -60,6 +67,8 @@
     /// The members still to be probed in this round, in random order.
     order: Vec<MemberId>,
     next_probe: Time,
+    /// Whether the next probe goes to the successor.
+    is_successor_due: bool,
     next_dead: Time,
     number: u32,
 }
@@ -71,6 +80,7 @@
             relays: vec![],
             order: vec![],
             next_probe: phase,
+            is_successor_due: true,
             next_dead: phase,
             number,
         }
@@ -105,13 +115,16 @@
 
 impl Membership {
     pub(super) fn tick_probes(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.probing.relays.retain(|r| now.since(r.sent) < PROBE_PERIOD);
+        self.probing.relays.retain(|r| now.since(r.sent) < PROBE_TIME);
         for probe in std::mem::take(&mut self.probing.probes) {
             self.advance(now, probe, out);
         }
         if now >= self.probing.next_probe {
             self.probing.next_probe = now + PROBE_PERIOD;
-            if let Some(id) = self.next_target() {
+            let by_id = self.probing.is_successor_due;
+            self.probing.is_successor_due = !by_id;
+            let target = if by_id { self.next_successor() } else { self.next_target() };
+            if let Some(id) = target {
                 self.probe(now, id, vec![], out);
             }
         }
@@ -224,7 +237,7 @@
         if !held.state.is_live() {
             return;
         }
-        if now.since(probe.sent) >= PROBE_PERIOD {
+        if now.since(probe.sent) >= PROBE_TIME {
             let claim = Claim { state: State::Suspect, ..held };
             self.apply(now, Update::Claim(claim), Via::Gossip, out);
             return;
@@ -232,6 +245,10 @@
         if !probe.indirect && now.since(probe.sent) >= DIRECT_TIME {
             probe.indirect = true;
             self.ask_others(&probe, out);
+            // If the target has crashed, those after it may have too, and this member is now the one that has to
+            // notice it. One probe follows at a time, so that a member that has lost its network sends 3.3 a second.
+            self.probing.next_probe = now;
+            self.probing.is_successor_due = true;
         }
         self.probing.probes.push(probe);
     }
@@ -249,6 +266,11 @@
         }
     }
 
+    /// The next member by id of which no answer is outstanding.
+    fn next_successor(&self) -> Option<MemberId> {
+        self.table.successors().find(|id| self.probing.probes.iter().all(|p| p.target != *id))
+    }
+
     /// The next member of the round; a new round shuffles the live members.
     fn next_target(&mut self) -> Option<MemberId> {
         loop {
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
-    ops::RangeInclusive,
+    ops::{Bound, RangeInclusive},
     time::Duration,
 };
 
@@ -22,7 +22,11 @@
 /// longer than this heals only through the contacts.
 pub const TOMBSTONE_TIME: Duration = Duration::from_secs(1_800);
 
-/// Sends of one update per member, multiplied by the logarithm of the group size.
+/// Sends of one update per member, multiplied by the number of digits of the group size plus one.
+///
+/// Each send reaches a random member, so s sends by each leave n e^(-0.95 s) of n members uninformed at 5% loss:
+/// 12 sends among 30 members and 20 among 2,667 leave less than 0.001. Eight among 30 left 0.015, which waited for
+/// the declaration of death, because exchanges don't carry suspicions.
 const SPREAD_FACTOR: u32 = 4;
 
 /// Sends of one update, whatever the backlog. Four random receivers for each of those that hear of it leave about
@@ -273,7 +277,8 @@
     /// group size, which reaches all members with high probability.
     pub(super) fn take_updates(&mut self, room: usize, updates: &mut Vec<Update>) -> usize {
         let backlog = u32::try_from(self.queue.len().div_ceil(SPREAD_BACKLOG)).unwrap_or(u32::MAX);
-        let limit = (SPREAD_FACTOR * ceil_log10(self.group()) / backlog.max(1)).max(SPREAD_MIN);
+        let limit =
+            (SPREAD_FACTOR * (ceil_log10(self.group()) + 1) / backlog.max(1)).max(SPREAD_MIN);
         let mut used = 0;
         for _ in 0..self.queue.len() {
             let Some(id) = self.queue.pop_front() else { break };
@@ -321,6 +326,13 @@
             .map(|r| r.member.id)
     }
 
+    /// Returns the members that are not suspected, in the order of their ids from this node's id onwards.
+    pub(super) fn successors(&self) -> impl Iterator<Item = MemberId> {
+        let above = self.records.range((Bound::Excluded(self.me), Bound::Unbounded));
+        let below = self.records.range(..self.me);
+        above.chain(below).filter(|(_, r)| r.state == State::Alive).map(|(id, _)| *id)
+    }
+
     /// Hashes the live members in each slice of the id space. Suspicions and tombstones are left out, because
     /// they are short-lived or expire at different times.
     pub(super) fn digest(&self) -> Vec<u32> {
