--- a/src/bin/poplarbarrow-node/main.rs
+++ b/src/bin/poplarbarrow-node/main.rs
@@ -64,7 +64,7 @@
         let _ = writeln!(io::stdout(), "{}: no fault found", path.display());
         return Ok(());
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.context(RuntimeSnafu)?.block_on(serve(settings))
 }
 
@@ -77,12 +77,13 @@
     let addresses = node.addresses();
     let _ = writeln!(
         io::stdout(),
-        "node={} callers={} peers={} control={} gossip={}",
+        "node={} callers={} peers={} control={} gossip={} operator={}",
         node.id(),
         addresses.callers,
         addresses.peers,
         addresses.control,
-        addresses.gossip
+        addresses.gossip,
+        addresses.operator
     );
     tokio::select! {
         _ = terminate.recv() => {}
