Ask other regions for services on demand

A node knew only its own region, so that a call for a service with no target there was refused.

A call for a service with fewer than two members in service in its own region makes the node subscribe in other regions: at a contact, then at one of the members that it named. The first call waits up to 400 ms. Members that their region has not confirmed for 30 s are used only when no others remain, and are forgotten after 600 s. Targets in the own region come before those in other regions. Contacts have their data centre; nodes read them at the start and then ask a seat while they have subscriptions.

All of it is taken from the 6,000 B/s of gossip, at most 2,000 B/s of it.

Tables: 60 contacts, 16 services, 16 members for each service and region, 256 subscriptions served, 1,024 waiting calls. Reaching one is described beside each constant; services beyond 16 are reported every 10 s.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -22,6 +22,8 @@
 /// The members that this node knows.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
+    /// The own region, whose members are preferred.
+    region: CompactString,
     services: SlotMap<ServiceKey, Group>,
     names: HashMap<CompactString, ServiceKey>,
     members: SlotMap<MemberKey, Member>,
@@ -44,6 +46,17 @@
     pub(crate) info: membership::Member,
     pub(crate) service: ServiceKey,
     pub(crate) view: TargetView,
+    /// Whether the member's region stopped confirming it.
+    pub(crate) is_unconfirmed: bool,
+}
+
+/// How near a member is; a target is chosen among the nearest members that may receive the request.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    OwnRegion,
+    OtherRegion,
+    /// In another region that has not confirmed the member lately.
+    Unconfirmed,
 }
 
 /// What an announcement changed.
@@ -57,6 +70,11 @@
 }
 
 impl Directory {
+    /// Creates the directory of a node in `region`.
+    pub(crate) fn new(region: CompactString) -> Directory {
+        Directory { region, ..Directory::default() }
+    }
+
     /// Records what a member announced.
     pub(crate) fn upsert(&mut self, info: membership::Member) -> Change {
         if let Some(&key) = self.ids.get(&info.id) {
@@ -75,7 +93,12 @@
         }
         let service = self.service(&info.service);
         let id = info.id;
-        let key = self.members.insert(Member { info, service, view: TargetView::new() });
+        let key = self.members.insert(Member {
+            info,
+            service,
+            view: TargetView::new(),
+            is_unconfirmed: false,
+        });
         self.ids.insert(id, key);
         self.services[service].members.push(key);
         Change::Joined
@@ -101,6 +124,23 @@
         key
     }
 
+    /// Returns the key of a service that some member has announced or a call has named.
+    pub(crate) fn find(&self, name: &CompactString) -> Option<ServiceKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Iterates over the members of one service.
+    pub(crate) fn group_members(&self, service: ServiceKey) -> impl Iterator<Item = &Member> {
+        self.services[service].members.iter().filter_map(|&key| self.members.get(key))
+    }
+
+    /// Sets whether the region of a member confirms it.
+    pub(crate) fn set_confirmed(&mut self, id: MemberId, is_confirmed: bool) {
+        if let Some(member) = self.ids.get(&id).and_then(|&key| self.members.get_mut(key)) {
+            member.is_unconfirmed = !is_confirmed;
+        }
+    }
+
     /// Returns what the calls of a service have in common.
     pub(crate) fn group_mut(&mut self, service: ServiceKey) -> &mut Group {
         &mut self.services[service]
@@ -111,7 +151,8 @@
         self.members.values()
     }
 
-    /// Chooses a target of a service; `state` says which members may receive work.
+    /// Chooses a target of a service; `state` says which members may receive work. Other regions are considered only
+    /// when no member of the own region remains.
     pub(crate) fn choose(
         &mut self,
         now: Time,
@@ -122,14 +163,30 @@
     ) -> Result<Choice, NoChoice> {
         let Group { members, router, ejector, .. } = &mut self.services[service];
         let known = members.iter().filter_map(|&key| Some((key, self.members.get(key)?)));
-        let candidates: Vec<_> = known
+        let known: Vec<_> = known
             .map(|(key, member)| {
                 let (local, state) = state(member);
                 let is_ejected = state == TargetState::InService && ejector.is_ejected(now, key);
                 let state = if is_ejected { TargetState::Ejected } else { state };
-                Candidate { key, view: &member.view, local, state }
+                let distance = if member.info.region == self.region {
+                    Distance::OwnRegion
+                } else if member.is_unconfirmed {
+                    Distance::Unconfirmed
+                } else {
+                    Distance::OtherRegion
+                };
+                (distance, Candidate { key, view: &member.view, local, state })
             })
             .collect();
+        let is_eligible =
+            |c: &Candidate<'_>| c.state == TargetState::InService && !tried.contains(&c.key);
+        let nearest = known.iter().filter(|(_, c)| is_eligible(c)).map(|(distance, _)| *distance);
+        let nearest = nearest.min();
+        let candidates: Vec<_> = known
+            .into_iter()
+            .filter(|(distance, _)| nearest.is_none_or(|nearest| nearest == *distance))
+            .map(|(_, candidate)| candidate)
+            .collect();
         router.choose(now, &candidates, tried, rng)
     }
 
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -142,6 +142,10 @@
     Synced { members: usize },
     /// The table of members is full.
     TableFull { refused: u64 },
+    /// Another region stopped or resumed confirming its members of a service.
+    Region { region: CompactString, service: CompactString, members: usize, is_confirmed: bool },
+    /// Calls were for services that are not asked for in other regions, because too many others are.
+    RemoteFull { calls: u64 },
     /// The node talks to the platform for its data centre, or no longer does.
     Seat { seat: Option<usize> },
     /// A newer document is pulled from a member.
--- a/src/event.rs
+++ b/src/event.rs
@@ -11,11 +11,10 @@
     identity::{Answer, AttemptTag, ClaimEvent, Fingerprint},
     keys::{CallKey, MemberId, WorkKey},
     load::LoadReport,
-    membership::{Message, Source},
+    membership::{Contact, Message, Source},
     pool::Reach,
     reducer::Presentation,
     refusal::Refusal,
-    seat::Contact,
     time::Wall,
 };
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod platform;
 mod pool;
 mod reducer;
+mod remote;
 pub mod refusal;
 pub mod retry;
 pub mod routing;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -62,6 +62,11 @@
             "member" => %id, "service" => service.as_str(), "change" => change),
         Record::Synced { members } => info!(log, "synced"; "members" => members),
         Record::TableFull { refused } => warn!(log, "table-full"; "refused" => refused),
+        Record::Region { region, service, members, is_confirmed } => info!(log, "region";
+            "region" => region.as_str(), "service" => service.as_str(), "members" => members,
+            "change" => if *is_confirmed { "confirmed" } else { "unconfirmed" }),
+        Record::RemoteFull { calls } => warn!(log, "remote-services-full";
+            "calls" => calls, "limit" => crate::remote::REMOTE_SERVICES),
         Record::Seat { seat: Some(seat) } => {
             info!(log, "seat"; "change" => "taken", "seat" => seat);
         }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -16,6 +16,7 @@
 mod message;
 mod output;
 mod probe;
+mod regional;
 mod sync;
 mod table;
 
@@ -30,11 +31,12 @@
 };
 pub use output::{Counters, Loss, Output};
 pub use probe::PROBE_PERIOD;
+pub use regional::{Contact, REGIONAL_BYTES, Regional};
 pub use sync::WANTED_SERVICES;
 pub use table::{TABLE_MEMBERS, TOMBSTONE_TIME};
 
 use budget::{Budget, HEADER_BYTES};
-use message::encoded_bytes;
+pub(crate) use message::encoded_bytes;
 use probe::Probing;
 use sync::Sync;
 use table::Table;
@@ -116,6 +118,8 @@
     probing: Probing,
     sync: Sync,
     budget: Budget,
+    /// The part of the budget that messages to other regions may use.
+    regional: Budget,
     rng: SmallRng,
     revision: u64,
     payload: Vec<u8>,
@@ -137,6 +141,7 @@
         Membership {
             id: me.id,
             budget: Budget::new(settings.send_bytes),
+            regional: Budget::new(settings.send_bytes.min(REGIONAL_BYTES)),
             probing: Probing::new(phase, rng.random()),
             sync: Sync::new(phase),
             table: Table::new(me),
@@ -251,7 +256,8 @@
                 self.on_ping_request(now, from, probe, Receiver { address, id: Some(target) }, out);
             }
             Body::Ack { probe, subject } => self.on_ack(now, from, probe, subject, out),
-            Body::Gossip => {}
+            // Messages of other regions are not about this table; see `crate::remote`.
+            Body::Gossip | Body::Regional(_) => {}
             Body::Identify => self.on_identify(from, out),
             Body::Pull { pull, first, services, partial } => {
                 self.on_pull(from, pull, first, &services, partial, out);
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
 
+use super::Regional;
 use crate::keys::MemberId;
 
 /// The largest datagram in bytes; it fits the IPv6 minimum MTU of 1,280 bytes with its headers.
@@ -268,10 +269,12 @@
         /// Members whose records the sender requests in turn.
         wanted: Vec<MemberId>,
     },
+    /// Concerns members of services in other regions.
+    Regional(Regional),
 }
 
 /// Returns the encoded size in bytes.
-pub(super) fn encoded_bytes<T: Serialize>(value: &T) -> usize {
+pub(crate) fn encoded_bytes<T: Serialize>(value: &T) -> usize {
     postcard::serialize_with_flavor(value, postcard::ser_flavors::Size::default())
         .unwrap_or(usize::MAX / 2)
 }
--- /dev/null
+++ b/src/membership/regional.rs
@@ -0,0 +1,124 @@
+//! Messages between regions, which share the transport and the byte budget of gossip but not the table.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    ENVELOPE_BYTES, MESSAGE_BYTES, Membership, Output, SYNC_RESERVE,
+    budget::HEADER_BYTES,
+    message::{Body, Member, Message, encoded_bytes},
+};
+use crate::{keys::MemberId, time::Time};
+
+/// The bytes per second that a node may send to other regions: a third of [`GOSSIP_BYTES`](super::GOSSIP_BYTES),
+/// from which they are taken too. It covers 256 subscriptions of which each is renewed every 20 s with an answer
+/// of 150 bytes: 1,920 B/s.
+pub const REGIONAL_BYTES: u32 = 2_000;
+
+/// How a member is reached from other regions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// The member.
+    pub id: MemberId,
+    /// Its data centre.
+    pub centre: CompactString,
+    /// Its region.
+    pub region: CompactString,
+    /// Its address for datagrams.
+    pub gossip: SocketAddr,
+    /// Its address for calls between nodes.
+    pub peer: SocketAddr,
+}
+
+/// A message about the members of a service in the sender's or the receiver's region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Regional {
+    /// Requests the members of a service and their changes for a limited time; renews an earlier request.
+    Subscribe {
+        /// The service.
+        service: CompactString,
+        /// The digest of the members that the sender holds, or 0.
+        digest: u64,
+    },
+    /// Gives the members of a service in the sender's region, in place of all given before.
+    Members {
+        /// The service.
+        service: CompactString,
+        /// The digest of the members.
+        digest: u64,
+        /// The members, as many as fit a datagram.
+        members: Vec<Member>,
+    },
+    /// Confirms that the members of a service have the digest that the subscriber holds.
+    Unchanged {
+        /// The service.
+        service: CompactString,
+        /// The digest of the members.
+        digest: u64,
+    },
+    /// Requests contacts in other regions from a member of the own region.
+    AskContacts,
+    /// Gives one contact for each data centre.
+    Contacts(Vec<Contact>),
+}
+
+impl Regional {
+    /// Gives as many of `members` as fit a datagram and returns the digest with the message.
+    pub(crate) fn give(
+        service: &CompactString,
+        members: impl IntoIterator<Item = Member>,
+    ) -> (u64, Regional) {
+        let empty =
+            Regional::Members { service: service.clone(), digest: u64::MAX, members: vec![] };
+        // The body's tag and the message's other fields take up to 15 bytes.
+        let mut room = MESSAGE_BYTES - encoded_bytes(&empty) - 15;
+        let mut fitting = vec![];
+        for member in members {
+            // Incarnations change with refutations, which are no news to another region.
+            let member = Member { incarnation: 0, ..member };
+            let bytes = encoded_bytes(&member);
+            if bytes > room {
+                break;
+            }
+            room -= bytes;
+            fitting.push(member);
+        }
+        let digest = digest(&fitting);
+        (digest, Regional::Members { service: service.clone(), digest, members: fitting })
+    }
+}
+
+/// Hashes what is given of members; never 0, which stands for nothing.
+fn digest(members: &[Member]) -> u64 {
+    let bytes = postcard::to_allocvec(members).unwrap_or_default();
+    let hash = blake3::hash(&bytes);
+    let first = hash.as_bytes().first_chunk().copied().unwrap_or_default();
+    u64::from_le_bytes(first).max(1)
+}
+
+impl Membership {
+    /// Sends a message to another region, or about one, and returns whether the byte budgets allowed it.
+    pub(crate) fn send_regional(
+        &mut self,
+        now: Time,
+        to: SocketAddr,
+        message: Regional,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        self.budget.refill(now);
+        self.regional.refill(now);
+        let body = Body::Regional(message);
+        let message = Message { revision: self.revision, payload: vec![], updates: vec![], body };
+        let cost = encoded_bytes(&message) + ENVELOPE_BYTES + HEADER_BYTES;
+        let has_room = cost + SYNC_RESERVE <= self.budget.spare();
+        let sent = has_room && self.regional.spend(cost) && self.budget.spend(cost);
+        if sent {
+            out.push(Output::Send { to, message });
+        } else {
+            self.counters.throttled += 1;
+        }
+        sent
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -55,6 +55,8 @@
             Record::Member { .. } => "members.changed",
             Record::Synced { .. } => "members.synced",
             Record::TableFull { .. } => "members.table_full",
+            Record::Region { .. } => "regions.changed",
+            Record::RemoteFull { .. } => "regions.services_full",
             Record::Seat { .. } => "seats.changed",
             Record::Pull { .. } => "documents.pulled",
             Record::Document { .. } => "documents",
--- a/src/node.rs
+++ b/src/node.rs
@@ -32,13 +32,13 @@
     gossip,
     ingress::Ingress,
     keys::MemberId,
-    membership::{Member, Message, Source},
+    membership::{Contact, Member, Message, Source},
     metrics::Metrics,
     peer::Peers,
     platform::{Http, Platform, http::Limits},
     pool::{Pool, Reach},
     reducer::{Me, Reducer},
-    seat::{Contact, Seat},
+    seat::Seat,
     server,
     settings::Settings,
     time::Wall,
@@ -156,6 +156,7 @@
         let me = me(&settings, id, addresses);
         let contact = Contact {
             id,
+            centre: me.info.centre.clone(),
             region: me.info.region.clone(),
             gossip: addresses.gossip,
             peer: addresses.peers,
@@ -198,7 +199,6 @@
             driver: driver.clone(),
             replica,
             me: contact,
-            centre: settings.centre.clone(),
             rank,
             log: log.clone(),
         });
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod identities;
 mod members;
+mod remote;
 mod status;
 mod works;
 
@@ -25,6 +26,7 @@
     load::MeasureBudget,
     membership::{self, Member, Membership},
     pool::Reach,
+    remote::{Remote, Serving},
     time::{Time, Wall},
 };
 
@@ -58,6 +60,10 @@
     next_seat: Time,
     seat: Option<usize>,
     pull: Option<Pull>,
+    remote: Remote,
+    serving: Serving,
+    /// The calls that wait for an answer of another region.
+    waiting: Vec<CallKey>,
     document: Option<Arc<Document>>,
     revision: u64,
     /// The time at which the document came into force here.
@@ -81,11 +87,12 @@
 impl Reducer {
     /// Creates the state of a node that has just started.
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
-        let mut directory = Directory::default();
+        let mut directory = Directory::new(me.info.region.clone());
         directory.upsert(me.info.clone());
         let owner = Owner::new(me.info.id, me.started.as_millis().saturating_mul(1_000));
         let gate = Gate::new(me.slots, Time::ZERO);
         let membership = Membership::new(me.info.clone(), membership::Settings::default(), seed);
+        let remote = Remote::new(me.info.id, me.info.region.clone());
         Reducer {
             me,
             rng: SmallRng::seed_from_u64(seed),
@@ -95,6 +102,9 @@
             next_seat: Time::ZERO,
             seat: None,
             pull: None,
+            remote,
+            serving: Serving::default(),
+            waiting: Vec::new(),
             document: None,
             revision: 0,
             revised: None,
@@ -166,6 +176,7 @@
         self.measure.set(&document.budgets, now);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
         self.document = Some(document);
+        self.serving.note_all();
     }
 
     fn set_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Effect>) {
@@ -188,6 +199,7 @@
                 let next = self.gate.tick(now);
                 self.advance_queue(next, out);
                 self.tick_members(now, out);
+                self.tick_remote(now, out);
                 self.owner.sweep(now);
                 self.share_claims();
                 self.check_stopped(out);
@@ -206,6 +218,7 @@
         self.owner.leave();
         self.me.info.leaving = true;
         self.directory.upsert(self.me.info.clone());
+        self.serving.note_change(&self.me.info.service);
         self.announce_leave(now, out);
         out.push(Effect::Log(self.stop_record("begin")));
         out.push(Effect::Arm { timer: Timer::StopDeadline, after: self.me.drain });
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) service: CompactString,
-    group: ServiceKey,
+    pub(super) group: ServiceKey,
     is_idempotent: bool,
     pub(super) deadline: Time,
     depth: u8,
@@ -159,7 +159,11 @@
 
     /// Starts the first attempt of a call, or refuses the call.
     pub(super) fn start_or_refuse(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
+        self.want_remote(now, key, out);
         if let Err(reason) = self.start_attempt(now, key, out) {
+            if reason == Reason::NoTarget && self.wait_for_remote(now, key) {
+                return;
+            }
             self.refuse_call(now, key, reason, out);
         }
     }
--- a/src/reducer/members.rs
+++ b/src/reducer/members.rs
@@ -7,8 +7,8 @@
     directory::Change,
     effect::{Effect, Record},
     keys::MemberId,
-    membership::{Loss, Member, Message, Output, Source, State},
-    seat::{Contact, SEATS},
+    membership::{Body, Contact, Loss, Member, Message, Output, Source, State},
+    seat::SEATS,
     time::Time,
 };
 
@@ -32,12 +32,16 @@
         message: Message,
         out: &mut Vec<Effect>,
     ) {
+        if let Body::Regional(message) = message.body {
+            return self.regional(now, from, message, out);
+        }
         let mut outputs = Vec::new();
         self.membership.handle(now, from, message, &mut outputs);
         self.membership_outputs(now, outputs, out);
     }
 
     pub(super) fn contacts(&mut self, now: Time, contacts: &[Contact], out: &mut Vec<Effect>) {
+        self.remote.add_contacts(contacts);
         let region = &self.me.info.region;
         let unknown = contacts.iter().filter(|contact| {
             contact.region == *region && self.membership.member(contact.id).is_none()
@@ -75,7 +79,12 @@
         self.pull = None;
     }
 
-    fn membership_outputs(&mut self, now: Time, outputs: Vec<Output>, out: &mut Vec<Effect>) {
+    pub(super) fn membership_outputs(
+        &mut self,
+        now: Time,
+        outputs: Vec<Output>,
+        out: &mut Vec<Effect>,
+    ) {
         for output in outputs {
             match output {
                 Output::Send { to, message } => {
@@ -99,8 +108,9 @@
         }
     }
 
-    fn member_seen(&mut self, member: Member, out: &mut Vec<Effect>) {
+    pub(super) fn member_seen(&mut self, member: Member, out: &mut Vec<Effect>) {
         let id = member.id;
+        self.serving.note_change(&member.service);
         let change = match self.directory.upsert(member) {
             Change::Joined => "joined",
             Change::Changed => "changed",
@@ -119,8 +129,19 @@
             Loss::Left => "left",
             Loss::Replaced => "replaced",
         };
+        self.member_gone(id, change, out);
+    }
+
+    /// Forgets a member and closes the connection to it.
+    pub(super) fn member_gone(
+        &mut self,
+        id: MemberId,
+        change: &'static str,
+        out: &mut Vec<Effect>,
+    ) {
         self.log_member(id, change, out);
         if let Some(member) = self.directory.remove(id) {
+            self.serving.note_change(&member.service);
             out.push(Effect::Forget(member.peer));
         }
     }
--- a/src/seat.rs
+++ b/src/seat.rs
@@ -3,11 +3,10 @@
 //! A seat keeps a contact key, by which starting nodes find the others, and watches the index of the document.
 //! The number of platform calls therefore grows with the data centres, not with the nodes.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
-use serde::{Deserialize, Serialize};
+use compact_str::format_compact;
 use slog::Logger;
 use tokio::{sync::watch, time};
 
@@ -15,7 +14,7 @@
     config::Replica,
     driver::Driver,
     event::Event,
-    keys::MemberId,
+    membership::Contact,
     platform::{Expect, LeaseId, Platform, PlatformError},
     store::{self, StoreError},
 };
@@ -42,22 +41,12 @@
 /// The longest pause after failed platform calls; it bounds the delay of a change after an outage.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
-/// How starting nodes reach a member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Contact {
-    pub(crate) id: MemberId,
-    pub(crate) region: CompactString,
-    pub(crate) gossip: SocketAddr,
-    pub(crate) peer: SocketAddr,
-}
-
 /// Talks to the platform for this node.
 pub(crate) struct Seat<P> {
     pub(crate) platform: Arc<P>,
     pub(crate) driver: Arc<Driver>,
     pub(crate) replica: Replica,
     pub(crate) me: Contact,
-    pub(crate) centre: CompactString,
     /// The number of this node's seat, if it has one.
     pub(crate) rank: watch::Receiver<Option<usize>>,
     pub(crate) log: Logger,
@@ -132,7 +121,7 @@
         }
         let Some(seat) = seat else { return Ok(()) };
         let id = self.platform.lease(CONTACT_LEASE).await?;
-        let key = format_compact!("{CONTACT_PREFIX}{}/{seat}", self.centre);
+        let key = format_compact!("{CONTACT_PREFIX}{}/{seat}", self.me.centre);
         let value = serde_json::to_vec(&self.me).unwrap_or_default();
         let put = self.platform.put(&key, Bytes::from(value), Expect::Absent, Some(id)).await;
         if let Err(error) = put {
