--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -119,6 +119,8 @@
 #[test_case(2, 13, Finish::Answer, 7, false; "rise shrinks the limit")]
 #[test_case(5, 13, Finish::Answer, 2, true; "lasting rise is a return to cold start")]
 #[test_case(2, 100, Finish::Answer, 2, true; "jump is a return to cold start")]
+#[test_case(5, 30, Finish::Answer, 2, true; "lasting jump")]
+#[test_case(5, 1, Finish::Failure, 2, true; "lasting failures")]
 #[test_case(1, 1, Finish::Failure, 2, true; "only failures are a return to cold start")]
 fn limit_follows_target(rounds: usize, service: u64, finish: Finish, limit: u16, cold: bool) {
     let mut fixture = Fixture::warm();
@@ -302,3 +304,14 @@
     fixture.gate.finish(fixture.now, queued, Finish::Answer);
     assert!(fixture.gate.is_drained());
 }
+
+/// Guards against full load on a target whose data centre has just returned into service.
+#[test]
+fn returning_target_starts_cold_and_keeps_accepted_work() {
+    let mut fixture = Fixture::warm();
+    fixture.fill();
+    fixture.gate.chill(fixture.now);
+    let report = fixture.gate.report();
+    assert!(report.cold && report.limit == 2, "{report:?}");
+    assert_eq!(usize::from(report.running), fixture.running.len());
+}
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -48,6 +48,8 @@
     pub(crate) view: TargetView,
     /// Whether the member's region stopped confirming it.
     pub(crate) is_unconfirmed: bool,
+    /// Whether a probe is in progress.
+    pub(crate) is_probing: bool,
 }
 
 /// How near a member is; a target is chosen among the nearest members that may receive the request.
@@ -98,6 +100,7 @@
             service,
             view: TargetView::new(),
             is_unconfirmed: false,
+            is_probing: false,
         });
         self.ids.insert(id, key);
         self.services[service].members.push(key);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 mod auth;
+pub mod bench;
 mod body;
 mod claims;
 pub mod cli;
@@ -13,7 +14,6 @@
 mod control;
 pub mod demo;
 mod directory;
-pub mod bench;
 pub mod document;
 mod driver;
 mod effect;
@@ -35,6 +35,7 @@
 mod peer;
 pub mod platform;
 mod pool;
+mod probe;
 mod reducer;
 mod remote;
 pub mod refusal;
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -146,6 +146,7 @@
             Event::Call(key, event) => self.apply_call(now, key, event, out),
             Event::Work(key, event) => self.apply_work(now, key, event, out),
             Event::Gossip(from, message) => self.gossip(now, from, *message, out),
+            Event::Probed { member, report } => self.probed(now, member, report),
             Event::Contacts(contacts) => self.contacts(now, &contacts, out),
             Event::PullEnded => self.pull_ended(),
             Event::HandedOver => self.is_handing_over = false,
@@ -175,8 +176,13 @@
         self.membership.set_revision(revision);
         self.measure.set(&document.budgets, now);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
+        let was_out = self.is_centre_out();
         self.document = Some(document);
         self.serving.note_all();
+        if was_out && !self.is_centre_out() {
+            // Caches and connections of a target without work are cold, so its share returns step by step.
+            self.gate.chill(now);
+        }
     }
 
     fn set_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Effect>) {
