Test failures of processes and mend the three faults found

- After SIGKILL of one of three nodes, the third request to another node was refused as overloaded: each failed connection took a retry from the budget, which holds one for a service with few calls, and a target is ejected only after six failures.
A repeat of an attempt of which nothing was sent no longer uses the budget, and a member without a listener is paused for 500 ms at once, except the last of its service.
- Requests went on to a frozen node that membership suspected, and ended with their deadline.
Suspected members now come after all that are not.
- A node that started during an outage of the platform never joined the nodes that its settings name.
It joins them after the first failed read.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -46,6 +46,8 @@
     pub(crate) info: membership::Member,
     pub(crate) service: ServiceKey,
     pub(crate) view: TargetView,
+    /// Whether membership suspects that the member has failed.
+    pub(crate) is_suspected: bool,
     /// Whether the member's region stopped confirming it.
     pub(crate) is_unconfirmed: bool,
     /// Whether a probe is in progress.
@@ -57,6 +59,8 @@
 enum Distance {
     OwnRegion,
     OtherRegion,
+    /// In any region, and suspected to have failed.
+    Suspected,
     /// In another region that has not confirmed the member lately.
     Unconfirmed,
 }
@@ -99,6 +103,7 @@
             info,
             service,
             view: TargetView::new(),
+            is_suspected: false,
             is_unconfirmed: false,
             is_probing: false,
         });
@@ -137,6 +142,13 @@
         self.services[service].members.iter().filter_map(|&key| self.members.get(key))
     }
 
+    /// Sets whether membership suspects that a member has failed.
+    pub(crate) fn set_suspected(&mut self, id: MemberId, is_suspected: bool) {
+        if let Some(member) = self.ids.get(&id).and_then(|&key| self.members.get_mut(key)) {
+            member.is_suspected = is_suspected;
+        }
+    }
+
     /// Sets whether the region of a member confirms it.
     pub(crate) fn set_confirmed(&mut self, id: MemberId, is_confirmed: bool) {
         if let Some(member) = self.ids.get(&id).and_then(|&key| self.members.get_mut(key)) {
@@ -155,7 +167,7 @@
     }
 
     /// Chooses a target of a service; `state` says which members may receive work. Other regions are considered only
-    /// when no member of the own region remains.
+    /// when no member of the own region remains, and members that may have failed only when no others do.
     pub(crate) fn choose(
         &mut self,
         now: Time,
@@ -171,7 +183,9 @@
                 let (local, state) = state(member);
                 let is_ejected = state == TargetState::InService && ejector.is_ejected(now, key);
                 let state = if is_ejected { TargetState::Ejected } else { state };
-                let distance = if member.info.region == self.region {
+                let distance = if member.is_suspected {
+                    Distance::Suspected
+                } else if member.info.region == self.region {
                     Distance::OwnRegion
                 } else if member.is_unconfirmed {
                     Distance::Unconfirmed
@@ -200,6 +214,13 @@
         group.ejector.failed(now, key, group.members.len(), limits.eject_percent)
     }
 
+    /// Notes that no connection to a member could be opened, and pauses it.
+    pub(crate) fn unreachable(&mut self, now: Time, key: MemberKey) -> Option<Time> {
+        let service = self.members.get(key)?.service;
+        let group = &mut self.services[service];
+        group.ejector.unreachable(now, key, group.members.len())
+    }
+
     /// Counts a success of a target.
     pub(crate) fn succeeded(&mut self, now: Time, key: MemberKey) {
         if let Some(member) = self.members.get(key) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -205,6 +205,7 @@
             driver: driver.clone(),
             replica,
             me: contact,
+            has_peers: !settings.contacts.is_empty(),
             rank,
             log: log.clone(),
         });
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -14,7 +14,7 @@
     keys::{CallKey, MemberId, MemberKey, ServiceKey},
     load::{LoadReport, Measure, Observed, PROBE_COST},
     refusal::{Outcome, Reason, Refusal},
-    retry::{Attempted, hop_time},
+    retry::{Attempted, RetryBudget, hop_time},
     routing::{Choice, TargetState},
     time::Time,
 };
@@ -93,7 +93,7 @@
             }
             CallEvent::Refused { attempt, refusal, report } => {
                 self.close_attempt(now, key, attempt, Observed::NotRun, report, out);
-                self.attempt_refused(now, key, refusal, true, out);
+                self.attempt_refused(now, key, refusal, true, false, out);
             }
             CallEvent::Failed { attempt, failure, can_replay } => {
                 let (observed, refusal) = match failure {
@@ -101,8 +101,12 @@
                     Failure::Lost => (Observed::Failure, Refusal::unknown(Reason::AnswerLost)),
                     Failure::BodyCut => (Observed::NotRun, Refusal::unknown(Reason::BodyCut)),
                 };
+                let is_unsent = failure == Failure::NotSent;
+                if is_unsent {
+                    self.note_unreachable(now, key, attempt, out);
+                }
                 self.close_attempt(now, key, attempt, observed, None, out);
-                self.attempt_refused(now, key, refusal, can_replay, out);
+                self.attempt_refused(now, key, refusal, can_replay, is_unsent, out);
             }
             CallEvent::Claim(event) => self.claim_result(now, key, event, out),
             CallEvent::Kept(answer) => self.keep_answer(now, key, answer),
@@ -317,6 +321,7 @@
         key: CallKey,
         refusal: Refusal,
         can_replay: bool,
+        is_unsent: bool,
         out: &mut Vec<Effect>,
     ) {
         let Some(call) = self.calls.get_mut(key) else { return };
@@ -335,8 +340,13 @@
         let Some(call) = self.calls.get(key) else { return };
         let (attempted, group) = (call.attempted(), call.group);
         if can_replay {
-            let retry = self.directory.group_mut(group).budget.retry(now, &attempted);
-            if retry.is_ok() && self.start_attempt(now, key, out).is_ok() {
+            let budget = &mut self.directory.group_mut(group).budget;
+            let may_retry = if is_unsent {
+                RetryBudget::resend(now, &attempted)
+            } else {
+                budget.retry(now, &attempted).is_ok()
+            };
+            if may_retry && self.start_attempt(now, key, out).is_ok() {
                 return;
             }
         }
@@ -461,13 +471,24 @@
         else {
             return;
         };
-        let Some(until) = self.directory.failed(now, key, limits) else { return };
-        let Some(member) = self.directory.get(key) else { return };
-        let pause = until.since(now);
+        let until = self.directory.failed(now, key, limits);
+        self.log_ejection(now, key, until, out);
+    }
+
+    /// Pauses a member to which no connection could be opened.
+    fn note_unreachable(&mut self, now: Time, key: CallKey, attempt: u32, out: &mut Vec<Effect>) {
+        let open = self.calls.get(key).and_then(|c| c.open.iter().find(|o| o.number == attempt));
+        let Some(member) = open.map(|open| open.member) else { return };
+        let until = self.directory.unreachable(now, member);
+        self.log_ejection(now, member, until, out);
+    }
+
+    fn log_ejection(&self, now: Time, key: MemberKey, until: Option<Time>, out: &mut Vec<Effect>) {
+        let (Some(until), Some(member)) = (until, self.directory.get(key)) else { return };
         out.push(Effect::Log(Record::Eject {
             member: member.info.id,
-            service: service.into(),
-            pause,
+            service: member.info.service.clone(),
+            pause: until.since(now),
         }));
     }
 
--- a/src/reducer/members.rs
+++ b/src/reducer/members.rs
@@ -94,6 +94,7 @@
                 Output::Lost { id, reason } => self.member_lost(id, reason, out),
                 Output::Revision { from, revision } => self.pull_document(now, from, revision, out),
                 Output::Suspected { id, suspected } => {
+                    self.directory.set_suspected(id, suspected);
                     let change = if suspected { "suspected" } else { "cleared" };
                     self.log_member(id, change, out);
                 }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -117,6 +117,14 @@
         Ok(())
     }
 
+    /// Returns whether a request may go to another target after an attempt of which nothing was sent.
+    ///
+    /// Such an attempt put no load on any target, so the number of attempts bounds the repeats and the budget is
+    /// not used. With it, a service with few calls would refuse some for each node that is gone.
+    pub fn resend(now: Time, request: &Attempted) -> bool {
+        request.attempts < MAX_ATTEMPTS && now + HOP_TIME < request.deadline
+    }
+
     /// Decides whether an idempotent request that has waited for `elapsed` is also sent to another target, and
     /// takes one retry from the budget if so.
     pub fn hedge(
--- a/src/retry/eject.rs
+++ b/src/retry/eject.rs
@@ -26,6 +26,8 @@
     level: u32,
     /// The end of the last ejection.
     until: Option<Time>,
+    /// The end of the pause after a connection could not be opened.
+    unreachable: Option<Time>,
 }
 
 /// Decides which targets of one service receive no requests because they fail.
@@ -83,9 +85,29 @@
         Some(until)
     }
 
-    /// Returns whether the target is ejected now.
+    /// Notes that no connection to a target could be opened, and pauses it at once. Returns the end of the pause.
+    ///
+    /// The share of a service that failures may eject does not apply: a node without a listener can take nothing.
+    /// The last target of `targets` is not paused, because the cause may be at this node.
+    pub fn unreachable(&mut self, now: Time, key: MemberKey, targets: usize) -> Option<Time> {
+        let ejected = self.records.keys().filter(|&k| self.is_ejected(now, k)).count();
+        if self.is_ejected(now, key) || ejected + 1 >= targets {
+            return None;
+        }
+        let until = now + BASE_TIME;
+        if !self.records.contains_key(key) {
+            self.records.insert(key, Record::default());
+        }
+        self.records.get_mut(key)?.unreachable = Some(until);
+        Some(until)
+    }
+
+    /// Returns whether the target is ejected or paused now.
     pub fn is_ejected(&self, now: Time, key: MemberKey) -> bool {
-        self.records.get(key).is_some_and(|r| r.level > 0 && r.until.is_some_and(|t| now < t))
+        self.records.get(key).is_some_and(|r| {
+            let is_failing = r.level > 0 && r.until.is_some_and(|t| now < t);
+            is_failing || r.unreachable.is_some_and(|t| now < t)
+        })
     }
 
     /// Forgets a target that is gone.
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -215,3 +215,28 @@
         assert_eq!(ejector.failed(NOW, keys[0], 3, 34), None);
     }
 }
+
+/// Guards against requests that keep going to a node without a listener, and against pausing all targets for a fault
+/// of this node.
+#[test_case(1, 0)]
+#[test_case(2, 1)]
+#[test_case(5, 4)]
+fn unreachable_targets_are_paused_but_the_last(targets: usize, expected: usize) {
+    let keys = keys(targets);
+    let mut ejector = Ejector::new();
+    let until: Vec<_> = keys.iter().map(|&k| ejector.unreachable(NOW, k, targets)).collect();
+    assert_eq!(keys.iter().filter(|&&k| ejector.is_ejected(NOW, k)).count(), expected);
+    let end = NOW + Duration::from_millis(500);
+    assert_eq!(until.iter().flatten().filter(|&&u| u == end).count(), expected);
+    assert!(!keys.iter().any(|&k| ejector.is_ejected(end, k)));
+}
+
+/// Guards against unsent attempts that repeat without a bound or after the deadline.
+#[test_case(1, 1_000, true; "first")]
+#[test_case(MAX_ATTEMPTS, 1_000, false; "last")]
+#[test_case(1, 0, false; "no time")]
+fn unsent_requests_are_sent_elsewhere(attempts: u8, left_ms: u64, expected: bool) {
+    let deadline = NOW + Duration::from_millis(left_ms);
+    let request = Attempted { attempts, deadline, ..request(0) };
+    assert_eq!(RetryBudget::resend(NOW, &request), expected);
+}
--- a/src/seat.rs
+++ b/src/seat.rs
@@ -47,6 +47,8 @@
     pub(crate) driver: Arc<Driver>,
     pub(crate) replica: Replica,
     pub(crate) me: Contact,
+    /// Whether the settings name other nodes.
+    pub(crate) has_peers: bool,
     /// The number of this node's seat, if it has one.
     pub(crate) rank: watch::Receiver<Option<usize>>,
     pub(crate) log: Logger,
@@ -56,8 +58,14 @@
     /// Reads the contacts and joins them, then keeps the contact key while this node has a seat.
     pub(crate) async fn keep_contact(self: Arc<Self>) {
         let mut pause = Pause::default();
+        let mut has_tried = false;
         while let Err(error) = self.join().await {
             self.warn("contacts-unread", &error);
+            if self.has_peers && !has_tried {
+                // The settings name nodes, which are joined without the platform.
+                self.driver.dispatch(Event::Contacts(Vec::new()));
+                has_tried = true;
+            }
             pause.wait().await;
         }
         let mut rank = self.rank.clone();
--- a/tests/utils/process.rs
+++ b/tests/utils/process.rs
@@ -42,6 +42,13 @@
         assert!(status.expect("kill runs").success());
     }
 
+    /// Kills this process only and waits for its end.
+    #[allow(dead_code)] // Each test program uses a part of it.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().expect("the process is ours");
+        self.child.wait().expect("the process ends");
+    }
+
     /// Asks the program to stop and returns its exit code.
     pub(crate) fn stop(mut self) -> Option<i32> {
         self.signal("-TERM");
