--- a/src/directory.rs
+++ b/src/directory.rs
@@ -50,6 +50,8 @@
     pub(crate) is_suspected: bool,
     /// Whether the member's region stopped confirming it.
     pub(crate) is_unconfirmed: bool,
+    /// The time from which the target has been in cold start without a break, as far as calls have shown.
+    pub(crate) cold_since: Option<Time>,
     /// Whether a probe is in progress.
     pub(crate) is_probing: bool,
 }
@@ -105,6 +107,7 @@
             view: TargetView::new(),
             is_suspected: false,
             is_unconfirmed: false,
+            cold_since: None,
             is_probing: false,
         });
         self.ids.insert(id, key);
@@ -137,11 +140,6 @@
         self.names.get(name).copied()
     }
 
-    /// Iterates over the members of one service.
-    pub(crate) fn group_members(&self, service: ServiceKey) -> impl Iterator<Item = &Member> {
-        self.services[service].members.iter().filter_map(|&key| self.members.get(key))
-    }
-
     /// Sets whether membership suspects that a member has failed.
     pub(crate) fn set_suspected(&mut self, id: MemberId, is_suspected: bool) {
         if let Some(member) = self.ids.get(&id).and_then(|&key| self.members.get_mut(key)) {
@@ -166,6 +164,11 @@
         self.members.values()
     }
 
+    /// Iterates over the members of one service.
+    pub(crate) fn members_of(&self, service: ServiceKey) -> impl Iterator<Item = &Member> {
+        self.services[service].members.iter().filter_map(|&key| self.members.get(key))
+    }
+
     /// Chooses a target of a service; `state` says which members may receive work. Other regions are considered only
     /// when no member of the own region remains, and members that may have failed only when no others do.
     pub(crate) fn choose(
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -5,11 +5,13 @@
 use compact_str::CompactString;
 
 use crate::{
+    crash_guard::{Judged, SuspectNote},
     event::Timer,
     identity::{Answer, AttemptTag, Handover, Identity, Stamp},
     keys::{CallKey, MemberId, WorkKey},
     membership::Message,
     refusal::Refusal,
+    rollout::{Finding, VerdictRecord},
 };
 
 /// One effect, carried out by the driver.
@@ -33,6 +35,12 @@
     HandOver { to: MemberId, control: SocketAddr, handover: Box<Handover> },
     /// Gives this node a seat, or takes it away.
     Seat(Option<usize>),
+    /// Records a verdict in the platform, unless the same or a newer one is there.
+    RecordVerdict(VerdictRecord),
+    /// Deletes a verdict whose schedule has ended from the platform.
+    DropVerdict(VerdictRecord),
+    /// Tells members at once of requests that may crash targets.
+    Tell { to: Vec<(MemberId, SocketAddr)>, notes: Vec<SuspectNote> },
     /// Sets a timer.
     Arm { timer: Timer, after: Duration },
     /// Writes a log line.
@@ -154,6 +162,18 @@
     Pull { from: MemberId, revision: u64 },
     /// A document came into force.
     Document { revision: u64, services: usize },
+    /// A rollout came to another stage.
+    Rollout {
+        service: CompactString,
+        version: CompactString,
+        stage: &'static str,
+        /// The share of traffic in thousandths.
+        share: u16,
+        /// The evidence of a rollback, with the route to which it applies.
+        finding: Option<(Finding, CompactString)>,
+    },
+    /// A request was in progress at a crash, or has been cleared.
+    Suspect(Judged),
     /// The target became reachable or unreachable.
     Target { change: &'static str },
     /// A graceful stop began or ended.
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -7,6 +7,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 
 use crate::{
+    crash_guard::RequestHash,
     driver::Driver,
     envelope::Envelope,
     event::{Failure, WorkHead},
@@ -103,6 +104,7 @@
             from: envelope.sender(),
             tag,
             timeout,
+            hash: RequestHash::new(service, req.method(), req.uri(), req.headers()),
         }))
     }
 
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -22,6 +22,7 @@
 use crate::{
     auth::RequestKey,
     body::{BodyCut, End, Replay, Tracked},
+    crash_guard::RequestHash,
     driver::Driver,
     effect::{Attempt, AttemptKind, CallStep, Hop},
     envelope::Envelope,
@@ -102,6 +103,8 @@
         let arrived = Instant::now();
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
+        let hash = RequestHash::new(&head.service, &parts.method, &parts.uri, &parts.headers);
+        let head = CallHead { hash, ..head };
         let overloaded = Refusal::not_run(Reason::Overloaded);
         let mut call = Handle::open(&self.driver).ok_or(overloaded)?;
         let template = Template { depth: head.depth, service: head.service.clone(), parts };
@@ -183,7 +186,9 @@
             AttemptKind::Run | AttemptKind::Relay { .. } => None,
         };
         let path = req.uri().path().to_compact_string();
-        let head = WorkHead { service, path, from: self.me, tag, timeout: attempt.timeout };
+        let hash = RequestHash::new(&service, req.method(), req.uri(), req.headers());
+        let timeout = attempt.timeout;
+        let head = WorkHead { service, path, from: self.me, tag, timeout, hash };
         match self.worker.run(head, req).await {
             Ok(answer) => Reply::Answer(answer, self.driver.report_load()),
             Err(WorkError::Refused(refusal)) => Reply::Refused(refusal, self.driver.report_load()),
@@ -345,7 +350,9 @@
     let fingerprint = fingerprint(&service, parts, length);
     let method = parts.method.clone();
     let presentation = Presentation { identity, relay: None };
-    Ok(CallHead { service, method, path, timeout, depth, fingerprint, presentation })
+    // The hash does not cover headers that are removed first.
+    let hash = RequestHash::default();
+    Ok(CallHead { service, method, path, timeout, depth, fingerprint, presentation, hash })
 }
 
 fn fingerprint(service: &str, parts: &Parts, length: Option<u32>) -> Fingerprint {
--- a/src/reducer/remote.rs
+++ b/src/reducer/remote.rs
@@ -154,7 +154,7 @@
     /// The members of a service in the own region that may receive work.
     fn own_members(&self, group: ServiceKey) -> impl Iterator<Item = &Member> {
         let (me, document) = (&self.me.info, self.document.as_deref());
-        let members = self.directory.group_members(group).map(|member| &member.info);
+        let members = self.directory.members_of(group).map(|member| &member.info);
         members.filter(move |member| member.region == me.region && is_in(document, member))
     }
 }
@@ -167,7 +167,7 @@
     service: &str,
 ) -> Vec<Member> {
     let group = directory.find(&CompactString::from(service));
-    let members = group.into_iter().flat_map(|group| directory.group_members(group));
+    let members = group.into_iter().flat_map(|group| directory.members_of(group));
     let members = members.map(|member| &member.info);
     members.filter(|m| m.region == me.region && is_in(document, m)).cloned().collect()
 }
--- a/src/reducer/remote/tests.rs
+++ b/src/reducer/remote/tests.rs
@@ -7,6 +7,7 @@
 use super::super::{Me, Presentation, Reducer};
 use super::*;
 use crate::{
+    crash_guard::RequestHash,
     effect::{CallStep, Hop},
     event::{CallEvent, CallHead, Event, Timer},
     identity::Fingerprint,
@@ -61,6 +62,7 @@
         depth: 0,
         fingerprint: Fingerprint::new("orders", "GET", "/", None),
         presentation: Presentation::default(),
+        hash: RequestHash::default(),
     };
     let events = [
         Event::Document { revision: 1, document },
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -3,6 +3,7 @@
 use crate::{
     admission::{Decision, Finish, Next},
     body::End,
+    crash_guard::{RequestHash, Standing},
     document::CentreState,
     effect::{Effect, Record, WorkStep},
     event::{WorkEvent, WorkHead},
@@ -18,7 +19,12 @@
 /// A request in progress at the target's node.
 #[derive(Debug)]
 pub(super) struct Work {
-    status: Option<u16>,
+    pub(super) status: Option<u16>,
+    pub(super) hash: RequestHash,
+    /// Whether the request was suspected of crashing targets when it was admitted.
+    pub(super) is_suspected: bool,
+    /// Whether the request was sent to the target; otherwise it waits.
+    pub(super) is_running: bool,
 }
 
 impl Reducer {
@@ -29,6 +35,7 @@
         event: WorkEvent,
         out: &mut Vec<Effect>,
     ) {
+        self.guard_work(now, key, &event, out);
         match event {
             WorkEvent::Arrived(head) => self.work_arrived(now, key, &head, out),
             WorkEvent::Answered { status } => {
@@ -63,12 +70,17 @@
         // refused now does not run later.
         let receipt = head.tag.map(|tag| self.receipts.accept(tag.stamp(), self.me.info.id));
         let refusal = match receipt {
-            None | Some(Accept::Run) => self.refuse_work(head),
+            None | Some(Accept::Run) => {
+                self.refuse_work(head).or_else(|| self.refuse_suspect(now, head))
+            }
             Some(Accept::Duplicate) => Some(Refusal::unknown(Reason::InProgress)),
             Some(Accept::WrongMember | Accept::BelowFloor) => {
                 Some(Refusal::unknown(Reason::AnswerLost))
             }
         };
+        let hash = head.hash;
+        let is_suspected = self.guard.standing(now, hash) != Standing::Clear;
+        let work = |is_running| Work { status: None, hash, is_suspected, is_running };
         let decision = match refusal {
             Some(refusal) => Decision::Refuse(refusal),
             None => self.gate.arrive(now, key, now + head.timeout),
@@ -89,11 +101,11 @@
         match decision {
             Decision::Refuse(refusal) => out.push(Effect::Work(key, WorkStep::Refuse(refusal))),
             Decision::Run => {
-                self.works.insert(key, Work { status: None });
+                self.works.insert(key, work(true));
                 out.push(Effect::Work(key, WorkStep::Run));
             }
             Decision::Queue => {
-                self.works.insert(key, Work { status: None });
+                self.works.insert(key, work(false));
             }
         }
     }
@@ -146,7 +158,12 @@
     pub(super) fn advance_queue(&mut self, next: Vec<Next>, out: &mut Vec<Effect>) {
         for next in next {
             match next {
-                Next::Run(key) => out.push(Effect::Work(key, WorkStep::Run)),
+                Next::Run(key) => {
+                    if let Some(work) = self.works.get_mut(key) {
+                        work.is_running = true;
+                    }
+                    out.push(Effect::Work(key, WorkStep::Run));
+                }
                 Next::Refuse(key, refusal) => {
                     self.works.remove(key);
                     out.push(Effect::Work(key, WorkStep::Refuse(refusal)));
