Try another target when one is away without spending the retry budget

Cause: a node that is draining, or whose target is down, refuses as not run, which spent the retry budget of a service with few calls and left the node a candidate for the next request.

--- a/src/event.rs
+++ b/src/event.rs
@@ -12,12 +12,11 @@
     identity::{Answer, AttemptTag, ClaimEvent, Fingerprint},
     keys::{CallKey, MemberId, WorkKey},
     load::{Health, LoadReport},
-    membership::{Message, Source},
+    membership::{Contact, Message, Source},
     pool::Reach,
     reducer::Presentation,
     refusal::Refusal,
     rollout::VerdictRecord,
-    seat::Contact,
     time::Wall,
 };
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -34,7 +34,7 @@
     health,
     ingress::Ingress,
     keys::MemberId,
-    membership::{Member, Message, Source},
+    membership::{Contact, Member, Message, Source},
     metrics::Metrics,
     peer::Peers,
     platform::{Http, Platform, http::Limits},
@@ -42,7 +42,7 @@
     probe::Prober,
     reducer::{Me, Reducer},
     rollout,
-    seat::{Contact, Seat},
+    seat::Seat,
     server,
     settings::Settings,
     tell,
@@ -170,6 +170,7 @@
         let me = me(&settings, id, addresses);
         let contact = Contact {
             id,
+            centre: me.info.centre.clone(),
             region: me.info.region.clone(),
             gossip: addresses.gossip,
             peer: addresses.peers,
@@ -233,7 +234,7 @@
             driver: driver.clone(),
             replica,
             me: contact,
-            centre: settings.centre.clone(),
+            has_peers: !settings.contacts.is_empty(),
             rank,
             log: log.clone(),
         });
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -9,6 +9,7 @@
 mod health;
 mod identities;
 mod members;
+mod remote;
 mod status;
 mod versions;
 mod works;
@@ -33,6 +34,7 @@
     load::MeasureBudget,
     membership::{self, Member, Membership},
     pool::Reach,
+    remote::{Remote, Serving},
     rollout::Rollouts,
     time::{Time, Wall},
 };
@@ -73,6 +75,10 @@
     reported: u64,
     seat: Option<usize>,
     pull: Option<Pull>,
+    remote: Remote,
+    serving: Serving,
+    /// The calls that wait for an answer of another region.
+    waiting: Vec<CallKey>,
     document: Option<Arc<Document>>,
     revision: u64,
     rollouts: Rollouts,
@@ -101,13 +107,14 @@
 impl Reducer {
     /// Creates the state of a node that has just started.
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
-        let mut directory = Directory::default();
+        let mut directory = Directory::new(me.info.region.clone());
         directory.upsert(me.info.clone());
         let guard = CrashGuard::new(me.info.id);
         let rollouts = Rollouts::new(me.info.id);
         let owner = Owner::new(me.info.id, me.started.as_millis().saturating_mul(1_000));
         let gate = Gate::new(me.slots, Time::ZERO);
         let membership = Membership::new(me.info.clone(), membership::Settings::default(), seed);
+        let remote = Remote::new(me.info.id, me.info.region.clone());
         Reducer {
             me,
             rng: SmallRng::seed_from_u64(seed),
@@ -119,6 +126,9 @@
             reported: 0,
             seat: None,
             pull: None,
+            remote,
+            serving: Serving::default(),
+            waiting: Vec::new(),
             document: None,
             revision: 0,
             rollouts,
@@ -206,6 +216,7 @@
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
         let was_out = self.is_centre_out();
         self.document = Some(document);
+        self.serving.note_all();
         if was_out && !self.is_centre_out() {
             // Caches and connections of a target without work are cold, so its share returns step by step.
             self.gate.chill(now);
@@ -234,6 +245,7 @@
                 self.advance_queue(next, out);
                 self.tick_rollouts(now, out);
                 self.tick_members(now, out);
+                self.tick_remote(now, out);
                 self.owner.sweep(now);
                 self.share_claims();
                 self.report_measuring(now, out);
@@ -253,6 +265,7 @@
         self.owner.leave();
         self.me.info.leaving = true;
         self.directory.upsert(self.me.info.clone());
+        self.serving.note_change(&self.me.info.service);
         self.announce_leave(now, out);
         out.push(Effect::Log(self.stop_record("begin")));
         out.push(Effect::Arm { timer: Timer::StopDeadline, after: self.me.drain });
--- a/src/reducer/calls.rs
+++ b/src/reducer/calls.rs
@@ -14,7 +14,7 @@
     keys::{CallKey, MemberId, MemberKey, ServiceKey},
     load::{LoadReport, Measure, Observed, PROBE_COST},
     refusal::{Outcome, Reason, Refusal},
-    retry::{Attempted, hop_time},
+    retry::{Attempted, RetryBudget, hop_time},
     rollout::{Sample, route_hash},
     routing::Choice,
     time::Time,
@@ -100,8 +100,15 @@
                 self.refuse_with(now, key, Refusal::unknown(Reason::OwnerLost), out);
             }
             CallEvent::Refused { attempt, refusal, report } => {
+                // The node knows before this one that its target takes no work, so the next request must not
+                // spend its attempts there as well.
+                let is_away = matches!(refusal.reason, Reason::NoTarget | Reason::Draining);
+                let is_unsent = is_away && refusal.outcome == Outcome::NotRun;
+                if is_unsent {
+                    self.note_unreachable(now, key, attempt, out);
+                }
                 self.close_attempt(now, key, attempt, Observed::NotRun, report, out);
-                self.attempt_refused(now, key, refusal, true, out);
+                self.attempt_refused(now, key, refusal, true, is_unsent, out);
             }
             CallEvent::Failed { attempt, failure, can_replay } => {
                 let (observed, refusal) = match failure {
@@ -109,8 +116,12 @@
                     Failure::Lost => (Observed::Failure, Refusal::unknown(Reason::AnswerLost)),
                     Failure::BodyCut => (Observed::NotRun, Refusal::unknown(Reason::BodyCut)),
                 };
+                let is_unsent = failure == Failure::NotSent;
+                if is_unsent {
+                    self.note_unreachable(now, key, attempt, out);
+                }
                 self.close_attempt(now, key, attempt, observed, None, out);
-                self.attempt_refused(now, key, refusal, can_replay, out);
+                self.attempt_refused(now, key, refusal, can_replay, is_unsent, out);
             }
             CallEvent::Claim(event) => self.claim_result(now, key, event, out),
             CallEvent::Kept(answer) => self.keep_answer(now, key, answer),
@@ -171,7 +182,11 @@
 
     /// Starts the first attempt of a call, or refuses the call.
     pub(super) fn start_or_refuse(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
+        self.want_remote(now, key, out);
         if let Err(reason) = self.start_attempt(now, key, out) {
+            if reason == Reason::NoTarget && self.wait_for_remote(now, key) {
+                return;
+            }
             self.refuse_call(now, key, reason, out);
         }
     }
@@ -319,6 +334,7 @@
         key: CallKey,
         refusal: Refusal,
         can_replay: bool,
+        is_unsent: bool,
         out: &mut Vec<Effect>,
     ) {
         let Some(call) = self.calls.get_mut(key) else { return };
@@ -338,8 +354,13 @@
         let (attempted, group) = (call.attempted(), call.group);
         // No other target is risked for a request that one node knows to crash targets.
         if can_replay && refusal.reason != Reason::CrashSuspect {
-            let retry = self.directory.group_mut(group).budget.retry(now, &attempted);
-            if retry.is_ok() && self.start_attempt(now, key, out).is_ok() {
+            let budget = &mut self.directory.group_mut(group).budget;
+            let may_retry = if is_unsent {
+                RetryBudget::resend(now, &attempted)
+            } else {
+                budget.retry(now, &attempted).is_ok()
+            };
+            if may_retry && self.start_attempt(now, key, out).is_ok() {
                 return;
             }
         }
@@ -465,13 +486,24 @@
         else {
             return;
         };
-        let Some(until) = self.directory.failed(now, key, limits) else { return };
-        let Some(member) = self.directory.get(key) else { return };
-        let pause = until.since(now);
+        let until = self.directory.failed(now, key, limits);
+        self.log_ejection(now, key, until, out);
+    }
+
+    /// Pauses a member to which no connection could be opened, or whose target takes no work.
+    fn note_unreachable(&mut self, now: Time, key: CallKey, attempt: u32, out: &mut Vec<Effect>) {
+        let open = self.calls.get(key).and_then(|c| c.open.iter().find(|o| o.number == attempt));
+        let Some(member) = open.map(|open| open.member) else { return };
+        let until = self.directory.unreachable(now, member);
+        self.log_ejection(now, member, until, out);
+    }
+
+    fn log_ejection(&self, now: Time, key: MemberKey, until: Option<Time>, out: &mut Vec<Effect>) {
+        let (Some(until), Some(member)) = (until, self.directory.get(key)) else { return };
         out.push(Effect::Log(Record::Eject {
             member: member.info.id,
-            service: service.into(),
-            pause,
+            service: member.info.service.clone(),
+            pause: until.since(now),
         }));
     }
 
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -42,7 +42,7 @@
 }
 
 fn started(target: &Target) -> u64 {
-    u64::from(target.totals().started)
+    target.totals().started
 }
 
 /// Sends requests side by side, so that no target can take all of them, until `holds`.
