--- a/src/reducer/tests.rs
+++ b/src/reducer/tests.rs
@@ -9,7 +9,7 @@
 use crate::{
     crash_guard::{RequestHash, SuspectNote},
     document::{Centre, CentreState, Route, Service, Version},
-    effect::{CallStep, WorkStep},
+    effect::{Attempt, CallStep, WorkStep},
     event::{CallEvent, CallHead, Failure, WorkEvent, WorkHead},
     identity::Fingerprint,
     keys::MemberId,
@@ -107,7 +107,7 @@
     }
 
     /// Opens a call and returns its attempt, or `None` if it is refused.
-    fn call(&mut self) -> (CallKey, Option<crate::effect::Attempt>) {
+    fn call(&mut self) -> (CallKey, Option<Attempt>) {
         let key = self.keys.insert(());
         let head = CallHead {
             service: "catalogue".into(),
@@ -123,7 +123,7 @@
         (key, self.last_attempt(key))
     }
 
-    fn last_attempt(&self, key: CallKey) -> Option<crate::effect::Attempt> {
+    fn last_attempt(&self, key: CallKey) -> Option<Attempt> {
         self.out.iter().rev().find_map(|effect| match effect {
             Effect::Call(k, CallStep::Attempt(attempt)) if *k == key => Some(attempt.clone()),
             _ => None,
@@ -469,3 +469,41 @@
     bench.apply(Event::Call(key, CallEvent::Refused { attempt: 1, refusal, report: None }));
     assert!(bench.out.contains(&Effect::Call(key, CallStep::Refuse(refusal))));
 }
+
+/// Guards against refusals while a node that is away is not known to be so: each request must reach another target,
+/// and the first to meet the absence spares the next ones.
+#[test_case(Reason::Draining)]
+#[test_case(Reason::NoTarget)]
+fn absent_target_costs_no_request(reason: Reason) {
+    let document = Document {
+        centres: [("oax-1".into(), Centre { region: "oaxaca".into(), state: CentreState::In })]
+            .into(),
+        services: [("catalogue".into(), Service { retry_percent: 0, ..Service::default() })].into(),
+        ..Document::default()
+    };
+    let mut bench = Bench::new(1, Arc::new(document));
+    bench.join(&[member(2, "v1"), member(3, "v1")]);
+    let away = MemberId(2);
+    let (mut attempts, mut refused) = (0, 0);
+    let end = bench.now + Duration::from_secs(3);
+    while bench.now < end {
+        let (key, mut attempt) = bench.call();
+        while let Some(Attempt { number, member, .. }) = attempt {
+            if member != away {
+                bench.answer(key, number, 200);
+                break;
+            }
+            attempts += 1;
+            let refusal = Refusal::not_run(reason);
+            bench.apply(Event::Call(
+                key,
+                CallEvent::Refused { attempt: number, refusal, report: None },
+            ));
+            attempt = bench.last_attempt(key).filter(|next| next.number > number);
+        }
+        refused += usize::from(attempt.is_none());
+    }
+    assert_eq!(refused, 0);
+    // Each attempt is followed by a pause of 500 ms.
+    assert!((1..=6).contains(&attempts), "{attempts} attempts at the absent target");
+}
