Test that metrics are sent and log lines are key=value pairs

Cause: neither had a test. Change: a node sends a counter to a UDP socket of the test; the log of the node in the end-to-end test has the expected events, each line of key=value pairs. Conclusion: the outputs that operators rely on are covered.

--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -138,3 +138,21 @@
     let limits = &rows(page)[field][4];
     assert!(limits.starts_with(&limit), "{limits}");
 }
+
+/// Guards against links between pages that lead nowhere.
+#[test]
+fn links_between_pages_resolve() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let docs = fs::read_dir(root.join("docs")).expect("the folder docs");
+    let docs = docs.map(|entry| entry.expect("an entry").path());
+    let top = ["README.md", "CONTRIBUTING.md", "CHANGELOG.md"].map(|name| root.join(name));
+    for page in docs.chain(top).filter(|path| path.extension().is_some_and(|e| e == "md")) {
+        let text = fs::read_to_string(&page).expect("a page");
+        for link in text.split("](").skip(1).filter_map(|rest| rest.split(')').next()) {
+            let path = link.split('#').next().unwrap_or_default();
+            let is_local = !path.is_empty() && !path.contains("://");
+            let target = page.parent().expect("a folder").join(path);
+            assert!(!is_local || target.exists(), "{}: {link}", page.display());
+        }
+    }
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -73,6 +73,13 @@
         .expect("the program runs");
     let table = String::from_utf8(status.stdout).expect("text");
     assert!(status.status.success() && table.contains(&nodes[0].value("node")), "{table}");
+    let lines = fs::read_to_string(log("node-catalogue")).expect("a log");
+    for event in ["document", "member", "route", "admit"] {
+        let start = format!(" event={event} ");
+        let line = lines.lines().find(|line| line.contains(&start));
+        let pairs = line.unwrap_or_else(|| panic!("no line with{start}in {lines}")).split(' ');
+        assert!(pairs.filter(|pair| !pair.is_empty()).all(|pair| pair.contains('=')), "{line:?}");
+    }
     for process in nodes.into_iter().chain(targets).chain([platform]) {
         assert_eq!(process.stop(), Some(0));
     }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -1,5 +1,7 @@
 //! Requests through nodes in one process that find each other through a platform.
 
+use std::time::Duration;
+
 use poplarbarrow::{
     document::Document,
     logging,
@@ -8,6 +10,7 @@
     standin::target::{Config, Target},
     store,
 };
+use tokio::{net::UdpSocket, time::timeout};
 
 #[path = "utils/client.rs"]
 #[allow(dead_code)] // Each test program uses a part of it.
@@ -37,3 +40,26 @@
         assert_eq!(answer.status, 200, "{service}: {answer:?}");
     }
 }
+
+/// Guards against metrics that are configured and never sent.
+#[tokio::test]
+async fn metrics_reach_their_receiver() {
+    let receiver = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let platform = Memory::new();
+    store::commit(&platform, 0, &fleet::document(&["catalogue"]), "first").await.expect("a commit");
+    let target = Target::start(Config::default()).await.expect("a target");
+    let mut settings = settings("catalogue", target.addr());
+    settings.metrics = Some(receiver.local_addr().expect("an address"));
+    let node = Node::start_with(settings, platform, logging::silent()).await.expect("a node");
+    eventually("the document is in force", || node.revision() == 1).await;
+    client::get(node.addresses().callers, "catalogue", "/stock").await;
+    let mut buffer = [0; 1_024];
+    loop {
+        let received = timeout(Duration::from_secs(30), receiver.recv(&mut buffer)).await;
+        let size = received.expect("a metric in time").expect("a datagram");
+        let text = String::from_utf8_lossy(&buffer[..size]);
+        if text.starts_with("poplarbarrow.routes:1|c") {
+            break;
+        }
+    }
+}
