Wake the timer service for the earliest timer only

Each call sent its deadline to the timer task through a channel, and each deadline woke the process again two seconds later, long after the call had ended.

Timers now go straight into an ordered queue, and the service wakes up only when the new timer is the earliest. Timers that the reducer no longer awaits are dropped instead of waited for, and beyond 4,096 timers they are removed ahead of their time, so that long deadlines that callers state cannot fill the memory.

--- a/src/node.rs
+++ b/src/node.rs
@@ -227,7 +227,11 @@
         tasks.spawn(server::serve(operator, Vec::new(), stop.subscribe(), log, handle));
 
         let fire = driver.clone();
-        let timers = Timers::start(move |timer| fire.dispatch(Event::Timer(timer)));
+        let ask = driver.clone();
+        let timers = Timers::start(
+            move |timer| fire.dispatch(Event::Timer(timer)),
+            move |timer| ask.inspect(|reducer| reducer.awaits(timer)),
+        );
         driver.start(Outlets {
             gossip: gossip.sender,
             pulls,
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -130,6 +130,17 @@
         self.directory.members().filter(|member| member.info.service == service).count()
     }
 
+    /// Returns whether a timer still has an effect when it expires.
+    pub(crate) fn awaits(&self, timer: Timer) -> bool {
+        match timer {
+            Timer::CallDeadline(key)
+            | Timer::Hedge(key)
+            | Timer::ClaimWrite(key)
+            | Timer::ClaimTimeout(key) => self.calls.contains_key(key),
+            Timer::Tick | Timer::StopDeadline => true,
+        }
+    }
+
     /// Applies one event that happened at `now` and appends its effects to `out`.
     pub(crate) fn apply(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -1,44 +1,126 @@
 //! The timer service to which the parts of a process subscribe.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
-use futures::StreamExt;
-use tokio::sync::mpsc;
-use tokio_util::time::DelayQueue;
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep_until},
+};
 
 use crate::event::Timer;
 
+/// The number of timers from which those that nobody awaits any more are removed ahead of their time.
+const CLEAN_SIZE: usize = 4_096;
+
 /// Sets timers; a clone sets timers at the same service.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct Timers {
-    requests: mpsc::UnboundedSender<(Timer, Duration)>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    queue: Mutex<Queue>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct Queue {
+    /// By time, and in the order of setting for the same time.
+    timers: BTreeMap<(Instant, u64), Timer>,
+    count: u64,
+    /// The time at which the service wakes up in any case.
+    wake: Option<Instant>,
 }
 
 impl Timers {
     /// Starts the service; `fire` is called with each timer that expires.
     ///
-    /// Timers cannot be cancelled: a receiver ignores a timer whose subject is gone, which costs less than
-    /// keeping track of it.
-    pub(crate) fn start(mut fire: impl FnMut(Timer) + Send + 'static) -> Timers {
-        let (requests, mut incoming) = mpsc::unbounded_channel();
+    /// Most timers are deadlines of requests that end long before. They are not cancelled, which would cost more
+    /// than setting them, and a timer wakes up the service only if it is the earliest. Timers that `is_awaited`
+    /// denies are dropped instead of waited for.
+    pub(crate) fn start(
+        fire: impl Fn(Timer) + Send + 'static,
+        is_awaited: impl Fn(Timer) -> bool + Send + 'static,
+    ) -> Timers {
+        let shared = Arc::<Shared>::default();
+        let service = shared.clone();
         tokio::spawn(async move {
-            let mut queue = DelayQueue::new();
+            let mut clean_at = CLEAN_SIZE;
             loop {
-                tokio::select! {
-                    request = incoming.recv() => match request {
-                        Some((timer, after)) => { queue.insert(timer, after); }
-                        None => break,
-                    },
-                    Some(expired) = queue.next(), if !queue.is_empty() => fire(expired.into_inner()),
+                while let Some(timer) = service.take(|at, _| at <= Instant::now()) {
+                    fire(timer);
+                }
+                while let Some(first) = service.first() {
+                    if is_awaited(first) || service.take(|_, timer| timer == first).is_none() {
+                        break;
+                    }
+                }
+                if service.lock().timers.len() >= clean_at {
+                    clean_at = CLEAN_SIZE.max(2 * service.clean(&is_awaited));
+                }
+                let changed = service.changed.notified();
+                match service.plan() {
+                    Some(at) => tokio::select! { () = sleep_until(at) => {}, () = changed => {} },
+                    None => changed.await,
                 }
             }
         });
-        Timers { requests }
+        Timers { shared }
     }
 
     /// Lets `timer` expire after a delay, rounded up to whole milliseconds.
     pub(crate) fn arm(&self, timer: Timer, after: Duration) {
-        // The service ends with the runtime only, when no timer matters any more.
-        let _ = self.requests.send((timer, after));
+        let at = Instant::now() + after;
+        let mut queue = self.shared.lock();
+        let number = queue.count;
+        queue.count += 1;
+        queue.timers.insert((at, number), timer);
+        if queue.wake.is_none_or(|wake| at < wake) {
+            queue.wake = Some(at);
+            self.shared.changed.notify_one();
+        }
     }
 }
+
+impl Shared {
+    /// Removes the first timer if the condition holds for it.
+    fn take(&self, condition: impl Fn(Instant, Timer) -> bool) -> Option<Timer> {
+        let mut queue = self.lock();
+        let first = queue.timers.first_entry()?;
+        condition(first.key().0, *first.get()).then(|| first.remove())
+    }
+
+    fn first(&self) -> Option<Timer> {
+        self.lock().timers.first_key_value().map(|(_, timer)| *timer)
+    }
+
+    /// Sets the time of the next wake-up.
+    fn plan(&self) -> Option<Instant> {
+        let mut queue = self.lock();
+        queue.wake = queue.timers.first_key_value().map(|((at, _), _)| *at);
+        queue.wake
+    }
+
+    /// Removes the timers that nobody awaits, and returns the number of those left.
+    ///
+    /// The queue is not locked meanwhile, because timers are set while the state that decides is locked.
+    fn clean(&self, is_awaited: &impl Fn(Timer) -> bool) -> usize {
+        let mut timers = std::mem::take(&mut self.lock().timers);
+        timers.retain(|_, timer| is_awaited(*timer));
+        let mut queue = self.lock();
+        queue.timers.append(&mut timers);
+        queue.timers.len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[cfg(test)]
+mod tests;
