Keep the steps of a request in the driver

A channel for each request allocated several kilobytes, although nearly every step is taken by the task whose own event caused it. The driver now keeps the steps in a queue in the request's slot.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -1,11 +1,13 @@
 //! Applies events to the reducer and carries out the effects.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    task::{Context, Poll, Waker},
 };
 
 use slog::Logger;
@@ -72,11 +74,41 @@
 struct Core {
     reducer: Reducer,
     outlets: Option<Outlets>,
-    calls: SlotMap<CallKey, mpsc::UnboundedSender<CallStep>>,
-    works: SlotMap<WorkKey, mpsc::UnboundedSender<WorkStep>>,
+    calls: SlotMap<CallKey, Mailbox<CallStep>>,
+    works: SlotMap<WorkKey, Mailbox<WorkStep>>,
     effects: Vec<Effect>,
 }
 
+/// The steps of one request that its task has not taken.
+///
+/// Nearly every step is taken by the task whose event caused it, so that the queue costs less than a channel,
+/// which allocates several kilobytes for each request.
+struct Mailbox<T> {
+    steps: VecDeque<T>,
+    reader: Option<Waker>,
+}
+
+impl<T> Mailbox<T> {
+    const fn new() -> Mailbox<T> {
+        Mailbox { steps: VecDeque::new(), reader: None }
+    }
+
+    fn push(&mut self, step: T) {
+        self.steps.push_back(step);
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
+
+    fn poll(&mut self, cx: &Context<'_>) -> Poll<Option<T>> {
+        if let Some(step) = self.steps.pop_front() {
+            return Poll::Ready(Some(step));
+        }
+        self.reader = Some(cx.waker().clone());
+        Poll::Pending
+    }
+}
+
 impl Driver {
     pub(crate) fn new(reducer: Reducer, log: Logger, metrics: Metrics) -> Driver {
         let core = Core {
@@ -112,25 +144,33 @@
     }
 
     /// Registers a caller's request, or returns `None` if the node handles too many.
-    pub(crate) fn open_call(&self) -> Option<(CallKey, mpsc::UnboundedReceiver<CallStep>)> {
+    pub(crate) fn open_call(&self) -> Option<CallKey> {
         let mut core = self.lock();
         if core.calls.len() >= MAX_REQUESTS {
             self.count_rejected();
             return None;
         }
-        let (tx, rx) = mpsc::unbounded_channel();
-        Some((core.calls.insert(tx), rx))
+        Some(core.calls.insert(Mailbox::new()))
     }
 
     /// Registers a request for the target, or returns `None` if the node handles too many.
-    pub(crate) fn open_work(&self) -> Option<(WorkKey, mpsc::UnboundedReceiver<WorkStep>)> {
+    pub(crate) fn open_work(&self) -> Option<WorkKey> {
         let mut core = self.lock();
         if core.works.len() >= MAX_REQUESTS {
             self.count_rejected();
             return None;
         }
-        let (tx, rx) = mpsc::unbounded_channel();
-        Some((core.works.insert(tx), rx))
+        Some(core.works.insert(Mailbox::new()))
+    }
+
+    /// Returns the next step of a caller's request, or `None` if it is not registered.
+    pub(crate) fn poll_call(&self, key: CallKey, cx: &Context<'_>) -> Poll<Option<CallStep>> {
+        self.lock().calls.get_mut(key).map_or(Poll::Ready(None), |steps| steps.poll(cx))
+    }
+
+    /// Returns the next step of a request for the target, or `None` if it is not registered.
+    pub(crate) fn poll_work(&self, key: WorkKey, cx: &Context<'_>) -> Poll<Option<WorkStep>> {
+        self.lock().works.get_mut(key).map_or(Poll::Ready(None), |steps| steps.poll(cx))
     }
 
     /// Applies the last event of a caller's request.
@@ -195,13 +235,13 @@
         for effect in core.effects.drain(..) {
             match effect {
                 Effect::Call(key, step) => {
-                    if let Some(steps) = core.calls.get(key) {
-                        let _ = steps.send(step);
+                    if let Some(steps) = core.calls.get_mut(key) {
+                        steps.push(step);
                     }
                 }
                 Effect::Work(key, step) => {
-                    if let Some(steps) = core.works.get(key) {
-                        let _ = steps.send(step);
+                    if let Some(steps) = core.works.get_mut(key) {
+                        steps.push(step);
                     }
                 }
                 Effect::Log(record) => {
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -1,6 +1,7 @@
 //! The entry of callers' requests: chooses a target by way of the reducer and passes the answer back.
 
 use std::{
+    future::poll_fn,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -17,7 +18,6 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts};
 use http_body::Body as _;
 use http_body_util::BodyExt;
-use tokio::sync::mpsc;
 
 use crate::{
     auth::RequestKey,
@@ -103,7 +103,7 @@
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
         let overloaded = Refusal::not_run(Reason::Overloaded);
-        let mut call = Handle::open(&self.driver).ok_or(overloaded)?;
+        let call = Handle::open(&self.driver).ok_or(overloaded)?;
         let template = Template { depth: head.depth, service: head.service.clone(), parts };
         let body = Replay::new(body);
         call.dispatch(CallEvent::Arrived(head));
@@ -113,7 +113,7 @@
         loop {
             tokio::select! {
                 biased;
-                step = call.steps.recv() => match step {
+                step = call.next() => match step {
                     Some(CallStep::Attempt(attempt)) => {
                         if attempt.number == 1 {
                             self.driver.metrics().handed_on(arrived.elapsed());
@@ -248,14 +248,17 @@
 struct Handle {
     driver: Arc<Driver>,
     key: CallKey,
-    steps: mpsc::UnboundedReceiver<CallStep>,
     is_open: bool,
 }
 
 impl Handle {
     fn open(driver: &Arc<Driver>) -> Option<Handle> {
-        let (key, steps) = driver.open_call()?;
-        Some(Handle { driver: driver.clone(), key, steps, is_open: true })
+        let key = driver.open_call()?;
+        Some(Handle { driver: driver.clone(), key, is_open: true })
+    }
+
+    async fn next(&self) -> Option<CallStep> {
+        poll_fn(|cx| self.driver.poll_call(self.key, cx)).await
     }
 
     fn dispatch(&self, event: CallEvent) {
--- a/src/work.rs
+++ b/src/work.rs
@@ -1,10 +1,9 @@
 //! Runs requests at the target beside this node.
 
-use std::sync::Arc;
+use std::{future::poll_fn, sync::Arc};
 
 use axum::body::Body;
 use http::{HeaderValue, Request, Response, Version, header};
-use tokio::sync::mpsc;
 
 use crate::{
     body::{End, Tracked},
@@ -61,9 +60,9 @@
         req: Request<Body>,
     ) -> Result<Response<Body>, WorkError> {
         let overloaded = WorkError::Refused(Refusal::not_run(Reason::Overloaded));
-        let mut work = Handle::open(&self.driver).ok_or(overloaded)?;
+        let work = Handle::open(&self.driver).ok_or(overloaded)?;
         work.dispatch(WorkEvent::Arrived(head));
-        match work.steps.recv().await {
+        match work.next().await {
             Some(WorkStep::Run) => {}
             Some(WorkStep::Refuse(refusal)) => return Err(WorkError::Refused(refusal)),
             None => return Err(WorkError::Refused(Refusal::not_run(Reason::Draining))),
@@ -94,14 +93,17 @@
 struct Handle {
     driver: Arc<Driver>,
     key: WorkKey,
-    steps: mpsc::UnboundedReceiver<WorkStep>,
     is_open: bool,
 }
 
 impl Handle {
     fn open(driver: &Arc<Driver>) -> Option<Handle> {
-        let (key, steps) = driver.open_work()?;
-        Some(Handle { driver: driver.clone(), key, steps, is_open: true })
+        let key = driver.open_work()?;
+        Some(Handle { driver: driver.clone(), key, is_open: true })
+    }
+
+    async fn next(&self) -> Option<WorkStep> {
+        poll_fn(|cx| self.driver.poll_work(self.key, cx)).await
     }
 
     fn dispatch(&self, event: WorkEvent) {
