Format no metrics without a receiver

The metrics client formatted each metric before it dropped it, which took about 2,600 instructions of a call at the entry node (callgrind, 2.3% of 112,100).

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -7,9 +7,7 @@
     time::Duration,
 };
 
-use cadence::{
-    Counted, Histogrammed, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink,
-};
+use cadence::{Counted, Histogrammed, QueuingMetricSink, StatsdClient, UdpMetricSink};
 
 use crate::effect::Record;
 
@@ -18,7 +16,8 @@
 
 /// Sends metrics, or drops them if no receiver is set.
 pub(crate) struct Metrics {
-    client: StatsdClient,
+    /// Absent if no receiver is set, because formatting metrics that nobody receives takes time in each call.
+    client: Option<StatsdClient>,
 }
 
 impl Metrics {
@@ -29,12 +28,12 @@
     /// Fails if no UDP socket can be opened.
     pub(crate) fn new(receiver: Option<SocketAddr>) -> Result<Metrics, cadence::MetricError> {
         let client = match receiver {
-            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            None => None,
             Some(addr) => {
                 let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
                 socket.set_nonblocking(true)?;
                 let sink = QueuingMetricSink::from(UdpMetricSink::from(addr, socket)?);
-                StatsdClient::from_sink(PREFIX, sink)
+                Some(StatsdClient::from_sink(PREFIX, sink))
             }
         };
         Ok(Metrics { client })
@@ -42,9 +41,12 @@
 
     /// Counts a record by its kind.
     pub(crate) fn record(&self, record: &Record) {
+        let Some(client) = &self.client else { return };
         let name = match record {
             Record::Route { .. } => "routes",
-            Record::Refuse { refusal, .. } => return self.count_refusal(refusal.reason.as_str()),
+            Record::Refuse { refusal, .. } => {
+                return count_refusal(client, refusal.reason.as_str());
+            }
             Record::Relay { .. } => "relays",
             Record::Replay { .. } => "replays",
             Record::HandOver { .. } => "handovers",
@@ -62,24 +64,30 @@
             Record::Stop { .. } => "stops",
         };
         // A lost metric must not disturb a request.
-        let _ = self.client.count(name, 1);
+        let _ = client.count(name, 1);
     }
 
     /// Records the time that this node took to hand a request on to its target's node.
     pub(crate) fn handed_on(&self, elapsed: Duration) {
-        let _ = self.client.histogram("call.request_us", micros(elapsed));
+        self.time("call.request_us", elapsed);
     }
 
     /// Records the time that this node took to hand the head of an answer on to the caller.
     pub(crate) fn handed_back(&self, elapsed: Duration) {
-        let _ = self.client.histogram("call.answer_us", micros(elapsed));
+        self.time("call.answer_us", elapsed);
     }
 
-    fn count_refusal(&self, reason: &str) {
-        let _ = self.client.count_with_tags("refusals", 1).with_tag("reason", reason).try_send();
+    fn time(&self, name: &str, elapsed: Duration) {
+        if let Some(client) = &self.client {
+            let _ = client.histogram(name, micros(elapsed));
+        }
     }
 }
 
+fn count_refusal(client: &StatsdClient, reason: &str) {
+    let _ = client.count_with_tags("refusals", 1).with_tag("reason", reason).try_send();
+}
+
 fn micros(elapsed: Duration) -> u64 {
     u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
 }
