Send requests between nodes over pooled HTTP/1.1 connections

Each connection now carries one request at a time; bodies stream with the flow control of TCP, and a dropped answer closes its connection, which cancels the request.

HTTP/2 pings ended requests at a frozen node after 2 s. Now they end when the node is declared failed; requests at a node that left are finished. An answer before the end of the body was lost in a test on four threads, because the server reset the connection with unread data: servers now drain bodies over HTTP/1 that nobody reads, up to 4 MiB and 1 s. Connections from other nodes close after 60 s, and are used again for 30 s only, so that no request meets a closing connection. The listener for nodes accepts the headers that nodes add on top of the limit for callers.

--- a/src/body.rs
+++ b/src/body.rs
@@ -4,11 +4,14 @@
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, Waker, ready},
+    time::Duration,
 };
 
 use axum::body::Body;
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
+use tokio::{runtime::Handle, time};
 
 /// The largest request body in bytes that is kept for another attempt.
 pub(crate) const REPLAY_LIMIT: usize = 64 * 1024;
@@ -16,6 +19,12 @@
 /// The position of the reader that goes on behind [`REPLAY_LIMIT`].
 const SPENT_READER: usize = usize::MAX;
 
+/// The bytes that are read of a body that nobody wants; the connection closes behind them.
+const DRAIN_LIMIT: usize = 4 << 20;
+
+/// The time in which such a body must arrive.
+const DRAIN_TIME: Duration = Duration::from_secs(1);
+
 /// How a streamed body ended.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) enum End {
@@ -246,5 +255,64 @@
     }
 }
 
+/// A request body of HTTP/1 whose rest is read when nobody wants it any more.
+///
+/// A server that closes a connection with unread data resets it, and the sender may lose an answer that came
+/// before the end of its body.
+pub(crate) struct Drained {
+    inner: Option<Body>,
+}
+
+impl Drained {
+    pub(crate) fn new(inner: Body) -> Drained {
+        Drained { inner: Some(inner) }
+    }
+}
+
+impl HttpBody for Drained {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
+        let Some(inner) = &mut self.inner else { return Poll::Ready(None) };
+        let frame = ready!(Pin::new(inner).poll_frame(cx));
+        if !matches!(frame, Some(Ok(_))) {
+            self.inner = None;
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.as_ref().map_or_else(|| SizeHint::with_exact(0), Body::size_hint)
+    }
+}
+
+impl Drop for Drained {
+    fn drop(&mut self) {
+        if let Some(body) = self.inner.take().filter(|body| !body.is_end_stream())
+            && let Ok(runtime) = Handle::try_current()
+        {
+            runtime.spawn(time::timeout(DRAIN_TIME, drain(body)));
+        }
+    }
+}
+
+async fn drain(mut body: Body) {
+    let mut left = DRAIN_LIMIT;
+    while let Some(Ok(frame)) = body.frame().await {
+        match left.checked_sub(frame.data_ref().map_or(0, Bytes::len)) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -284,7 +284,7 @@
             Effect::HandOver { to, control, handover } => {
                 let _ = self.handovers.send(HandOver { to, control, handover: *handover });
             }
-            Effect::Forget(peer) => self.peers.forget(peer),
+            Effect::Forget { peer, has_failed } => self.peers.forget(peer, has_failed),
             Effect::Seat(seat) => {
                 self.seat.send_replace(seat);
             }
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -23,8 +23,8 @@
     Send { to: SocketAddr, message: Box<Message> },
     /// Pulls the document from another member.
     Pull { from: MemberId, control: SocketAddr },
-    /// Closes the connections to a member that is gone.
-    Forget(SocketAddr),
+    /// Forgets the connections to a member that is gone; requests in progress at a failed one are lost.
+    Forget { peer: SocketAddr, has_failed: bool },
     /// Writes or reads the claim of a caller's own key.
     Claim { call: CallKey, io: ClaimIo },
     /// Hands the outcomes of this node's identities to another member.
--- a/src/node.rs
+++ b/src/node.rs
@@ -39,7 +39,7 @@
     pool::{Pool, Reach},
     reducer::{Me, Reducer},
     seat::{Contact, Seat},
-    server,
+    server::{self, Limits as Heads},
     settings::Settings,
     time::Wall,
     timer::Timers,
@@ -215,16 +215,30 @@
             let ingress = ingress.clone();
             async move { ingress.serve(req).await }
         };
-        tasks.spawn(server::serve(callers, Vec::new(), stop.subscribe(), log.clone(), handle));
+        tasks.spawn(server::serve(
+            callers,
+            Heads::CALLERS,
+            Vec::new(),
+            stop.subscribe(),
+            log.clone(),
+            handle,
+        ));
         let handle = move |req: Request<Body>| {
             let egress = egress.clone();
             async move { egress.serve(req).await }
         };
         let (quit, records) = (stop.subscribe(), log.clone());
-        tasks.spawn(server::serve(peers, settings.networks, quit, records, handle));
+        tasks.spawn(server::serve(peers, Heads::PEERS, settings.networks, quit, records, handle));
         let pages = console.router();
         let handle = move |req: Request<Body>| console::answer(pages.clone(), req);
-        tasks.spawn(server::serve(operator, Vec::new(), stop.subscribe(), log, handle));
+        tasks.spawn(server::serve(
+            operator,
+            Heads::CALLERS,
+            Vec::new(),
+            stop.subscribe(),
+            log,
+            handle,
+        ));
 
         let fire = driver.clone();
         let ask = driver.clone();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,48 +1,55 @@
-//! Requests between nodes: HTTP/2 streams over few long-lived connections.
+//! Requests between nodes: pooled HTTP/1.1 connections.
+//!
+//! HTTP/2 streams over one connection took half as many instructions again for each call (`docs/measurements.md`,
+//! "Added latency"). A connection carries one request at a time, so that TCP gives each body its own flow control,
+//! and dropping an answer closes its connection, which cancels the request at the other node.
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use axum::body::Body;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::{
     body::Incoming,
-    client::conn::http2::{self, SendRequest},
+    client::conn::http1::{self, SendRequest},
 };
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use tokio::{net::TcpStream, time};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    time::{self, Instant},
+};
+use tokio_util::sync::CancellationToken;
 
 use crate::pool::SendError;
 
 /// The longest time to open a connection to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The interval of keep-alive pings; a frozen node holds requests for at most this and the timeout together.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The time after which a ping without an answer closes the connection.
-const PING_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The flow-control window of one stream in bytes; it holds a body of 64 KiB several times.
-pub(crate) const STREAM_WINDOW: u32 = 256 * 1024;
-
-/// The flow-control window of one connection in bytes.
-pub(crate) const CONNECTION_WINDOW: u32 = 4 * 1024 * 1024;
+/// The time for which an idle connection is used again. The other node closes it after
+/// the time in [`Limits::PEERS`](crate::server::Limits::PEERS), and a request sent at that moment would be lost.
+const IDLE_TIME: Duration = Duration::from_secs(30);
 
-/// Connections to other nodes, one for each.
+/// Connections to other nodes.
 #[derive(Clone, Default)]
 pub(crate) struct Peers {
     slots: Arc<Mutex<HashMap<SocketAddr, Arc<Slot>>>>,
 }
 
+/// The connections to one node.
 #[derive(Default)]
 struct Slot {
-    /// Held while a connection is opened, so that concurrent requests open only one.
-    sender: tokio::sync::Mutex<Option<SendRequest<Body>>>,
+    idle: Mutex<Vec<Link>>,
+    failed: CancellationToken,
+}
+
+struct Link {
+    sender: SendRequest<Body>,
+    /// The time of the last request.
+    used: Instant,
 }
 
 impl Peers {
@@ -52,11 +59,21 @@
         addr: SocketAddr,
         mut req: Request<Body>,
     ) -> Result<Response<Incoming>, SendError> {
+        *req.version_mut() = Version::HTTP_11;
+        let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
+        *req.uri_mut() = path.parse().map_err(|_| SendError::NotSent)?;
         let slot = self.slot(addr);
         loop {
-            let (mut sender, reused) = connect(&slot, addr).await.ok_or(SendError::NotSent)?;
-            match sender.try_send_request(req).await {
-                Ok(answer) => return Ok(answer),
+            let (mut link, reused) = match slot.take() {
+                Some(link) => (link, true),
+                None => (slot.connect(addr).await.ok_or(SendError::NotSent)?, false),
+            };
+            match link.sender.try_send_request(req).await {
+                Ok(answer) => {
+                    link.used = Instant::now();
+                    slot.put_back(link);
+                    return Ok(answer);
+                }
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if reused => req = unsent,
                     Some(_) => return Err(SendError::NotSent),
@@ -66,41 +83,57 @@
         }
     }
 
-    /// Closes the connection to a node that is gone.
-    pub(crate) fn forget(&self, addr: SocketAddr) {
-        self.lock().remove(&addr);
+    /// Forgets the connections to a node that is gone.
+    ///
+    /// Requests in progress at a node that `has_failed` end as lost: a frozen node keeps its connections open.
+    pub(crate) fn forget(&self, addr: SocketAddr, has_failed: bool) {
+        let slot = self.lock().remove(&addr);
+        if let Some(slot) = slot
+            && has_failed
+        {
+            slot.failed.cancel();
+        }
     }
 
     fn slot(&self, addr: SocketAddr) -> Arc<Slot> {
         self.lock().entry(addr).or_default().clone()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<Slot>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Slot>>> {
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Returns an open connection and whether it was open before.
-async fn connect(slot: &Slot, addr: SocketAddr) -> Option<(SendRequest<Body>, bool)> {
-    let mut current = slot.sender.lock().await;
-    if let Some(sender) = current.as_ref().filter(|sender| !sender.is_closed()) {
-        return Some((sender.clone(), true));
+impl Slot {
+    /// Returns the open connection that was used last; older ones become unused and close.
+    fn take(&self) -> Option<Link> {
+        let mut idle = self.lock();
+        idle.retain(|link| !link.sender.is_closed() && link.used.elapsed() < IDLE_TIME);
+        let ready = idle.iter().rposition(|link| link.sender.is_ready())?;
+        Some(idle.remove(ready))
+    }
+
+    /// Returns a connection that may still be busy with an answer; `take` skips it until it is ready.
+    fn put_back(&self, link: Link) {
+        self.lock().push(link);
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Option<Link> {
+        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let failed = self.failed.clone();
+        tokio::spawn(async move {
+            // The request on the connection reports its failure itself.
+            let _ = failed.run_until_cancelled_owned(conn).await;
+        });
+        Some(Link { sender, used: Instant::now() })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Link>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
-    let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?;
-    let _ = stream.set_nodelay(true);
-    let (sender, conn) = http2::Builder::new(TokioExecutor::new())
-        .timer(TokioTimer::new())
-        .initial_stream_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
-        .keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(PING_TIMEOUT)
-        .handshake(TokioIo::new(stream))
-        .await
-        .ok()?;
-    tokio::spawn(async move {
-        // Requests on the connection report its failure themselves.
-        let _ = conn.await;
-    });
-    *current = Some(sender.clone());
-    Some((sender, false))
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/peer/tests.rs
@@ -0,0 +1,134 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::body::Body;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, mpsc, watch},
+    time::timeout,
+};
+
+use super::Peers;
+use crate::{
+    logging,
+    pool::SendError,
+    server::{self, Limits},
+};
+
+/// The time after which a test that would never end fails.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Tells that a request was dropped before its answer.
+struct Guard(mpsc::UnboundedSender<()>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let _ = self.0.send(());
+    }
+}
+
+/// Serves `/held`, which has no answer until `go`, `/refused`, which ignores the body, and otherwise an echo.
+async fn start(go: Arc<Notify>) -> (SocketAddr, mpsc::UnboundedReceiver<()>, watch::Sender<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (ended, ends) = mpsc::unbounded_channel();
+    let stop = watch::Sender::new(false);
+    let handle = move |req: Request<Body>| {
+        let (go, guard) = (go.clone(), Guard(ended.clone()));
+        async move {
+            if req.uri().path() == "/held" {
+                let _ = guard.0.send(());
+                go.notified().await;
+            }
+            if req.uri().path() == "/refused" {
+                return Response::new(Body::from("refused"));
+            }
+            Response::new(req.into_body())
+        }
+    };
+    let (quit, log) = (stop.subscribe(), logging::silent());
+    tokio::spawn(server::serve(listener, Limits::PEERS, Vec::new(), quit, log, handle));
+    (addr, ends, stop)
+}
+
+fn request(path: &str, body: &str) -> Request<Body> {
+    let uri = format!("http://catalogue{path}");
+    let host = (http::header::HOST, "catalogue");
+    Request::post(uri).header(host.0, host.1).body(Body::from(body.to_owned())).unwrap()
+}
+
+/// Guards against answers that go to another request of the same connection pool.
+#[tokio::test]
+async fn concurrent_requests_get_their_own_answers() {
+    let (addr, _ends, _stop) = start(Arc::default()).await;
+    let peers = Peers::default();
+    let calls = (0..50).map(|n| {
+        let peers = &peers;
+        async move {
+            let body = format!("body {n}");
+            let answer = peers.send(addr, request("/", &body)).await.unwrap();
+            assert_eq!(answer.into_body().collect().await.unwrap().to_bytes(), body);
+        }
+    });
+    futures::future::join_all(calls).await;
+}
+
+/// Guards against requests that run on at the other node after the caller has gone.
+#[tokio::test]
+async fn a_dropped_request_is_cancelled_at_the_other_node() {
+    let (addr, mut ends, _stop) = start(Arc::default()).await;
+    let peers = Peers::default();
+    let call = tokio::spawn({
+        let peers = peers.clone();
+        async move { peers.send(addr, request("/held", "x")).await.map(drop) }
+    });
+    timeout(LIMIT, ends.recv()).await.expect("the request arrives");
+    call.abort();
+    timeout(LIMIT, ends.recv()).await.expect("the request is dropped");
+}
+
+/// Guards against requests that wait for a frozen node until their deadline.
+#[tokio::test]
+async fn requests_at_a_failed_node_are_lost() {
+    let (addr, mut ends, _stop) = start(Arc::default()).await;
+    let peers = Peers::default();
+    let call = peers.send(addr, request("/held", "x"));
+    let fail = async {
+        ends.recv().await;
+        peers.forget(addr, true);
+    };
+    let (answer, ()) = timeout(LIMIT, async { tokio::join!(call, fail) }).await.expect("an end");
+    assert!(matches!(answer, Err(SendError::Lost)));
+}
+
+/// Guards against a planned stop that interrupts requests in progress.
+#[tokio::test]
+async fn requests_at_a_node_that_left_are_finished() {
+    let go = Arc::new(Notify::new());
+    let (addr, mut ends, stop) = start(go.clone()).await;
+    let peers = Peers::default();
+    let call = peers.send(addr, request("/held", "x"));
+    let leave = async {
+        ends.recv().await;
+        peers.forget(addr, false);
+        stop.send_replace(true);
+        go.notify_one();
+    };
+    let (answer, ()) = timeout(LIMIT, async { tokio::join!(call, leave) }).await.expect("an end");
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.into_body().collect().await.unwrap().to_bytes(), "x");
+}
+
+/// Guards against refusals that are lost because the connection is reset while the body is still sent; the request
+/// would count as possibly run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_answer_before_the_end_of_the_body_arrives() {
+    let (addr, _ends, _stop) = start(Arc::default()).await;
+    let peers = Peers::default();
+    let body = "x".repeat(1 << 20);
+    for _ in 0..200 {
+        let answer = peers.send(addr, request("/refused", &body)).await.expect("an answer");
+        assert_eq!(answer.into_body().collect().await.unwrap().to_bytes(), "refused");
+    }
+}
--- a/src/reducer/members.rs
+++ b/src/reducer/members.rs
@@ -121,7 +121,8 @@
         };
         self.log_member(id, change, out);
         if let Some(member) = self.directory.remove(id) {
-            out.push(Effect::Forget(member.peer));
+            let has_failed = reason == Loss::Failed;
+            out.push(Effect::Forget { peer: member.peer, has_failed });
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -73,7 +73,7 @@
 pub struct Listen {
     /// Requests of callers, over HTTP.
     pub callers: SocketAddr,
-    /// Requests from other nodes, over HTTP/2.
+    /// Requests from other nodes, over HTTP/1.1.
     pub peers: SocketAddr,
     /// Control calls from other nodes, over `tarpc`.
     pub control: SocketAddr,
