--- a/src/reducer/members.rs
+++ b/src/reducer/members.rs
@@ -134,7 +134,7 @@
             Loss::Left => "left",
             Loss::Replaced => "replaced",
         };
-        self.member_gone(id, change, out);
+        self.member_gone(id, change, reason == Loss::Failed, out);
     }
 
     /// Forgets a member and closes the connection to it.
@@ -142,12 +142,13 @@
         &mut self,
         id: MemberId,
         change: &'static str,
+        has_failed: bool,
         out: &mut Vec<Effect>,
     ) {
         self.log_member(id, change, out);
         if let Some(member) = self.directory.remove(id) {
             self.serving.note_change(&member.service);
-            out.push(Effect::Forget(member.peer));
+            out.push(Effect::Forget { peer: member.peer, has_failed });
         }
     }
 
--- a/src/reducer/remote.rs
+++ b/src/reducer/remote.rs
@@ -106,7 +106,7 @@
                 Action::AskContacts => self.ask_contacts(now, out),
                 Action::Full { calls } => out.push(Effect::Log(Record::RemoteFull { calls })),
                 Action::Seen(member) => self.member_seen(member, out),
-                Action::Gone(id) => self.member_gone(id, "unsubscribed", out),
+                Action::Gone(id) => self.member_gone(id, "unsubscribed", false, out),
                 Action::Confirmed { region, service, members, is_confirmed } => {
                     for id in &members {
                         self.directory.set_confirmed(*id, is_confirmed);
