Add a command that measures the cost of each mechanism

Cause: the size to be reached within two years cannot be run on one machine, so its costs have to be extrapolated from slopes that anybody can measure again.

Change: `poplarbarrow-bench slopes [--seed N] [--json]` measures each cost at three or more sizes, fits a line by least squares, and combines the lines into figures per role with their limits. It covers membership, joins, the spread of a revision among real members, documents and pulls over loopback, decisions, identities, claims, reports, log lines, resident memory and the processor time of two running nodes. The pull of a document moves from the node to `control`, so that the measurement runs the same code, and the thread that writes the log has a name.

--- a/src/bench.rs
+++ b/src/bench.rs
@@ -8,6 +8,7 @@
 use crate::routing::Policy;
 
 mod model;
+pub mod slopes;
 
 #[cfg(test)]
 mod tests;
--- a/src/bin/poplarbarrow-bench/main.rs
+++ b/src/bin/poplarbarrow-bench/main.rs
@@ -6,7 +6,7 @@
 };
 
 use gumdrop::Options;
-use poplarbarrow::bench::{self, CASES};
+use poplarbarrow::bench::{self, CASES, slopes};
 
 #[derive(Debug, Options)]
 struct Args {
@@ -20,6 +20,18 @@
 enum Command {
     #[options(help = "compare the selection policies and the goodput under overload")]
     Policy(PolicyArgs),
+    #[options(help = "measure the cost of each mechanism over its size, for docs/CAPACITY.md")]
+    Slopes(SlopesArgs),
+}
+
+#[derive(Debug, Options)]
+struct SlopesArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the seed of the measurements", default = "1")]
+    seed: u64,
+    #[options(help = "print one JSON document instead of tables", no_short)]
+    json: bool,
 }
 
 #[derive(Debug, Options)]
@@ -40,13 +52,19 @@
 
 fn main() -> ExitCode {
     let args = Args::parse_args_default_or_exit();
-    let Some(Command::Policy(args)) = args.command else {
-        return fail("a command is required; see --help");
-    };
-    match policy(&args) {
+    match args.command {
+        Some(Command::Policy(args)) => report(policy(&args)),
+        Some(Command::Slopes(args)) => report(slopes(&args).map(|()| true)),
+        None => fail("a command is required; see --help"),
+    }
+}
+
+/// Ends the program; `written` says whether there was anything to measure.
+fn report(written: io::Result<bool>) -> ExitCode {
+    match written {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => fail(&format!("no such case; cases: {}", CASES.map(|c| c.name).join(", "))),
-        Err(e) => fail(&format!("cannot write the results: {e}")),
+        Err(e) => fail(&format!("error: {e}")),
     }
 }
 
@@ -76,3 +94,16 @@
     }
     Ok(found)
 }
+
+/// Measures the slopes; the steps that are done are named on standard error.
+fn slopes(args: &SlopesArgs) -> io::Result<()> {
+    let slopes = slopes::run(args.seed, |step| {
+        let _ = writeln!(io::stderr(), "measured: {step}");
+    })?;
+    let out = &mut io::stdout().lock();
+    if args.json {
+        serde_json::to_writer_pretty(&mut *out, &slopes)?;
+        return writeln!(out);
+    }
+    slopes.write(out)
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,6 +5,7 @@
     future::ready,
     io,
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -25,6 +26,7 @@
 use crate::{
     auth::RequestKey,
     config::{PARTS_PER_CALL, Replica},
+    document::Document,
     identity::Handover,
     keys::MemberId,
     store::{Digest, Index, StoreError},
@@ -199,6 +201,21 @@
     }
 }
 
+/// Brings a replica up to the document of another node; returns what replaced it, if that was newer.
+pub(crate) async fn pull(
+    addr: SocketAddr,
+    from: MemberId,
+    key: RequestKey,
+    replica: &Replica,
+) -> Result<Option<(u64, Arc<Document>)>, ControlError> {
+    let client = Client::connect(addr, from, key).await?;
+    let index = client.index().await?;
+    let revision = index.revision;
+    let parts = client.parts(&replica.missing(&index)).await?;
+    let installed = replica.install(index, parts).context(StoreSnafu)?;
+    Ok(installed.map(|document| (revision, document)))
+}
+
 fn call_context() -> Context {
     let mut context = context::current();
     context.deadline = Instant::now() + CALL_TIMEOUT;
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -91,6 +91,25 @@
         Some(member.info)
     }
 
+    /// Estimates the memory in bytes: members with their text and views, services and indices.
+    pub(crate) fn state_bytes(&self) -> usize {
+        let text = |s: &CompactString| if s.is_heap_allocated() { s.capacity() } else { 0 };
+        let members = self.members.values().map(|member| {
+            let info = &member.info;
+            let names = [&info.service, &info.version, &info.centre, &info.region];
+            names.into_iter().map(text).sum::<usize>() + member.view.heap_bytes()
+        });
+        let groups = self.services.values().map(|g| g.members.capacity() * size_of::<MemberKey>());
+        // A slot has a version and its list of free slots; a hash map has 8 slots for 7 entries, and one control
+        // byte for each.
+        members.sum::<usize>()
+            + groups.sum::<usize>()
+            + self.members.capacity() * (size_of::<Member>() + size_of::<u64>())
+            + self.services.capacity() * (size_of::<Group>() + size_of::<u64>())
+            + self.ids.capacity() * 8 / 7 * (size_of::<(MemberId, MemberKey)>() + 1)
+            + self.names.capacity() * 8 / 7 * (size_of::<(CompactString, ServiceKey)>() + 1)
+    }
+
     /// Returns the key of a service, which is created if no member has announced it.
     pub(crate) fn service(&mut self, name: &CompactString) -> ServiceKey {
         if let Some(&key) = self.names.get(name) {
--- a/src/load/view.rs
+++ b/src/load/view.rs
@@ -158,6 +158,11 @@
         self.outstanding.len()
     }
 
+    /// Returns the memory of the view outside itself in bytes.
+    pub(crate) fn heap_bytes(&self) -> usize {
+        self.outstanding.capacity() * size_of::<Time>()
+    }
+
     /// Returns the failures observed since the view was created.
     pub fn failures(&self) -> u64 {
         self.failures
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,6 +4,7 @@
 
 use std::{
     io,
+    sync::{Arc, Mutex},
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -16,9 +17,21 @@
 /// The number of log lines that may wait for the writer; beyond it lines are dropped and counted.
 const LOG_QUEUE: usize = 65_536;
 
+/// The name of the thread that writes log lines.
+pub(crate) const THREAD: &str = "log";
+
 /// Creates a logger that writes to standard error from a thread of its own.
 pub fn logger(level: LogLevel) -> Logger {
-    let lines = Logfmt::new(io::stderr()).set_prefix(write_prefix).build().fuse();
+    queued(io::stderr(), level)
+}
+
+/// Creates a logger that formats lines as [`logger`] does and discards them.
+pub(crate) fn discarding() -> Logger {
+    queued(io::sink(), LogLevel::Info)
+}
+
+fn queued(out: impl io::Write + Send + 'static, level: LogLevel) -> Logger {
+    let lines = Logfmt::new(out).set_prefix(write_prefix).build().fuse();
     let level = match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warning => Level::Warning,
@@ -26,7 +39,8 @@
         LogLevel::Debug => Level::Debug,
     };
     let filtered = lines.filter_level(level).fuse();
-    let queued = slog_async::Async::new(filtered).chan_size(LOG_QUEUE).build().fuse();
+    let writer = slog_async::Async::new(filtered).thread_name(THREAD.to_owned());
+    let queued = writer.chan_size(LOG_QUEUE).build().fuse();
     Logger::root(queued, o!())
 }
 
@@ -35,6 +49,28 @@
     Logger::root(slog::Discard, o!())
 }
 
+/// Returns the bytes of the lines that `write` writes.
+pub(crate) fn count_bytes(write: impl FnOnce(&Logger)) -> usize {
+    let lines = Arc::new(Mutex::new(Vec::new()));
+    let sink = Shared(lines.clone());
+    let drain = Logfmt::new(sink).set_prefix(write_prefix).build().fuse();
+    write(&Logger::root(Mutex::new(drain).fuse(), o!()));
+    lines.lock().map_or(0, |lines| lines.len())
+}
+
+/// A buffer that stays readable while a logger writes to it.
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Shared {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().map_err(|_| io::ErrorKind::Other)?.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Writes one record as one line.
 pub(crate) fn write(log: &Logger, record: &Record) {
     match record {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -23,7 +23,8 @@
 mod tests;
 
 pub use budget::{CONTROL_BYTES, GOSSIP_BYTES};
-pub use measure::{MembershipCost, measure};
+pub(crate) use measure::member as sample;
+pub use measure::{JoinCost, MembershipCost, measure, measure_join};
 pub use message::{
     Body, Claim, DATAGRAM_BYTES, ENVELOPE_BYTES, InvalidMember, MESSAGE_BYTES, Member, Message,
     NAME_BYTES, PAYLOAD_BYTES, Source, State, Update,
@@ -214,6 +215,13 @@
         fits
     }
 
+    /// Admits a member without spreading it, for measurements of regions whose members know each other.
+    pub(crate) fn introduce(&mut self, member: Member) {
+        if member.id != self.id {
+            self.admit(Time::ZERO, member, State::Alive, &mut vec![]);
+        }
+    }
+
     /// Starts to pull the table from the members at `contacts`, and to announce this node. Without contacts the
     /// node is the first of its region.
     pub fn join(&mut self, now: Time, contacts: Vec<SocketAddr>, out: &mut Vec<Output>) {
--- a/src/membership/measure.rs
+++ b/src/membership/measure.rs
@@ -17,6 +17,10 @@
     time::Time,
 };
 
+mod join;
+
+pub use join::{JoinCost, measure_join};
+
 /// Simulated time of one measurement.
 const SIMULATED: Duration = Duration::from_secs(300);
 
@@ -193,7 +197,7 @@
 }
 
 /// A member with text of typical length at the address of number `n`.
-pub(super) fn member(id: MemberId, n: u32) -> Member {
+pub(crate) fn member(id: MemberId, n: u32) -> Member {
     let address = |port| SocketAddr::from((Ipv4Addr::from(0x0a00_0001 + n), port));
     Member {
         id,
--- a/src/node.rs
+++ b/src/node.rs
@@ -250,6 +250,11 @@
         self.addresses
     }
 
+    /// Applies an event, for measurements.
+    pub(crate) fn dispatch(&self, event: Event) {
+        self.driver.dispatch(event);
+    }
+
     /// Begins a graceful stop: the node takes no new work and finishes what is in progress.
     pub fn stop(&self) {
         self.driver.dispatch(Event::Stop);
@@ -296,12 +301,9 @@
     }
 
     async fn pull(&self, pull: Pull) -> Result<(), ControlError> {
-        let client = control::Client::connect(pull.control, pull.from, self.key.clone()).await?;
-        let index = client.index().await?;
-        let revision = index.revision;
-        let parts = client.parts(&self.replica.missing(&index)).await?;
-        let installed = self.replica.install(index, parts);
-        if let Some(document) = installed.map_err(|source| ControlError::Store { source })? {
+        let Pull { from, control } = pull;
+        let pulled = control::pull(control, from, self.key.clone(), &self.replica).await?;
+        if let Some((revision, document)) = pulled {
             self.driver.dispatch(Event::Document { revision, document });
         }
         Ok(())
--- a/src/seat.rs
+++ b/src/seat.rs
@@ -31,10 +31,10 @@
 
 /// The interval at which a seat renews its lease and looks for contacts that it does not know: a third of the
 /// lease, so that two lost renewals do no harm. 60 seats make 24 calls a second.
-const CONTACT_INTERVAL: Duration = Duration::from_secs(5);
+pub(crate) const CONTACT_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The time that one watch of the index waits.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+pub(crate) const WATCH_WAIT: Duration = Duration::from_secs(20);
 
 /// The pause after a failed platform call, doubled up to `MAX_PAUSE`.
 const MIN_PAUSE: Duration = Duration::from_millis(200);
--- a/src/store.rs
+++ b/src/store.rs
@@ -28,6 +28,8 @@
     measure::{StoreCost, measure},
 };
 
+pub(crate) use self::measure::typical;
+
 mod collect;
 mod commit;
 mod load;
--- a/src/store/measure.rs
+++ b/src/store/measure.rs
@@ -44,7 +44,8 @@
     })
 }
 
-fn typical(services: u32) -> Document {
+/// A document of 20 data centres and typical services with one route and two versions each.
+pub(crate) fn typical(services: u32) -> Document {
     let mut document = Document::default();
     for i in 0..20 {
         let region = format!("region-{}", i % 9).into();
