--- a/src/bench/slopes/decide.rs
+++ b/src/bench/slopes/decide.rs
@@ -11,6 +11,7 @@
 use crate::{
     admission::{Decision, Finish, Gate},
     body::End,
+    crash_guard::RequestHash,
     directory::Directory,
     document::{Centre, CentreState, Document, Service},
     effect::{AttemptKind, CallStep, Effect},
@@ -220,6 +221,7 @@
             depth: 0,
             fingerprint: Fingerprint::new("other", method.as_str(), "/search/items/1234", None),
             presentation: Presentation::default(),
+            hash: RequestHash::default(),
         };
         self.step(key, CallEvent::Arrived(head));
         let is_attempt = |effect: &Effect| match effect {
@@ -272,6 +274,7 @@
             from: MemberId(1),
             tag: None,
             timeout: Duration::from_secs(2),
+            hash: RequestHash::default(),
         };
         self.step(key, WorkEvent::Arrived(head));
         self.running.push_back(key);
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -25,9 +25,12 @@
     logging,
     metrics::Metrics,
     peer::Peers,
+    probe::Probe,
     reducer::Reducer,
+    tell::Tell,
     time::Time,
     timer::Timers,
+    verdicts::Task,
 };
 
 /// The largest number of requests that a node handles at the same time, as entry node and as target's node each.
@@ -47,9 +50,12 @@
 pub(crate) struct Outlets {
     pub(crate) gossip: gossip::Sender,
     pub(crate) pulls: mpsc::UnboundedSender<Pull>,
+    pub(crate) probes: mpsc::UnboundedSender<Probe>,
     pub(crate) claims: mpsc::UnboundedSender<(CallKey, ClaimIo)>,
     pub(crate) handovers: mpsc::UnboundedSender<HandOver>,
     pub(crate) seat: watch::Sender<Option<usize>>,
+    pub(crate) verdicts: mpsc::UnboundedSender<Task>,
+    pub(crate) tell: mpsc::UnboundedSender<Tell>,
     pub(crate) peers: Peers,
     pub(crate) timers: Timers,
 }
@@ -244,10 +250,22 @@
             Effect::HandOver { to, control, handover } => {
                 let _ = self.handovers.send(HandOver { to, control, handover: *handover });
             }
+            Effect::Probe { to, peer } => {
+                let _ = self.probes.send(Probe { to, peer });
+            }
             Effect::Forget(peer) => self.peers.forget(peer),
             Effect::Seat(seat) => {
                 self.seat.send_replace(seat);
             }
+            Effect::RecordVerdict(record) => {
+                let _ = self.verdicts.send(Task::Record(record));
+            }
+            Effect::DropVerdict(record) => {
+                let _ = self.verdicts.send(Task::Drop(record));
+            }
+            Effect::Tell { to, notes } => {
+                let _ = self.tell.send(Tell { to, notes });
+            }
             Effect::Arm { timer, after } => self.timers.arm(timer, after),
             Effect::Call(..) | Effect::Work(..) | Effect::Log(_) | Effect::Exit => {}
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -26,6 +26,7 @@
     config::{PULL_TIMEOUT, Replica},
     console::{self, Console},
     control::{self, ControlError},
+    crash_guard::SuspectNote,
     driver::{Driver, HandOver, Outlets, Pull},
     egress::Egress,
     event::Event,
@@ -37,18 +38,25 @@
     peer::Peers,
     platform::{Http, Platform, http::Limits},
     pool::{Pool, Reach},
+    probe::Prober,
     reducer::{Me, Reducer},
+    rollout,
     seat::{Contact, Seat},
     server,
     settings::Settings,
+    tell,
     time::Wall,
     timer::Timers,
+    verdicts::Verdicts,
     work::Worker,
 };
 
 /// The interval at which the wall clock is read for rollout schedules.
 const CLOCK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Messages about requests that may crash targets that may wait for the reducer.
+const MAX_TOLD: usize = 64;
+
 /// A node cannot start.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -124,6 +132,7 @@
         let peers = listen("peers", settings.listen.peers).await?;
         let operator = listen("operator", settings.listen.operator).await?;
         let replica = Replica::default();
+        let (suspects, told) = mpsc::channel(MAX_TOLD);
         // The control server starts before the driver, because the driver needs its address.
         let importer: Arc<OnceLock<Arc<Driver>>> = Arc::default();
         let taker = importer.clone();
@@ -133,6 +142,7 @@
             replica: replica.clone(),
             log: log.clone(),
             on_handover: move |handover| taker.get().is_some_and(|driver| driver.import(handover)),
+            suspects,
         };
         let addr = settings.listen.control;
         let opened = server.listen(addr, settings.networks.clone()).await;
@@ -173,6 +183,9 @@
         tasks.spawn(forward(reached, driver.clone()));
         tasks.spawn(receive(gossip.messages, driver.clone()));
         tasks.spawn(read_clock(driver.clone()));
+        tasks.spawn(hear(told, driver.clone()));
+        let (tell, news) = mpsc::unbounded_channel();
+        tasks.spawn(tell::run(news, key.clone(), log.clone()));
         tasks.spawn(serve_control);
 
         let (pulls, wanted) = mpsc::unbounded_channel();
@@ -187,10 +200,24 @@
             settings.token.as_deref(),
         );
         let (seat, rank) = watch::channel(None);
+        let (verdicts, unwritten) = mpsc::unbounded_channel();
+        let keeper = Arc::new(Verdicts {
+            platform: platform.clone(),
+            driver: driver.clone(),
+            rank: rank.clone(),
+            log: log.clone(),
+        });
+        tasks.spawn(keeper.clone().write(unwritten));
+        tasks.spawn(keeper.watch());
         let (claims, wanted) = mpsc::unbounded_channel();
         let lease = tokio::sync::Mutex::new(None);
         let clerk = Claims { platform: platform.clone(), driver: driver.clone(), lease };
         tasks.spawn(Arc::new(clerk).run(wanted));
+        let connections = Peers::default();
+        let (probes, wanted) = mpsc::unbounded_channel();
+        let prober =
+            Prober { driver: driver.clone(), me: id, key: key.clone(), peers: connections.clone() };
+        tasks.spawn(prober.run(wanted));
         let (handovers, wanted) = mpsc::unbounded_channel();
         tasks.spawn(hand_over(wanted, driver.clone(), key.clone()));
         let duties = Arc::new(Seat {
@@ -206,7 +233,6 @@
         tasks.spawn(duties.watch_index());
 
         let stop = watch::Sender::new(false);
-        let connections = Peers::default();
         let worker = Worker::new(driver.clone(), pool);
         let ingress =
             Ingress { driver: driver.clone(), me: id, key, peers: connections.clone(), worker };
@@ -231,9 +257,12 @@
         driver.start(Outlets {
             gossip: gossip.sender,
             pulls,
+            probes,
             claims,
             handovers,
             seat,
+            verdicts,
+            tell,
             peers: connections,
             timers,
         });
@@ -275,6 +304,12 @@
         self.driver.inspect(Reducer::revision)
     }
 
+    /// Returns the state of every rollout as this node knows it.
+    pub fn rollouts(&self) -> Vec<rollout::Status> {
+        let now = self.driver.now();
+        self.driver.inspect(|reducer| reducer.rollouts(now))
+    }
+
     /// Returns the number of members of a service that this node knows.
     pub fn known(&self, service: &str) -> usize {
         self.driver.inspect(|reducer| reducer.known(service))
@@ -370,6 +405,12 @@
     }
 }
 
+async fn hear(mut told: mpsc::Receiver<Vec<SuspectNote>>, driver: Arc<Driver>) {
+    while let Some(notes) = told.recv().await {
+        driver.dispatch(Event::Suspects(notes));
+    }
+}
+
 async fn receive(mut messages: mpsc::Receiver<(Source, Message)>, driver: Arc<Driver>) {
     while let Some((from, message)) = messages.recv().await {
         driver.dispatch(Event::Gossip(from, Box::new(message)));
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -4,11 +4,17 @@
 //! same effects again. See `docs/design.md`, section 3.
 
 mod calls;
+mod crashes;
+mod exchange;
 mod identities;
 mod members;
 mod status;
+mod versions;
 mod works;
 
+#[cfg(test)]
+mod tests;
+
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::SmallRng};
@@ -16,6 +22,7 @@
 
 use crate::{
     admission::Gate,
+    crash_guard::CrashGuard,
     directory::Directory,
     document::{Budgets, Document},
     effect::{Effect, Record},
@@ -25,6 +32,7 @@
     load::MeasureBudget,
     membership::{self, Member, Membership},
     pool::Reach,
+    rollout::Rollouts,
     time::{Time, Wall},
 };
 
@@ -60,6 +68,10 @@
     pull: Option<Pull>,
     document: Option<Arc<Document>>,
     revision: u64,
+    rollouts: Rollouts,
+    guard: CrashGuard,
+    /// Whether the payload of membership messages is to be replaced.
+    is_payload_sent: bool,
     /// The time at which the document came into force here.
     revised: Option<Time>,
     calls: SecondaryMap<CallKey, Call>,
@@ -83,6 +95,8 @@
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
         let mut directory = Directory::default();
         directory.upsert(me.info.clone());
+        let guard = CrashGuard::new(me.info.id);
+        let rollouts = Rollouts::new(me.info.id);
         let owner = Owner::new(me.info.id, me.started.as_millis().saturating_mul(1_000));
         let gate = Gate::new(me.slots, Time::ZERO);
         let membership = Membership::new(me.info.clone(), membership::Settings::default(), seed);
@@ -97,6 +111,9 @@
             pull: None,
             document: None,
             revision: 0,
+            rollouts,
+            guard,
+            is_payload_sent: true,
             revised: None,
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
@@ -136,12 +153,15 @@
             Event::Call(key, event) => self.apply_call(now, key, event, out),
             Event::Work(key, event) => self.apply_work(now, key, event, out),
             Event::Gossip(from, message) => self.gossip(now, from, *message, out),
+            Event::Probed { member, report } => self.probed(now, member, report),
             Event::Contacts(contacts) => self.contacts(now, &contacts, out),
             Event::PullEnded => self.pull_ended(),
             Event::HandedOver => self.is_handing_over = false,
             Event::Document { revision, document } => {
                 self.set_document(now, revision, document, out);
             }
+            Event::Verdicts(records) => self.read_verdicts(records, out),
+            Event::Suspects(notes) => self.read_suspects(now, &notes, out),
             Event::Target(reach) => self.set_reach(now, reach, out),
             Event::Timer(timer) => self.expire(now, timer, out),
             Event::Clock(wall) => self.wall = Some((now, wall)),
@@ -164,8 +184,14 @@
         self.revised = Some(now);
         self.membership.set_revision(revision);
         self.measure.set(&document.budgets, now);
+        self.rollouts.set_document(revision, &document);
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
+        let was_out = self.is_centre_out();
         self.document = Some(document);
+        if was_out && !self.is_centre_out() {
+            // Caches and connections of a target without work are cold, so its share returns step by step.
+            self.gate.chill(now);
+        }
     }
 
     fn set_reach(&mut self, now: Time, reach: Reach, out: &mut Vec<Effect>) {
@@ -174,6 +200,7 @@
             let next = self.gate.crashed(now);
             self.advance_queue(next, out);
         }
+        self.guard_reach(now, reach, out);
         let change = if self.is_target_up { "reachable" } else { "unreachable" };
         out.push(Effect::Log(Record::Target { change }));
     }
@@ -187,6 +214,7 @@
             Timer::Tick => {
                 let next = self.gate.tick(now);
                 self.advance_queue(next, out);
+                self.tick_rollouts(now, out);
                 self.tick_members(now, out);
                 self.owner.sweep(now);
                 self.share_claims();
--- a/src/reducer/works.rs
+++ b/src/reducer/works.rs
@@ -3,6 +3,7 @@
 use crate::{
     admission::{Decision, Finish, Next},
     body::End,
+    crash_guard::{RequestHash, Standing},
     document::CentreState,
     effect::{Effect, Record, WorkStep},
     event::{WorkEvent, WorkHead},
@@ -18,7 +19,12 @@
 /// A request in progress at the target's node.
 #[derive(Debug)]
 pub(super) struct Work {
-    status: Option<u16>,
+    pub(super) status: Option<u16>,
+    pub(super) hash: RequestHash,
+    /// Whether the request was suspected of crashing targets when it was admitted.
+    pub(super) is_suspected: bool,
+    /// Whether the request was sent to the target; otherwise it waits.
+    pub(super) is_running: bool,
 }
 
 impl Reducer {
@@ -29,6 +35,7 @@
         event: WorkEvent,
         out: &mut Vec<Effect>,
     ) {
+        self.guard_work(now, key, &event, out);
         match event {
             WorkEvent::Arrived(head) => self.work_arrived(now, key, &head, out),
             WorkEvent::Answered { status } => {
@@ -47,6 +54,11 @@
         }
     }
 
+    /// Returns the load report for the answer to a probe.
+    pub(crate) fn load_report(&self) -> LoadReport {
+        self.gate.report()
+    }
+
     /// Returns the load report for an answer, or `None` if the measuring budget is spent.
     pub(crate) fn report_load(&mut self, now: Time) -> Option<LoadReport> {
         let report = self.gate.report();
@@ -58,12 +70,17 @@
         // refused now does not run later.
         let receipt = head.tag.map(|tag| self.receipts.accept(tag.stamp(), self.me.info.id));
         let refusal = match receipt {
-            None | Some(Accept::Run) => self.refuse_work(head),
+            None | Some(Accept::Run) => {
+                self.refuse_work(head).or_else(|| self.refuse_suspect(now, head))
+            }
             Some(Accept::Duplicate) => Some(Refusal::unknown(Reason::InProgress)),
             Some(Accept::WrongMember | Accept::BelowFloor) => {
                 Some(Refusal::unknown(Reason::AnswerLost))
             }
         };
+        let hash = head.hash;
+        let is_suspected = self.guard.standing(now, hash) != Standing::Clear;
+        let work = |is_running| Work { status: None, hash, is_suspected, is_running };
         let decision = match refusal {
             Some(refusal) => Decision::Refuse(refusal),
             None => self.gate.arrive(now, key, now + head.timeout),
@@ -84,11 +101,11 @@
         match decision {
             Decision::Refuse(refusal) => out.push(Effect::Work(key, WorkStep::Refuse(refusal))),
             Decision::Run => {
-                self.works.insert(key, Work { status: None });
+                self.works.insert(key, work(true));
                 out.push(Effect::Work(key, WorkStep::Run));
             }
             Decision::Queue => {
-                self.works.insert(key, Work { status: None });
+                self.works.insert(key, work(false));
             }
         }
     }
@@ -109,7 +126,7 @@
     /// Returns whether operators have taken this data centre out of service.
     ///
     /// Checked here as well as by the choosing node, which may not have the document yet.
-    fn is_centre_out(&self) -> bool {
+    pub(super) fn is_centre_out(&self) -> bool {
         let centre = self.document.as_ref().and_then(|d| d.centres.get(&self.me.info.centre));
         centre.is_some_and(|centre| centre.state == CentreState::Out)
     }
@@ -141,7 +158,12 @@
     pub(super) fn advance_queue(&mut self, next: Vec<Next>, out: &mut Vec<Effect>) {
         for next in next {
             match next {
-                Next::Run(key) => out.push(Effect::Work(key, WorkStep::Run)),
+                Next::Run(key) => {
+                    if let Some(work) = self.works.get_mut(key) {
+                        work.is_running = true;
+                    }
+                    out.push(Effect::Work(key, WorkStep::Run));
+                }
                 Next::Refuse(key, refusal) => {
                     self.works.remove(key);
                     out.push(Effect::Work(key, WorkStep::Refuse(refusal)));
