Measure what rollouts add to a change of the document

Cause: the rollouts rebuild their plans with each document and look at every schedule once a second, both in the event loop, and no slope covered it.

Change: `judge.document`, `judge.moving` and `judge.over`; the pause of a change counts the rollouts as well. The datagram bytes of a revision are no longer measured: the revision is part of every message, so they are zero.

--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -15,6 +15,7 @@
 mod control;
 mod decide;
 mod fit;
+mod judge;
 mod node;
 pub mod scale;
 mod spread;
@@ -93,6 +94,7 @@
     step("resident memory of a node", node::resident(seed)?);
     step("documents", config::documents());
     step("pulls", config::pulls()?);
+    step("rollouts", judge::measure(seed));
     step("calls through two nodes", calls::measure(seed)?);
     step("membership", control::membership(seed));
     step("joins", control::joins(seed));
--- a/src/bench/slopes/decide.rs
+++ b/src/bench/slopes/decide.rs
@@ -153,7 +153,7 @@
 }
 
 /// A reducer that knows a region and the service `called` with a number of targets.
-fn reducer(members: u32, targets: u32, seed: u64) -> Reducer {
+pub(super) fn reducer(members: u32, targets: u32, seed: u64) -> Reducer {
     let info = membership::sample(MemberId(u64::MAX), members + targets);
     let me = Me {
         info: membership::Member { service: CALLED, ..info },
--- a/src/bench/slopes/scale/figures.rs
+++ b/src/bench/slopes/scale/figures.rs
@@ -87,6 +87,7 @@
         member(&costs),
         joining(&costs),
         configuration(&costs),
+        judge(&costs),
         caller(&costs),
         target(&costs),
         logs(&costs),
@@ -140,14 +141,16 @@
     let received = at("pull.received");
     role.measured("received per change", received, "B", None, "pull.received(4,700)");
     let bytes = config_bytes(costs);
-    let formula = "0.61 x 2 x (pull.received + pull.sent + spread.extra)";
+    let formula = "0.61 x 2 x (pull.received + pull.sent)";
     role.derived("bytes", bytes, "B/s", BYTES, formula);
     let cpu = CHANGES * at("pull.time");
     role.derived("processor", cpu, "us/s", CPU, "0.61 x pull.time(4,700)");
-    let pause = at("document.install");
-    role.measured("pause per change", pause, "us", None, "document.install(4,700)");
-    let share = CHANGES * pause / 1e6;
-    let formula = "0.61 x document.install(4,700); 1 in 100 calls may be late";
+    let pause = at("document.install") + at("judge.document");
+    let formula = "document.install + judge.document";
+    role.derived("pause per change", pause, "us", None, formula);
+    // A pause delays the calls that arrive in it, of which 1 in 100 may exceed the added latency.
+    let share = (CHANGES * pause + at("judge.moving")) / 1e6;
+    let formula = "0.61 x (document.install + judge.document) + judge.moving";
     role.derived("share of time in pauses", share, "", Some(0.01), formula);
     role.measured("first pull of a node", at("pull.full"), "B", None, "pull.full(4,700)");
     role.measured("its time", at("pull.full_time"), "us", None, "pull.full_time(4,700)");
@@ -162,7 +165,17 @@
 /// Each node pulls each change once and on average serves one pull of it.
 fn config_bytes(costs: &Costs<'_>) -> f64 {
     let pull = costs.at("pull.received", SERVICES) + costs.at("pull.sent", SERVICES);
-    CHANGES * 2.0 * (pull + costs.at("spread.extra", REGION.log2()))
+    CHANGES * 2.0 * pull
+}
+
+fn judge(costs: &Costs<'_>) -> Role {
+    let mut role = Role::new("version judge");
+    let at = |id| costs.at(id, SERVICES);
+    let formula = "judge.document(4,700)";
+    role.measured("pause per change", at("judge.document"), "us", None, formula);
+    role.measured("looks, all moving", at("judge.moving"), "us/s", CPU, "judge.moving(4,700)");
+    role.measured("looks, all over", at("judge.over"), "us/s", CPU, "judge.over(4,700)");
+    role
 }
 
 fn caller(costs: &Costs<'_>) -> Role {
@@ -228,8 +241,11 @@
     role.derived("control bytes, 2,667", bytes(REGION), "B/s", BYTES, formula);
     role.derived("control bytes, 8,192", bytes(FULL), "B/s", BYTES, formula);
     let idle = costs.at("entry.process", 0.0).max(0.0);
-    let cpu = |n| idle + costs.at("member.cpu", n) + CHANGES * costs.at("pull.time", SERVICES);
-    let formula = "entry.process(0) + member + configuration";
+    let changes =
+        CHANGES * (costs.at("pull.time", SERVICES) + costs.at("judge.document", SERVICES));
+    let rollouts = costs.at("judge.moving", SERVICES);
+    let cpu = |n| idle + costs.at("member.cpu", n) + changes + rollouts;
+    let formula = "entry.process(0) + member + configuration + rollouts";
     role.derived("control processor, 2,667", cpu(REGION), "us/s", CPU, formula);
     role.derived("control processor, 8,192", cpu(FULL), "us/s", CPU, formula);
     let memory = |n| costs.at("resident.members", n);
--- a/src/bench/slopes/spread.rs
+++ b/src/bench/slopes/spread.rs
@@ -11,7 +11,6 @@
 
 use super::Slope;
 use crate::{
-    gossip::{Encoder, Identity, Key},
     keys::MemberId,
     membership::{self, Membership, Message, Output, Settings, Source, TICK},
     time::Time,
@@ -36,9 +35,6 @@
 /// The time in which a revision may spread.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-/// The headers of a datagram (IPv4 and UDP) in bytes.
-const HEADERS: usize = 28;
-
 /// The seeds of one measurement; the times are the means over them.
 const RUNS: u64 = 3;
 
@@ -49,8 +45,6 @@
     pub(super) most: f64,
     /// The time until all members had it, in seconds.
     pub(super) all: f64,
-    /// Bytes sent per member until all had it, less those without a revision in the same time.
-    pub(super) extra: f64,
 }
 
 pub(super) fn measure(seed: u64) -> Vec<Slope> {
@@ -66,7 +60,6 @@
     vec![
         over("spread.most", "s", &|spread| spread.most),
         over("spread.all", "s", &|spread| spread.all),
-        over("spread.extra", "B/member", &|spread| spread.extra),
     ]
 }
 
@@ -79,7 +72,6 @@
 
 struct Region {
     members: Vec<Membership>,
-    encoders: Vec<Encoder>,
     revisions: Vec<u64>,
     is_pulling: Vec<bool>,
     numbers: HashMap<SocketAddr, usize>,
@@ -88,7 +80,6 @@
     events: HashMap<u64, Event>,
     sequence: u64,
     now: Time,
-    sent: usize,
 }
 
 /// Lets a revision spread through a region of real members that all know each other.
@@ -102,11 +93,7 @@
     let most = region.now.since(revised);
     region.run(revised + PATIENCE, |region| reached(region) == total);
     let all = region.now.since(revised);
-    // The same members without a revision.
-    let mut quiet = Region::new(count, seed);
-    quiet.run(region.now, |_| false);
-    let extra = (region.sent as f64 - quiet.sent as f64) / total as f64;
-    Spread { most: most.as_secs_f64(), all: all.as_secs_f64(), extra }
+    Spread { most: most.as_secs_f64(), all: all.as_secs_f64() }
 }
 
 impl Region {
@@ -114,11 +101,8 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let infos: Vec<_> =
             (0..count).map(|n| membership::sample(MemberId(rng.random()), n)).collect();
-        let range = "10.0.0.0/8".parse().expect("the range is valid");
-        let key = Key::derive("measure");
         let mut region = Region {
             members: Vec::new(),
-            encoders: Vec::new(),
             revisions: vec![1; infos.len()],
             is_pulling: vec![false; infos.len()],
             numbers: infos.iter().enumerate().map(|(n, info)| (info.gossip, n)).collect(),
@@ -127,7 +111,6 @@
             events: HashMap::new(),
             sequence: 0,
             now: Time::ZERO,
-            sent: 0,
         };
         for (n, info) in infos.iter().enumerate() {
             let mut member = Membership::new(info.clone(), Settings::default(), seed + n as u64);
@@ -136,8 +119,6 @@
             }
             member.set_revision(1);
             region.members.push(member);
-            let identity = Identity { id: info.id, key: key.clone(), ranges: vec![range] };
-            region.encoders.push(Encoder::new(identity));
             region.push(Time::ZERO + TICK.mul_f64(rng.random_range(0.0..1.0)), Event::Tick(n));
         }
         region
@@ -204,8 +185,6 @@
         for output in out {
             match output {
                 Output::Send { to, message } => {
-                    let bytes = self.encoders[number].encode(to, &message).map_or(0, |d| d.len());
-                    self.sent += bytes + HEADERS;
                     if let Some(&to) = self.numbers.get(&to) {
                         let message = Box::new(message);
                         self.push(now + ONE_WAY, Event::Arrive { to, from, message });
