Replace only the changed parts of the document

Cause: a node that pulled a change of one service parsed and checked the whole document again, on the thread that serves requests.

Change: a replica keeps its document and `store::update` reads and checks the parts that differ. A document that is read as a whole now also refuses a service that is stored in the part of another one, so that both ways agree.

Conclusion: the pause no longer includes the parsing of unchanged services.

--- a/src/config.rs
+++ b/src/config.rs
@@ -29,6 +29,7 @@
 pub(crate) struct Held {
     pub(crate) index: Index,
     pub(crate) parts: BTreeMap<Digest, Bytes>,
+    document: Arc<Document>,
 }
 
 impl Replica {
@@ -74,9 +75,13 @@
                 }
             }
         }
-        let document = store::assemble(&index, &parts)?;
-        *current = Some(Arc::new(Held { index, parts }));
-        Ok(Some(Arc::new(document)))
+        let document = match current.as_ref() {
+            Some(held) => store::update(&held.document, &held.index, &held.parts, &index, &parts)?,
+            None => store::assemble(&index, &parts)?,
+        };
+        let document = Arc::new(document);
+        *current = Some(Arc::new(Held { index, parts, document: document.clone() }));
+        Ok(Some(document))
     }
 }
 
--- a/src/document/validate.rs
+++ b/src/document/validate.rs
@@ -1,6 +1,9 @@
 //! The rules that a document must meet. All problems are reported at once.
 
-use std::{collections::BTreeSet, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use compact_str::CompactString;
 use serde::Serialize;
@@ -108,12 +111,7 @@
         rules.label(&join(&path, "region"), &centre.region);
     }
     rules.count("services", document.services.len(), MAX_SERVICES);
-    for (name, service) in &document.services {
-        let path = join("services", name);
-        rules.label(&path, name);
-        rules.check(name != RESERVED, &path, || "is reserved for the nodes", "choose another name");
-        rules.service(&path, service);
-    }
+    rules.services(&document.services);
     let b = &document.budgets;
     rules.range("budgets.measure_bytes", b.measure_bytes.into(), 0, MAX_MEASURE);
     rules.range("budgets.probe_permille", b.probe_permille.into(), 0, MAX_PROBE);
@@ -121,6 +119,20 @@
     rules.problems
 }
 
+/// Returns every problem of some services, each of which has no effect on the others.
+pub(crate) fn validate_services(services: &BTreeMap<CompactString, Service>) -> Vec<Problem> {
+    let mut rules = Rules { problems: Vec::new() };
+    rules.services(services);
+    rules.problems
+}
+
+/// Returns the problem of too many services, if there is one.
+pub(crate) fn validate_count(document: &Document) -> Vec<Problem> {
+    let mut rules = Rules { problems: Vec::new() };
+    rules.count("services", document.services.len(), MAX_SERVICES);
+    rules.problems
+}
+
 /// Returns what is allowed in a document but most likely not intended.
 pub fn warnings(document: &Document) -> Vec<Problem> {
     let mut warnings = Vec::new();
@@ -169,6 +181,16 @@
         self.check(met, path, || format!("{name:?} is not a valid name"), remedy);
     }
 
+    fn services(&mut self, services: &BTreeMap<CompactString, Service>) {
+        for (name, service) in services {
+            let path = join("services", name);
+            self.label(&path, name);
+            let remedy = "choose another name";
+            self.check(name != RESERVED, &path, || "is reserved for the nodes", remedy);
+            self.service(&path, service);
+        }
+    }
+
     fn service(&mut self, path: &str, service: &Service) {
         self.range(&join(path, "deadline_ms"), service.deadline_ms.into(), 1, MAX_DEADLINE);
         self.range(&join(path, "retry_percent"), service.retry_percent.into(), 0, MAX_PERCENT);
--- a/src/store.rs
+++ b/src/store.rs
@@ -10,13 +10,16 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize, Serialize,
+    de::{DeserializeOwned, IgnoredAny},
+};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use crate::{
     document::{
         Budgets, Centre, Document, Service,
-        validate::{Problem, validate},
+        validate::{Problem, validate, validate_count, validate_services},
     },
     platform::{MAX_VALUE, PlatformError},
 };
@@ -162,6 +165,14 @@
         /// The failure.
         source: serde_json::Error,
     },
+    /// A part has a service that belongs to another one.
+    #[snafu(display("part {digest} of the configuration has service {service} of another part"))]
+    Misplaced {
+        /// The name of the part.
+        digest: Digest,
+        /// The service.
+        service: CompactString,
+    },
     /// The stored document breaks the rules of this program.
     #[snafu(display("the stored document has {} problems, the first: {}", problems.len(), problems[0]))]
     Invalid {
@@ -232,18 +243,14 @@
 ///
 /// Fails if a part is missing, damaged or of unknown form, or if the document breaks the rules.
 pub fn assemble(index: &Index, content: &BTreeMap<Digest, Bytes>) -> Result<Document, StoreError> {
-    let part = |digest: Digest| -> Result<&Bytes, StoreError> {
-        let bytes = content.get(&digest).context(MissingSnafu { digest })?;
-        ensure!(Digest::of(bytes) == digest, DamagedSnafu { digest });
-        Ok(bytes)
-    };
     let digest = index.globals;
-    let globals: Globals = serde_json::from_slice(part(digest)?).context(FormSnafu { digest })?;
+    let globals: Globals =
+        serde_json::from_slice(part(content, digest)?).context(FormSnafu { digest })?;
     let mut document =
         Document { centres: globals.centres, services: BTreeMap::new(), budgets: globals.budgets };
-    for &digest in &index.parts {
-        let services: BTreeMap<CompactString, Service> =
-            serde_json::from_slice(part(digest)?).context(FormSnafu { digest })?;
+    for (number, &digest) in index.parts.iter().enumerate() {
+        let services = services(content, digest)?;
+        check_places(&services, number, digest)?;
         document.services.extend(services);
     }
     let problems = validate(&document);
@@ -251,6 +258,66 @@
     Ok(document)
 }
 
+/// Brings the document of one index up to the next one by their differing parts, and checks those.
+///
+/// To put the whole document together takes milliseconds, in which a node decides on nothing else. The result is
+/// that of [`assemble`] in any case.
+///
+/// # Errors
+///
+/// Fails as [`assemble`] does.
+pub(crate) fn update(
+    document: &Document,
+    from: &Index,
+    held: &BTreeMap<Digest, Bytes>,
+    to: &Index,
+    content: &BTreeMap<Digest, Bytes>,
+) -> Result<Document, StoreError> {
+    if from.globals != to.globals {
+        return assemble(to, content);
+    }
+    let mut updated = document.clone();
+    let differing = from.parts.iter().zip(&to.parts).enumerate().filter(|(_, (a, b))| a != b);
+    for (number, (&old, &new)) in differing {
+        let removed: BTreeMap<CompactString, IgnoredAny> = services(held, old)?;
+        let added: BTreeMap<CompactString, Service> = services(content, new)?;
+        check_places(&added, number, new)?;
+        let problems = validate_services(&added);
+        ensure!(problems.is_empty(), InvalidSnafu { problems });
+        for name in removed.keys() {
+            updated.services.remove(name);
+        }
+        updated.services.extend(added);
+    }
+    let problems = validate_count(&updated);
+    ensure!(problems.is_empty(), InvalidSnafu { problems });
+    Ok(updated)
+}
+
+/// Reads a part of services, or only their names.
+fn services<T: DeserializeOwned>(
+    content: &BTreeMap<Digest, Bytes>,
+    digest: Digest,
+) -> Result<BTreeMap<CompactString, T>, StoreError> {
+    serde_json::from_slice(part(content, digest)?).context(FormSnafu { digest })
+}
+
+/// Checks that a part has no service of another part, which could hold the same service with other content.
+fn check_places(
+    services: &BTreeMap<CompactString, Service>,
+    number: usize,
+    digest: Digest,
+) -> Result<(), StoreError> {
+    let misplaced = services.keys().find(|name| part_of(name) != number);
+    misplaced.map_or(Ok(()), |service| MisplacedSnafu { digest, service: service.clone() }.fail())
+}
+
+fn part(content: &BTreeMap<Digest, Bytes>, digest: Digest) -> Result<&Bytes, StoreError> {
+    let bytes = content.get(&digest).context(MissingSnafu { digest })?;
+    ensure!(Digest::of(bytes) == digest, DamagedSnafu { digest });
+    Ok(bytes)
+}
+
 /// Returns the number of the part that holds a service.
 pub fn part_of(service: &str) -> usize {
     usize::from(blake3::hash(service.as_bytes()).as_bytes()[0])
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -16,6 +16,7 @@
 
 mod lossy;
 mod races;
+mod update;
 
 fn document(deadline_ms: u32) -> Document {
     let mut document = Document::default();
