--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io,
-    sync::Mutex,
+    sync::{Arc, Mutex},
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -18,13 +18,25 @@
 
 mod lines;
 
+/// The name of the thread that writes log lines.
+pub(crate) const THREAD: &str = "log";
+
 /// Creates a logger that writes to standard error from a thread of its own.
 ///
 /// # Panics
 ///
 /// Panics if the thread cannot be started.
 pub fn logger(level: LogLevel) -> Logger {
-    let lines = Lines::start(io::stderr(), dropped).expect("a process can start its first threads");
+    queued(io::stderr(), level)
+}
+
+/// Creates a logger that formats lines as [`logger`] does and discards them.
+pub(crate) fn discarding() -> Logger {
+    queued(io::sink(), LogLevel::Info)
+}
+
+fn queued(out: impl io::Write + Send + 'static, level: LogLevel) -> Logger {
+    let lines = Lines::start(out, dropped).expect("a process can start its first threads");
     let lines = Mutex::new(Logfmt::new(lines).set_prefix(write_prefix).build());
     let level = match level {
         LogLevel::Error => Level::Error,
@@ -40,6 +52,28 @@
     Logger::root(slog::Discard, o!())
 }
 
+/// Returns the bytes of the lines that `write` writes.
+pub(crate) fn count_bytes(write: impl FnOnce(&Logger)) -> usize {
+    let lines = Arc::new(Mutex::new(Vec::new()));
+    let sink = Shared(lines.clone());
+    let drain = Logfmt::new(sink).set_prefix(write_prefix).build().fuse();
+    write(&Logger::root(Mutex::new(drain).fuse(), o!()));
+    lines.lock().map_or(0, |lines| lines.len())
+}
+
+/// A buffer that stays readable while a logger writes to it.
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Shared {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().map_err(|_| io::ErrorKind::Other)?.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Writes one record as one line.
 pub(crate) fn write(log: &Logger, record: &Record) {
     match record {
--- a/src/logging/lines.rs
+++ b/src/logging/lines.rs
@@ -7,6 +7,8 @@
     time::Duration,
 };
 
+use super::THREAD;
+
 /// The bytes of log lines that may wait for the writer, about 20,000 lines and an eighth of a node's 32 MB;
 /// beyond it lines are dropped and counted.
 const MAX_WAITING: usize = 4 << 20;
@@ -46,7 +48,7 @@
         let shared = Arc::<Shared>::default();
         let source = shared.clone();
         let writer =
-            thread::Builder::new().name("log".into()).spawn(move || source.copy(out, report))?;
+            thread::Builder::new().name(THREAD.into()).spawn(move || source.copy(out, report))?;
         Ok(Lines { line: Vec::new(), shared, writer: Some(writer) })
     }
 }
