Split the reducer's decisions about calls by concern

It is now split into arrival, attempts and endings, and one function decides whether another attempt starts. No decision changes.

--- /dev/null
+++ b/src/reducer/calls/attempts.rs
@@ -0,0 +1,193 @@
+//! Attempts of a call at targets, and what they show about the targets.
+
+use compact_str::ToCompactString;
+
+use crate::{
+    effect::{Attempt, AttemptKind, CallStep, Effect, Hop, Record},
+    keys::{CallKey, MemberId, MemberKey},
+    load::{LoadReport, Measure, Observed, PROBE_COST},
+    refusal::Reason,
+    retry::{RetryBudget, hop_time},
+    routing::Choice,
+    time::Time,
+};
+
+use super::{OpenAttempt, Reducer};
+
+impl Reducer {
+    /// Starts the next attempt, or returns why there is none.
+    pub(super) fn start_attempt(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        out: &mut Vec<Effect>,
+    ) -> Result<(), Reason> {
+        let Some(call) = self.calls.get(key) else { return Err(Reason::Deadline) };
+        let timeout = hop_time(now, call.deadline).ok_or(Reason::Deadline)?;
+        self.check_crashes(now, key)?;
+        let choice = self.choose_target(now, key)?;
+        let Some(call) = self.calls.get_mut(key) else { return Err(Reason::Deadline) };
+        let member = self.directory.get_mut(choice.key).ok_or(Reason::NoTarget)?;
+        let kind = match call.identity {
+            None => AttemptKind::Run,
+            Some(identity) => {
+                let tag = self.owner.attempt(now, identity, member.info.id);
+                call.tag = Some(tag.ok_or(Reason::InProgress)?);
+                call.tag.map_or(AttemptKind::Run, AttemptKind::RunOnce)
+            }
+        };
+        member.view.sent(now);
+        let hop = if member.info.id == self.me.info.id {
+            Hop::Local
+        } else {
+            Hop::Peer(member.info.peer)
+        };
+        call.attempts += 1;
+        let number = call.attempts.into();
+        call.open.push(OpenAttempt { number, member: choice.key, sent: now });
+        call.tried.push(choice.key);
+        out.push(Effect::Log(Record::Route {
+            call: key,
+            service: call.service.clone(),
+            attempt: number,
+            member: member.info.id,
+            reason: choice.why.as_str(),
+            candidates: choice.scores.to_compact_string(),
+        }));
+        let attempt = Attempt { number, member: member.info.id, hop, timeout, kind };
+        out.push(Effect::Call(key, CallStep::Attempt(attempt)));
+        self.sample_version(now, key, choice.key);
+        self.probe(now, &choice, out);
+        Ok(())
+    }
+
+    /// Starts another attempt if the retry budget, or the bound on attempts that were not sent, allows it.
+    pub(super) fn attempt_again(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        is_unsent: bool,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(call) = self.calls.get(key) else { return false };
+        let attempted = call.attempted();
+        let budget = &mut self.directory.group_mut(call.group).budget;
+        let may_retry = if is_unsent {
+            RetryBudget::resend(now, &attempted)
+        } else {
+            budget.retry(now, &attempted).is_ok()
+        };
+        may_retry && self.start_attempt(now, key, out).is_ok()
+    }
+
+    /// Probes one of the compared targets that has been silent for long, if the measuring budget allows.
+    fn probe(&mut self, now: Time, choice: &Choice, out: &mut Vec<Effect>) {
+        let me = self.me.info.id;
+        let silent = choice.scores.iter().find(|score| {
+            let member = self.directory.get(score.key);
+            member.is_some_and(|m| m.info.id != me && !m.is_probing && m.view.needs_probe(now))
+        });
+        let Some(key) = silent.map(|score| score.key) else { return };
+        if !self.measure.spend(now, Measure::Probe, PROBE_COST) {
+            return;
+        }
+        if let Some(member) = self.directory.get_mut(key) {
+            member.is_probing = true;
+            out.push(Effect::Probe { to: member.info.id, peer: member.info.peer });
+        }
+    }
+
+    pub(in crate::reducer) fn probed(
+        &mut self,
+        now: Time,
+        id: MemberId,
+        report: Option<LoadReport>,
+    ) {
+        let key = self.directory.key(id);
+        let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else { return };
+        member.is_probing = false;
+        if let Some(report) = report {
+            member.view.reported(now, report);
+        }
+    }
+
+    pub(in crate::reducer) fn hedge(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
+        let Some(call) = self.calls.get(key) else { return };
+        let [open] = call.open[..] else { return };
+        if call.is_answered {
+            return;
+        }
+        let (attempted, elapsed) = (call.attempted(), now.since(open.sent));
+        let group = self.directory.group_mut(call.group);
+        let delay = group.hedge;
+        if group.budget.hedge(now, &attempted, elapsed, &delay) {
+            // Without another target the first attempt goes on alone.
+            let _ = self.start_attempt(now, key, out);
+        }
+    }
+
+    pub(super) fn close_attempt(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        attempt: u32,
+        observed: Observed,
+        report: Option<LoadReport>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(call) = self.calls.get_mut(key) else { return };
+        let Some(index) = call.open.iter().position(|open| open.number == attempt) else { return };
+        let open = call.open.swap_remove(index);
+        let service = call.service.clone();
+        self.release(now, open, observed);
+        if let Some(report) = report
+            && let Some(member) = self.directory.get_mut(open.member)
+        {
+            member.view.reported(now, report);
+        }
+        match observed {
+            Observed::Answer => self.directory.succeeded(now, open.member),
+            Observed::Failure => self.count_failure(now, &service, open.member, out),
+            Observed::NotRun => {}
+        }
+    }
+
+    /// Pauses a member to which no connection could be opened, or whose target takes no work.
+    pub(super) fn note_unreachable(
+        &mut self,
+        now: Time,
+        key: CallKey,
+        attempt: u32,
+        out: &mut Vec<Effect>,
+    ) {
+        let open = self.calls.get(key).and_then(|c| c.open.iter().find(|o| o.number == attempt));
+        let Some(member) = open.map(|open| open.member) else { return };
+        let until = self.directory.unreachable(now, member);
+        self.log_ejection(now, member, until, out);
+    }
+
+    fn count_failure(&mut self, now: Time, service: &str, key: MemberKey, out: &mut Vec<Effect>) {
+        let Some(limits) =
+            self.document.as_ref().and_then(|document| document.services.get(service))
+        else {
+            return;
+        };
+        let until = self.directory.failed(now, key, limits);
+        self.log_ejection(now, key, until, out);
+    }
+
+    fn log_ejection(&self, now: Time, key: MemberKey, until: Option<Time>, out: &mut Vec<Effect>) {
+        let (Some(until), Some(member)) = (until, self.directory.get(key)) else { return };
+        out.push(Effect::Log(Record::Eject {
+            member: member.info.id,
+            service: member.info.service.clone(),
+            pause: until.since(now),
+        }));
+    }
+
+    pub(super) fn release(&mut self, now: Time, open: OpenAttempt, observed: Observed) {
+        if let Some(member) = self.directory.get_mut(open.member) {
+            member.view.finished(now, open.sent, observed);
+        }
+    }
+}
