--- a/src/admission.rs
+++ b/src/admission.rs
@@ -2,6 +2,8 @@
 //!
 //! `docs/design.md`, section 5.4, states the rules.
 
+mod limit;
+
 use std::{collections::VecDeque, time::Duration};
 
 use crate::{
@@ -11,11 +13,6 @@
     time::Time,
 };
 
-mod limit;
-
-#[cfg(test)]
-mod tests;
-
 use limit::Limit;
 
 /// Queue entries per slot. At twice the slots, the last entry waits for about two service times.
@@ -243,3 +240,6 @@
         next
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/console.rs
+++ b/src/console.rs
@@ -3,6 +3,15 @@
 //! Every form ends in [`store::commit`] of the one validated document; nothing else changes what the system does.
 //! `docs/console.md` describes the pages.
 
+mod access;
+mod change;
+mod edit;
+mod form;
+mod forms;
+mod lists;
+mod merge;
+mod utc;
+
 use std::{convert::Infallible, sync::Arc};
 
 use askama::Template;
@@ -32,15 +41,6 @@
     forms::Page,
 };
 
-mod access;
-mod change;
-mod edit;
-mod form;
-mod forms;
-mod lists;
-mod merge;
-mod utc;
-
 /// The largest form in bytes. A service with 64 routes of 256 bytes takes about 60 KB when it is encoded.
 const MAX_FORM: usize = 256 << 10;
 
--- a/src/console/forms.rs
+++ b/src/console/forms.rs
@@ -1,5 +1,9 @@
 //! The forms: which part of the document each one shows, and how its fields become a change.
 
+mod budgets;
+mod centres;
+mod service;
+
 use serde_json::{Value, json};
 
 use crate::document::{
@@ -13,10 +17,6 @@
     form::{Errors, Fields, Group, cell},
 };
 
-mod budgets;
-mod centres;
-mod service;
-
 /// Empty rows that a form offers at the end of each list.
 const SPARE_ROWS: usize = 2;
 
--- a/src/crash_guard.rs
+++ b/src/crash_guard.rs
@@ -14,9 +14,6 @@
 
 use crate::{headers, keys::MemberId, time::Time};
 
-#[cfg(test)]
-mod tests;
-
 /// The crashes after which a request is refused. One more is needed if other requests were in progress at both
 /// and none of them was suspected yet.
 pub const BLOCK_CRASHES: usize = 2;
@@ -391,3 +388,6 @@
         self.suspicions.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/document.rs
+++ b/src/document.rs
@@ -2,15 +2,15 @@
 //!
 //! The fields are described in `docs/document.md`.
 
+pub mod diff;
+pub(crate) mod read;
+pub mod validate;
+
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-pub mod diff;
-pub(crate) mod read;
-pub mod validate;
-
 /// The operators' document.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -3,6 +3,9 @@
 //! A datagram holds the sender's member id, a sequence number and the message in `postcard` form, followed by a
 //! keyed BLAKE3 tag over all of it. Datagrams that fail a check are counted by kind and dropped.
 
+mod codec;
+mod replay;
+
 use std::{
     io,
     net::SocketAddr,
@@ -25,12 +28,6 @@
     membership::{DATAGRAM_BYTES, Message, Source},
 };
 
-mod codec;
-mod replay;
-
-#[cfg(test)]
-mod tests;
-
 pub use codec::{Decoder, Encoder, Key};
 pub use replay::{REPLAY_WINDOW, SENDERS};
 
@@ -230,3 +227,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/identity.rs
+++ b/src/identity.rs
@@ -4,25 +4,24 @@
 //! Everything here is pure: time and results arrive as arguments. `docs/at-most-once.md` states what callers
 //! and operators can rely on; `docs/design.md`, section 5.6, gives the reasons.
 
-use std::{fmt, str::FromStr, sync::Arc, time::Duration};
-
-use compact_str::CompactString;
-use serde::{Deserialize, Serialize};
-use snafu::Snafu;
-
-use crate::keys::MemberId;
-
 mod claim;
 mod cost;
 mod decision;
+
 #[cfg(test)]
 mod explore;
 mod handover;
 mod owner;
 mod receipts;
 mod tag;
-#[cfg(test)]
-mod tests;
+
+use std::{fmt, str::FromStr, sync::Arc, time::Duration};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::keys::MemberId;
 
 pub use claim::{Claim, ClaimAction, ClaimBudget, ClaimEvent};
 pub use cost::{IdentityCost, measure};
@@ -217,3 +216,6 @@
         self.body.len() + self.content_type.as_ref().map_or(0, |t| t.len())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/identity/explore.rs
+++ b/src/identity/explore.rs
@@ -5,14 +5,14 @@
 //! delivered is a lost one. Each check and the action that follows it are separate steps, so a node may be
 //! paused between them. A search visits every order of events up to a depth, and seeded random walks go beyond.
 
-use std::collections::{HashMap, hash_map::Entry};
-
-use rand::{Rng, SeedableRng, rngs::SmallRng};
-
 mod node;
 mod tests;
 mod world;
 
+use std::collections::{HashMap, hash_map::Entry};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
 use world::World;
 
 const NODES: usize = 3;
--- a/src/identity/explore/world.rs
+++ b/src/identity/explore/world.rs
@@ -1,13 +1,13 @@
 //! The modelled nodes, platform, callers and messages in transit.
 
+mod deliver;
+
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::Duration,
 };
 
-mod deliver;
-
 use super::{
     Event, NODES, Setup, Violation, Without,
     node::{Node, Route, Step},
--- a/src/load.rs
+++ b/src/load.rs
@@ -2,18 +2,15 @@
 //!
 //! `docs/design.md`, section 5.3, describes how the parts work together.
 
+mod budget;
+mod view;
+
 use std::fmt::Write as _;
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt as _, Snafu, ensure};
 
-mod budget;
-mod view;
-
-#[cfg(test)]
-mod tests;
-
 pub use budget::{Measure, MeasureBudget, MeasureCounts};
 pub use view::{Health, Observed, TargetView};
 
@@ -120,3 +117,6 @@
         s == "0" || (!s.starts_with('0') && s.bytes().all(|b| b.is_ascii_digit()) && !s.is_empty());
     if canonical { s.parse().ok() } else { None }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -3,13 +3,6 @@
 //! Section 5.1 of `docs/design.md` gives the requirements. The driver passes in verified messages and the time,
 //! and executes the [`Output`]s. All traffic is bounded by a token bucket, see [`GOSSIP_BYTES`].
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
-
-use compact_str::CompactString;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
-
-use crate::{keys::MemberId, time::Time};
-
 mod budget;
 mod measure;
 mod merge;
@@ -20,8 +13,12 @@
 mod sync;
 mod table;
 
-#[cfg(test)]
-mod tests;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use compact_str::CompactString;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{keys::MemberId, time::Time};
 
 pub use budget::{CONTROL_BYTES, GOSSIP_BYTES};
 pub use measure::{MembershipCost, measure};
@@ -399,3 +396,6 @@
         MESSAGE_BYTES.min(spare).saturating_sub(fixed)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,3 +1,5 @@
+mod faults;
+
 use std::net::SocketAddr;
 
 use test_case::test_case;
@@ -5,8 +7,6 @@
 use super::{measure::member, *};
 use State::{Alive, Dead, Left, Suspect};
 
-mod faults;
-
 const NOW: Time = Time::from_micros(1_000);
 const OTHER: MemberId = MemberId(2);
 
--- a/src/openloop.rs
+++ b/src/openloop.rs
@@ -9,9 +9,6 @@
 mod report;
 mod schedule;
 
-#[cfg(test)]
-mod tests;
-
 use std::{io, time::Duration};
 
 use compact_str::CompactString;
@@ -160,3 +157,6 @@
     }
     Ok(Report::new(rounds))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/openloop/driver.rs
+++ b/src/openloop/driver.rs
@@ -1,6 +1,3 @@
-#[cfg(test)]
-mod tests;
-
 use std::{
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -234,3 +231,6 @@
         Ok(conn)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,6 +2,9 @@
 //!
 //! `docs/design.md` section 4.3 lists the keys. Every write raises one revision that all keys share.
 
+pub mod http;
+pub mod memory;
+
 use std::{future::Future, time::Duration};
 
 use bytes::Bytes;
@@ -11,9 +14,6 @@
 
 pub use self::{http::Http, memory::Memory};
 
-pub mod http;
-pub mod memory;
-
 /// The largest value in bytes that the platform stores.
 pub const MAX_VALUE: usize = 1_000_000;
 
--- a/src/platform/memory.rs
+++ b/src/platform/memory.rs
@@ -1,5 +1,7 @@
 //! A platform in memory with switchable faults, for tests and for the stand-in server.
 
+mod state;
+
 use std::{
     fmt,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -21,8 +23,6 @@
     Watched, check_key, check_prefix,
 };
 
-mod state;
-
 /// A platform in memory. Clones share their content.
 #[derive(Clone, Default)]
 pub struct Memory {
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -14,9 +14,6 @@
 mod versions;
 mod works;
 
-#[cfg(test)]
-mod tests;
-
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::SmallRng};
@@ -316,3 +313,6 @@
         Record::Stop { phase, calls: self.calls.len(), works: self.works.len() }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/reducer/remote.rs
+++ b/src/reducer/remote.rs
@@ -18,9 +18,6 @@
 
 use super::Reducer;
 
-#[cfg(test)]
-mod tests;
-
 /// The calls that wait for the first answer of another region; beyond it they are refused at once.
 const WAITING_CALLS: usize = 1_024;
 
@@ -177,3 +174,6 @@
     let centre = document.and_then(|document| document.centres.get(&member.centre));
     !member.leaving && centre.is_some_and(|centre| centre.state == CentreState::In)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/remote.rs
+++ b/src/remote.rs
@@ -5,6 +5,9 @@
 //! service itself. Datagrams were chosen over `tarpc`: they need no connection in either direction, a snapshot of
 //! a service fits one, and the reducer decides about them without I/O. See section 5.1 of `docs/design.md`.
 
+mod contacts;
+mod serve;
+
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use compact_str::CompactString;
@@ -15,12 +18,6 @@
     time::Time,
 };
 
-mod contacts;
-mod serve;
-
-#[cfg(test)]
-mod tests;
-
 use contacts::Contacts;
 pub(crate) use serve::Serving;
 
@@ -316,3 +313,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -10,6 +10,9 @@
 //! first for `p` = 10, and 4.22 times for `p` = 100, plus the floor of one retry per second at depth 0. Without
 //! the cut-off and the halving, a chain 11 deep would reach 1.1^11 = 2.85 and 2^11 = 2,048 times.
 
+mod eject;
+mod hedge;
+
 use std::time::Duration;
 
 use crate::{
@@ -17,12 +20,6 @@
     time::Time,
 };
 
-mod eject;
-mod hedge;
-
-#[cfg(test)]
-mod tests;
-
 pub use eject::Ejector;
 pub use hedge::HedgeDelay;
 
@@ -164,3 +161,6 @@
     let next = left.checked_sub(HOP_TIME + left / HOP_DIVISOR)?;
     (!next.is_zero()).then_some(next)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -3,6 +3,12 @@
 //! Everything here is pure: time, observations and messages arrive as arguments. `docs/rollout.md` states what
 //! operators can rely on; `docs/design.md`, section 5.7, gives the requirements.
 
+pub mod evidence;
+pub mod judge;
+mod note;
+mod share;
+mod state;
+
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
@@ -16,15 +22,6 @@
     time::{Time, Wall},
 };
 
-pub mod evidence;
-pub mod judge;
-mod note;
-mod share;
-mod state;
-
-#[cfg(test)]
-mod tests;
-
 pub use evidence::{Report, Seen, Stratum};
 pub use judge::{FALSE_ALARM, Finding, MIN_SAMPLES, Measure, Part};
 pub use note::{EvidenceNote, VerdictNote};
@@ -398,3 +395,6 @@
     };
     Status { service: name.clone(), version: version.name.clone(), stage, share, route }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -11,9 +11,6 @@
     time::Time,
 };
 
-#[cfg(test)]
-mod tests;
-
 /// The most candidates compared in one decision. A service has about five targets; the bound keeps the cost of
 /// a decision constant for large ones.
 pub const MAX_CANDIDATES: usize = 16;
@@ -366,3 +363,6 @@
     }
     best.map(|(i, _)| i)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/status.rs
+++ b/src/status.rs
@@ -2,6 +2,8 @@
 //!
 //! Times are in milliseconds; the counts begin when the process starts. `docs/console.md` explains the fields.
 
+mod fetch;
+
 use std::{io, io::Write};
 
 use compact_str::CompactString;
@@ -11,8 +13,6 @@
 
 pub use self::fetch::{StatusError, fetch};
 
-mod fetch;
-
 /// The state of one node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
--- a/src/store.rs
+++ b/src/store.rs
@@ -3,6 +3,11 @@
 //! A service belongs to one of [`PARTS`] parts by a hash of its name. A compare-and-swap of the index puts all
 //! changed parts in force together; `docs/design.md` section 5.2 gives the reasons.
 
+mod collect;
+mod commit;
+mod load;
+mod measure;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
@@ -28,11 +33,6 @@
     measure::{StoreCost, measure},
 };
 
-mod collect;
-mod commit;
-mod load;
-mod measure;
-
 /// The number of parts. At 4,700 services of about 200 bytes one part has about 4 KB, and the index 4 KB.
 pub const PARTS: usize = 256;
 
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,3 +1,6 @@
+mod lossy;
+mod races;
+
 use std::io::{Write, stderr};
 
 use bytes::Bytes;
@@ -14,9 +17,6 @@
 
 use self::lossy::{Loss, Lossy};
 
-mod lossy;
-mod races;
-
 fn document(deadline_ms: u32) -> Document {
     let mut document = Document::default();
     let centre = Centre { region: "r".into(), state: CentreState::In };
--- a/src/transports.rs
+++ b/src/transports.rs
@@ -7,9 +7,6 @@
 mod http2;
 mod rpc;
 
-#[cfg(test)]
-mod tests;
-
 use std::{
     fmt, fs, io,
     time::{Duration, Instant},
@@ -292,3 +289,6 @@
     }
     Ok(sum)
 }
+
+#[cfg(test)]
+mod tests;
