--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,3 +1,7 @@
+mod lossy;
+mod races;
+mod update;
+
 use std::io::{Write, stderr};
 
 use bytes::Bytes;
@@ -14,10 +18,6 @@
 
 use self::lossy::{Loss, Lossy};
 
-mod lossy;
-mod races;
-mod update;
-
 fn document(deadline_ms: u32) -> Document {
     let mut document = Document::default();
     let centre = Centre { region: "r".into(), state: CentreState::In };
