Read the log of a node after it has ended

Cause: the end-to-end test read the log while the node ran; since lines are written in batches of 20 ms, the last ones may be missing. Change: the test stops the processes first. The check itself is the same. Conclusion: the test no longer depends on when lines are written.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -73,6 +73,10 @@
         .expect("the program runs");
     let table = String::from_utf8(status.stdout).expect("text");
     assert!(status.status.success() && table.contains(&nodes[0].value("node")), "{table}");
+    for process in nodes.into_iter().chain(targets).chain([platform]) {
+        assert_eq!(process.stop(), Some(0));
+    }
+    // Lines are written in batches; a process that has ended has written all of them.
     let lines = fs::read_to_string(log("node-catalogue")).expect("a log");
     for event in ["document", "member", "route", "admit"] {
         let start = format!(" event={event} ");
@@ -80,9 +84,6 @@
         let pairs = line.unwrap_or_else(|| panic!("no line with{start}in {lines}")).split(' ');
         assert!(pairs.filter(|pair| !pair.is_empty()).all(|pair| pair.contains('=')), "{line:?}");
     }
-    for process in nodes.into_iter().chain(targets).chain([platform]) {
-        assert_eq!(process.stop(), Some(0));
-    }
 }
 
 /// Sends a request until the nodes know each other and have the document.
