--- a/tests/utils/process.rs
+++ b/tests/utils/process.rs
@@ -49,7 +49,14 @@
         self.child.wait().expect("the process ends");
     }
 
+    /// Returns the exit code of a program that has ended.
+    #[allow(dead_code)] // Each test program uses a part of it.
+    pub(crate) fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().expect("the process is ours").and_then(|status| status.code())
+    }
+
     /// Asks the program to stop and returns its exit code.
+    #[allow(dead_code)] // Each test program uses a part of it.
     pub(crate) fn stop(mut self) -> Option<i32> {
         self.signal("-TERM");
         self.child.wait().expect("the program ends").code()
--- a/tests/utils/processes.rs
+++ b/tests/utils/processes.rs
@@ -176,13 +176,13 @@
     panic!("not in {STEPS} steps: {what}");
 }
 
-async fn read<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> T {
+pub(crate) async fn read<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> T {
     let answer = client::get(addr, "", path).await;
     assert_eq!(answer.status, 200, "{path}: {answer:?}");
     serde_json::from_slice(&answer.body.expect("a body")).expect("JSON")
 }
 
-async fn post(addr: SocketAddr, path: &str, body: Value) {
+pub(crate) async fn post(addr: SocketAddr, path: &str, body: Value) {
     let req = Request::post(path)
         .header("content-type", "application/json")
         .body(Body::from(body.to_string()))
