Send nothing to a process that replaced the expected member

Cause: an entry node knows a member by its address until gossip reports the replacement. A new process at the same address refused the requests for the earlier one as malformed, unknown. Idempotent requests spent the retry budget on it and were then refused; requests that run at most once ended as unknown although nothing had been sent.

Change: the first request on a connection between nodes asks whether the member is the process that answers. If not, nothing else is sent, so the request counts as not sent: the member is paused and another one is tried without the retry budget. Requests that waited for the same connection share the failure. A new connection costs one more round trip.

Before: tests/at_most_once_faults.rs, node_replaced_at_its_addresses_is_used_again, failed in 3 of 3 runs with status 400 for an idempotent request. After: it passes.

--- a/src/egress.rs
+++ b/src/egress.rs
@@ -31,6 +31,7 @@
 /// What a request between nodes asks for.
 enum Order {
     Probe,
+    Greet,
     Run(WorkHead),
     Relay { service: CompactString, stamp: Stamp, identity: Identity },
 }
@@ -41,6 +42,7 @@
         let head = match self.read_order(&req) {
             Ok(Order::Run(head)) => head,
             Ok(Order::Probe) => return self.report(),
+            Ok(Order::Greet) => return no_content(),
             Ok(Order::Relay { service, stamp, identity }) => {
                 let served = self.ingress.serve_relayed(service, stamp, identity, req).await;
                 return served.unwrap_or_else(|refusal| self.refuse(refusal));
@@ -92,6 +94,7 @@
         let timeout = timeout.map_or(DEFAULT_TIMEOUT, |ms| Duration::from_millis(ms.into()));
         let tag = match envelope {
             Envelope::Probe { .. } => return Ok(Order::Probe),
+            Envelope::Greet { .. } => return Ok(Order::Greet),
             Envelope::Run { .. } => None,
             Envelope::RunOnce(tag) => Some(tag),
             Envelope::Relay { stamp, identity } => {
@@ -114,8 +117,7 @@
 
     /// Answers a probe, whose cost is in the budget of the node that asks.
     fn report(&self) -> Response<Body> {
-        let mut answer = Response::new(Body::empty());
-        *answer.status_mut() = StatusCode::NO_CONTENT;
+        let mut answer = no_content();
         let report = self.driver().inspect(Reducer::load_report);
         headers::set(answer.headers_mut(), headers::LOAD, &report.encode());
         answer
@@ -134,3 +136,9 @@
         }
     }
 }
+
+fn no_content() -> Response<Body> {
+    let mut answer = Response::new(Body::empty());
+    *answer.status_mut() = StatusCode::NO_CONTENT;
+    answer
+}
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -15,6 +15,11 @@
         /// The node that asks.
         from: MemberId,
     },
+    /// The first request on a connection, which only asks whether its destination is the process that answers.
+    Greet {
+        /// The node that asks.
+        from: MemberId,
+    },
     /// An attempt of an idempotent request.
     Run {
         /// The node that chose the target.
@@ -35,7 +40,7 @@
     /// Returns the node that sent the request.
     pub(crate) fn sender(&self) -> MemberId {
         match self {
-            Envelope::Probe { from } | Envelope::Run { from } => *from,
+            Envelope::Probe { from } | Envelope::Greet { from } | Envelope::Run { from } => *from,
             Envelope::RunOnce(tag) => tag.identity.owner,
             Envelope::Relay { stamp, .. } => stamp.sender,
         }
@@ -46,6 +51,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Envelope::Probe { from } => write!(f, "probe;{from}"),
+            Envelope::Greet { from } => write!(f, "greet;{from}"),
             Envelope::Run { from } => write!(f, "run;{from}"),
             Envelope::RunOnce(tag) => {
                 let AttemptTag { identity, attempt, sequence, destination } = tag;
@@ -69,6 +75,7 @@
         let fields: Vec<_> = s.split(';').collect();
         Ok(match fields[..] {
             ["probe", from] => Envelope::Probe { from: read(from)? },
+            ["greet", from] => Envelope::Greet { from: read(from)? },
             ["run", from] => Envelope::Run { from: read(from)? },
             ["once", identity, attempt, sequence, destination] => Envelope::RunOnce(AttemptTag {
                 identity: read(identity)?,
--- a/src/envelope/tests.rs
+++ b/src/envelope/tests.rs
@@ -5,6 +5,7 @@
 const IDENTITY: Identity = Identity { owner: MemberId(7), counter: 3 };
 
 #[test_case(Envelope::Probe { from: MemberId(7) }; "probe")]
+#[test_case(Envelope::Greet { from: MemberId(7) }; "greet")]
 #[test_case(Envelope::Run { from: MemberId(7) }; "run")]
 #[test_case(Envelope::RunOnce(AttemptTag { identity: IDENTITY, attempt: 2, sequence: 9, destination: MemberId(8) }); "once")]
 #[test_case(Envelope::Relay { stamp: Stamp { sender: MemberId(6), sequence: 4, destination: MemberId(7) }, identity: IDENTITY }; "relay")]
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -214,7 +214,7 @@
         headers::set(req.headers_mut(), headers::TAG, &tag);
         headers::set(req.headers_mut(), headers::ATTEMPT, &envelope);
         headers::set(req.headers_mut(), headers::SERVICE, &service);
-        match self.peers.send(addr, req).await {
+        match self.peers.send(addr, attempt.member, req).await {
             Ok(answer) => read_reply(answer.map(Body::new)),
             Err(SendError::NotSent) => Reply::Failed(Failure::NotSent),
             Err(SendError::Lost) => Reply::Failed(Failure::Lost),
--- a/src/node.rs
+++ b/src/node.rs
@@ -222,7 +222,7 @@
         let lease = tokio::sync::Mutex::new(None);
         let clerk = Claims { platform: platform.clone(), driver: driver.clone(), lease };
         tasks.spawn(Arc::new(clerk).run(wanted));
-        let connections = Peers::default();
+        let connections = Peers::new(id, key.clone());
         let (probes, wanted) = mpsc::unbounded_channel();
         let prober =
             Prober { driver: driver.clone(), me: id, key: key.clone(), peers: connections.clone() };
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -50,7 +50,7 @@
         headers::set(req.headers_mut(), headers::TAG, &tag);
         headers::set(req.headers_mut(), headers::ATTEMPT, &envelope);
         headers::set(req.headers_mut(), headers::SERVICE, "");
-        let answer = self.peers.send(probe.peer, req).await.ok()?;
+        let answer = self.peers.send(probe.peer, probe.to, req).await.ok()?;
         LoadReport::parse(answer.headers().get(headers::LOAD)?.to_str().ok()?).ok()
     }
 }
--- a/tests/at_most_once_faults.rs
+++ b/tests/at_most_once_faults.rs
@@ -3,6 +3,7 @@
 
 use std::{future::Future, net::SocketAddr};
 
+use futures::future;
 use serde_json::json;
 use test_case::test_case;
 use tokio::task::JoinHandle;
@@ -208,6 +209,46 @@
     assert_eq!(fleet.runs(ID), 1);
 }
 
+/// Guards against a node that was replaced at its addresses and whose entry nodes refuse requests because of it,
+/// or say "not run" of one that runs.
+#[tokio::test]
+async fn node_replaced_at_its_addresses_is_used_again() {
+    let mut fleet = start("replaced").await;
+    let entry = fleet.entry(OWNER);
+    // Side by side, so that both targets are needed.
+    let stock = || future::join_all((0..8).map(|_| processes::get(entry)));
+    for answer in stock().await {
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    fleet.nodes[3].kill();
+    fleet.revive(3);
+    for round in 0..10 {
+        let ids = (0..8).map(|n| format!("order-{round}-{n}")).collect::<Vec<_>>();
+        let orders = future::join_all(ids.iter().map(|id| order(entry, id, None)));
+        let (orders, stock) = future::join(orders, stock()).await;
+        for (id, answer) in ids.iter().zip(orders) {
+            let (answer, runs) = (answer.expect("an answer"), fleet.runs(id));
+            assert!(runs <= 1 && (runs == 0 || !is_not_run(&answer)), "{id}: {runs}, {answer:?}");
+            let is_refused =
+                answer.status != 200 && answer.header("poplarbarrow-outcome").is_empty();
+            assert!(!is_refused, "{id}: {answer:?}");
+        }
+        for answer in stock {
+            assert_eq!(answer.status, 200, "an idempotent request in round {round}: {answer:?}");
+        }
+    }
+    fleet.wait_until_known(3).await;
+    let before = fleet.targets[3].totals().started;
+    wait("the new process is used", async || {
+        // Side by side, because one target is enough for one request after the other.
+        for answer in stock().await {
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        fleet.targets[3].totals().started > before
+    })
+    .await;
+}
+
 /// Guards against a second run when the owner is frozen before it sends the attempt and resumes after the caller
 /// has sent again.
 #[test_case(Key::Issued; "issued identity")]
