--- a/src/peer.rs
+++ b/src/peer.rs
@@ -12,7 +12,8 @@
 };
 
 use axum::body::Body;
-use http::{Request, Response, Version};
+use compact_str::ToCompactString;
+use http::{Request, Response, StatusCode, Version};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -24,9 +25,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::pool::SendError;
+use crate::{auth::RequestKey, envelope::Envelope, headers, keys::MemberId, pool::SendError};
 
-/// The longest time to open a connection to another node.
+/// The longest time to open a connection to another node and to learn that it is the expected one.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The time for which an idle connection is used again. The other node closes it after
@@ -34,8 +35,10 @@
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
 /// Connections to other nodes.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Peers {
+    me: MemberId,
+    key: RequestKey,
     slots: Arc<Mutex<HashMap<SocketAddr, Arc<Slot>>>>,
 }
 
@@ -46,17 +49,26 @@
     failed: CancellationToken,
 }
 
+/// An open connection and the process at its other end, which cannot change while it is open.
 struct Link {
+    member: MemberId,
     sender: SendRequest<Body>,
     /// The time of the last request.
     used: Instant,
 }
 
 impl Peers {
-    /// Sends a request to the node at `addr` and returns the head of the answer; the body streams on.
+    pub(crate) fn new(me: MemberId, key: RequestKey) -> Peers {
+        Peers { me, key, slots: Arc::default() }
+    }
+
+    /// Sends a request to a member at `addr` and returns the head of the answer; the body streams on.
+    ///
+    /// Nothing is sent if another process answers at the address, as after a restart there.
     pub(crate) async fn send(
         &self,
         addr: SocketAddr,
+        member: MemberId,
         mut req: Request<Body>,
     ) -> Result<Response<Incoming>, SendError> {
         *req.version_mut() = Version::HTTP_11;
@@ -64,9 +76,9 @@
         *req.uri_mut() = path.parse().map_err(|_| SendError::NotSent)?;
         let slot = self.slot(addr);
         loop {
-            let (mut link, reused) = match slot.take() {
+            let (mut link, reused) = match slot.take(member) {
                 Some(link) => (link, true),
-                None => (slot.connect(addr).await.ok_or(SendError::NotSent)?, false),
+                None => (self.connect(&slot, addr, member).await.ok_or(SendError::NotSent)?, false),
             };
             match link.sender.try_send_request(req).await {
                 Ok(answer) => {
@@ -95,6 +107,46 @@
         }
     }
 
+    /// Opens a connection, and returns it only if the process at its other end is the member.
+    async fn connect(&self, slot: &Slot, addr: SocketAddr, member: MemberId) -> Option<Link> {
+        let opened = time::timeout(CONNECT_TIMEOUT, self.open(slot, addr, member)).await;
+        let sender = opened.ok().flatten()?;
+        Some(Link { member, sender, used: Instant::now() })
+    }
+
+    async fn open(
+        &self,
+        slot: &Slot,
+        addr: SocketAddr,
+        member: MemberId,
+    ) -> Option<SendRequest<Body>> {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let failed = slot.failed.clone();
+        tokio::spawn(async move {
+            // The request on the connection reports its failure itself.
+            let _ = failed.run_until_cancelled_owned(conn).await;
+        });
+        let answer = sender.send_request(self.greeting(member)?).await.ok()?;
+        if answer.status() != StatusCode::NO_CONTENT {
+            return None;
+        }
+        drop(answer);
+        sender.ready().await.ok()?;
+        Some(sender)
+    }
+
+    fn greeting(&self, member: MemberId) -> Option<Request<Body>> {
+        let envelope = Envelope::Greet { from: self.me }.to_compact_string();
+        let tag = self.key.tag(member, &["GET", "/", "", &envelope]).to_string();
+        let mut req = Request::get("/").body(Body::empty()).ok()?;
+        headers::set(req.headers_mut(), headers::TAG, &tag);
+        headers::set(req.headers_mut(), headers::ATTEMPT, &envelope);
+        headers::set(req.headers_mut(), headers::SERVICE, "");
+        Some(req)
+    }
+
     fn slot(&self, addr: SocketAddr) -> Arc<Slot> {
         self.lock().entry(addr).or_default().clone()
     }
@@ -106,9 +158,12 @@
 
 impl Slot {
     /// Returns the open connection that was used last; older ones become unused and close.
-    fn take(&self) -> Option<Link> {
+    fn take(&self, member: MemberId) -> Option<Link> {
         let mut idle = self.lock();
-        idle.retain(|link| !link.sender.is_closed() && link.used.elapsed() < IDLE_TIME);
+        idle.retain(|link| {
+            let is_open = !link.sender.is_closed() && link.used.elapsed() < IDLE_TIME;
+            is_open && link.member == member
+        });
         let ready = idle.iter().rposition(|link| link.sender.is_ready())?;
         Some(idle.remove(ready))
     }
@@ -118,18 +173,6 @@
         self.lock().push(link);
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Option<Link> {
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await.ok()?.ok()?;
-        let _ = stream.set_nodelay(true);
-        let (sender, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        let failed = self.failed.clone();
-        tokio::spawn(async move {
-            // The request on the connection reports its failure itself.
-            let _ = failed.run_until_cancelled_owned(conn).await;
-        });
-        Some(Link { sender, used: Instant::now() })
-    }
-
     fn lock(&self) -> MutexGuard<'_, Vec<Link>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use axum::body::Body;
-use http::{Request, Response};
+use http::{Method, Request, Response};
 use http_body_util::BodyExt;
 use tokio::{
     net::TcpListener,
@@ -11,6 +11,8 @@
 
 use super::Peers;
 use crate::{
+    auth::RequestKey,
+    keys::MemberId,
     logging,
     pool::SendError,
     server::{self, Limits},
@@ -19,6 +21,11 @@
 /// The time after which a test that would never end fails.
 const LIMIT: Duration = Duration::from_secs(30);
 
+const KEY: &str = "a-key-for-tests-only";
+
+/// The member that is expected at the other end.
+const MEMBER: MemberId = MemberId(2);
+
 /// Tells that a request was dropped before its answer.
 struct Guard(mpsc::UnboundedSender<()>);
 
@@ -28,7 +35,7 @@
     }
 }
 
-/// Serves `/held`, which has no answer until `go`, `/refused`, which ignores the body, and otherwise an echo.
+/// Answers the greeting of a connection, and serves `/held`, which has no answer until `go`, `/refused`, which ignores the body, and otherwise an echo.
 async fn start(go: Arc<Notify>) -> (SocketAddr, mpsc::UnboundedReceiver<()>, watch::Sender<bool>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
@@ -37,6 +44,9 @@
     let handle = move |req: Request<Body>| {
         let (go, guard) = (go.clone(), Guard(ended.clone()));
         async move {
+            if req.method() == Method::GET {
+                return Response::builder().status(204).body(Body::empty()).unwrap();
+            }
             if req.uri().path() == "/held" {
                 let _ = guard.0.send(());
                 go.notified().await;
@@ -62,12 +72,12 @@
 #[tokio::test]
 async fn concurrent_requests_get_their_own_answers() {
     let (addr, _ends, _stop) = start(Arc::default()).await;
-    let peers = Peers::default();
+    let peers = Peers::new(MemberId(1), RequestKey::new(KEY));
     let calls = (0..50).map(|n| {
         let peers = &peers;
         async move {
             let body = format!("body {n}");
-            let answer = peers.send(addr, request("/", &body)).await.unwrap();
+            let answer = peers.send(addr, MEMBER, request("/", &body)).await.unwrap();
             assert_eq!(answer.into_body().collect().await.unwrap().to_bytes(), body);
         }
     });
@@ -78,10 +88,10 @@
 #[tokio::test]
 async fn a_dropped_request_is_cancelled_at_the_other_node() {
     let (addr, mut ends, _stop) = start(Arc::default()).await;
-    let peers = Peers::default();
+    let peers = Peers::new(MemberId(1), RequestKey::new(KEY));
     let call = tokio::spawn({
         let peers = peers.clone();
-        async move { peers.send(addr, request("/held", "x")).await.map(drop) }
+        async move { peers.send(addr, MEMBER, request("/held", "x")).await.map(drop) }
     });
     timeout(LIMIT, ends.recv()).await.expect("the request arrives");
     call.abort();
@@ -92,8 +102,8 @@
 #[tokio::test]
 async fn requests_at_a_failed_node_are_lost() {
     let (addr, mut ends, _stop) = start(Arc::default()).await;
-    let peers = Peers::default();
-    let call = peers.send(addr, request("/held", "x"));
+    let peers = Peers::new(MemberId(1), RequestKey::new(KEY));
+    let call = peers.send(addr, MEMBER, request("/held", "x"));
     let fail = async {
         ends.recv().await;
         peers.forget(addr, true);
@@ -107,8 +117,8 @@
 async fn requests_at_a_node_that_left_are_finished() {
     let go = Arc::new(Notify::new());
     let (addr, mut ends, stop) = start(go.clone()).await;
-    let peers = Peers::default();
-    let call = peers.send(addr, request("/held", "x"));
+    let peers = Peers::new(MemberId(1), RequestKey::new(KEY));
+    let call = peers.send(addr, MEMBER, request("/held", "x"));
     let leave = async {
         ends.recv().await;
         peers.forget(addr, false);
@@ -125,10 +135,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn an_answer_before_the_end_of_the_body_arrives() {
     let (addr, _ends, _stop) = start(Arc::default()).await;
-    let peers = Peers::default();
+    let peers = Peers::new(MemberId(1), RequestKey::new(KEY));
     let body = "x".repeat(1 << 20);
     for _ in 0..200 {
-        let answer = peers.send(addr, request("/refused", &body)).await.expect("an answer");
+        let answer = peers.send(addr, MEMBER, request("/refused", &body)).await.expect("an answer");
         assert_eq!(answer.into_body().collect().await.unwrap().to_bytes(), "refused");
     }
 }
