Measure the added latency, processor time and time inside nodes

A node records the time from arrival to hand-over in both directions, as entry node and as target's node, and shows it in /status.

--- a/src/bin/poplarbarrow-load/main.rs
+++ b/src/bin/poplarbarrow-load/main.rs
@@ -10,7 +10,7 @@
 use gumdrop::Options;
 use http::Method;
 use poplarbarrow::{
-    openloop::{self, Loopback, LoopbackError, Plan, Route},
+    openloop::{self, Loopback, LoopbackError, Plan, Process, Route},
     transports::{self, Sample, Trial},
 };
 
@@ -48,6 +48,12 @@
     connections: usize,
     #[options(help = "seed of the sending times", no_short, default = "1")]
     seed: u64,
+    #[options(
+        help = "report the processor time of a process; may be repeated",
+        meta = "NAME=PID",
+        no_short
+    )]
+    pid: Vec<String>,
     #[options(help = "print one JSON document instead of lines", no_short)]
     json: bool,
     #[options(command)]
@@ -127,7 +133,7 @@
     Ok(())
 }
 
-fn plan(args: &Args) -> Result<Plan, LoopbackError> {
+fn plan(args: &Args) -> Result<Plan, Box<dyn Error>> {
     let mut routes = Vec::new();
     if let Some(list) = &args.direct {
         routes.push(route("direct".into(), list)?);
@@ -148,10 +154,16 @@
         bytes: args.bytes,
         rounds: args.rounds,
         connections: args.connections,
+        processes: args.pid.iter().map(|text| process(text)).collect::<Result<_, _>>()?,
         seed: args.seed,
     })
 }
 
+fn process(text: &str) -> Result<Process, Box<dyn Error>> {
+    let (name, pid) = text.split_once('=').ok_or("--pid takes NAME=PID")?;
+    Ok(Process { name: name.into(), pid: pid.parse()? })
+}
+
 fn route(name: CompactString, list: &str) -> Result<Route, LoopbackError> {
     let addrs = list.split(',').map(str::parse::<Loopback>).collect::<Result<_, _>>()?;
     Ok(Route { name, addrs })
--- a/src/console.rs
+++ b/src/console.rs
@@ -157,7 +157,8 @@
 
     fn status(&self) -> Status {
         let now = self.driver.now();
-        self.driver.inspect(|reducer| reducer.status(now, self.addresses))
+        let status = self.driver.inspect(|reducer| reducer.status(now, self.addresses));
+        Status { times: self.driver.metrics().times(), ..status }
     }
 }
 
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -30,6 +30,7 @@
     identity::{Answer, Fingerprint, Identity, MAX_ANSWER, Presented, Stamp},
     keys::{CallKey, MemberId},
     load::LoadReport,
+    metrics::Stage,
     peer::Peers,
     pool::SendError,
     reducer::Presentation,
@@ -116,7 +117,7 @@
                 step = call.next() => match step {
                     Some(CallStep::Attempt(attempt)) => {
                         if attempt.number == 1 {
-                            self.driver.metrics().handed_on(arrived.elapsed());
+                            self.driver.metrics().time(Stage::CallRequest, arrived.elapsed());
                         }
                         attempts.push(self.attempt(attempt, &template, body.reader()));
                     }
@@ -125,7 +126,7 @@
                         let Some(index) = index else { continue };
                         let (_, answer, received) = answers.swap_remove(index);
                         let answer = if keep { call.keep(answer).await } else { answer };
-                        self.driver.metrics().handed_back(received.elapsed());
+                        self.driver.metrics().time(Stage::CallAnswer, received.elapsed());
                         return Ok(call.track(answer));
                     }
                     Some(CallStep::Replay(answer)) => return Ok(replay(&answer)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,4 +48,5 @@
 pub mod time;
 mod timer;
 pub mod transports;
+mod usage;
 mod work;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,20 +4,55 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, UdpSocket},
+    sync::{Mutex, PoisonError},
     time::Duration,
 };
 
 use cadence::{Counted, Histogrammed, QueuingMetricSink, StatsdClient, UdpMetricSink};
 
-use crate::effect::Record;
+use hdrhistogram::Histogram;
+
+use crate::{effect::Record, status::StageTime};
 
 /// The prefix of all metric names.
 const PREFIX: &str = "poplarbarrow";
 
+/// The longest time in microseconds that the histograms distinguish.
+const MAX_TIME: u64 = 10_000_000;
+
+/// A part of the way of a request through a node.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// From the arrival of a caller's request to the hand-over to the first attempt.
+    CallRequest,
+    /// From the head of an answer to its hand-over to the caller.
+    CallAnswer,
+    /// From the arrival of a request for the target to its hand-over to the connection, with the queue.
+    WorkRequest,
+    /// From the head of the target's answer to its hand-over to the entry node.
+    WorkAnswer,
+}
+
+impl Stage {
+    const ALL: [Stage; 4] =
+        [Stage::CallRequest, Stage::CallAnswer, Stage::WorkRequest, Stage::WorkAnswer];
+
+    const fn metric(self) -> &'static str {
+        match self {
+            Stage::CallRequest => "call.request_us",
+            Stage::CallAnswer => "call.answer_us",
+            Stage::WorkRequest => "work.request_us",
+            Stage::WorkAnswer => "work.answer_us",
+        }
+    }
+}
+
 /// Sends metrics, or drops them if no receiver is set.
 pub(crate) struct Metrics {
     /// Absent if no receiver is set, because formatting metrics that nobody receives takes time in each call.
     client: Option<StatsdClient>,
+    /// Times in microseconds since the start, in the order of [`Stage::ALL`].
+    times: [Mutex<Histogram<u64>>; 4],
 }
 
 impl Metrics {
@@ -36,7 +71,11 @@
                 Some(StatsdClient::from_sink(PREFIX, sink))
             }
         };
-        Ok(Metrics { client })
+        let histogram = || {
+            let histogram = Histogram::new_with_bounds(1, MAX_TIME, 2);
+            Mutex::new(histogram.expect("the bounds are valid"))
+        };
+        Ok(Metrics { client, times: std::array::from_fn(|_| histogram()) })
     }
 
     /// Counts a record by its kind.
@@ -67,27 +106,35 @@
         let _ = client.count(name, 1);
     }
 
-    /// Records the time that this node took to hand a request on to its target's node.
-    pub(crate) fn handed_on(&self, elapsed: Duration) {
-        self.time("call.request_us", elapsed);
-    }
-
-    /// Records the time that this node took to hand the head of an answer on to the caller.
-    pub(crate) fn handed_back(&self, elapsed: Duration) {
-        self.time("call.answer_us", elapsed);
-    }
-
-    fn time(&self, name: &str, elapsed: Duration) {
+    /// Records the time that a request took for a part of its way.
+    pub(crate) fn time(&self, stage: Stage, elapsed: Duration) {
+        let us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let times = self.times[stage as usize].lock();
+        times.unwrap_or_else(PoisonError::into_inner).saturating_record(us);
         if let Some(client) = &self.client {
-            let _ = client.histogram(name, micros(elapsed));
+            let _ = client.histogram(stage.metric(), us);
         }
     }
+
+    /// Returns the times recorded since the start.
+    pub(crate) fn times(&self) -> Vec<StageTime> {
+        let summary = |(stage, times): (Stage, &Mutex<Histogram<u64>>)| {
+            let times = times.lock().unwrap_or_else(PoisonError::into_inner);
+            StageTime {
+                stage: stage.metric().trim_end_matches("_us").into(),
+                count: times.len(),
+                p50_us: times.value_at_quantile(0.5),
+                p99_us: times.value_at_quantile(0.99),
+                max_us: times.max(),
+            }
+        };
+        Stage::ALL.into_iter().zip(&self.times).map(summary).collect()
+    }
 }
 
 fn count_refusal(client: &StatsdClient, reason: &str) {
     let _ = client.count_with_tags("refusals", 1).with_tag("reason", reason).try_send();
 }
 
-fn micros(elapsed: Duration) -> u64 {
-    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
-}
+#[cfg(test)]
+mod tests;
--- a/src/openloop.rs
+++ b/src/openloop.rs
@@ -22,6 +22,8 @@
 pub use report::{Comparison, Outcome, Report, Round, Spread};
 pub use schedule::poisson;
 
+use crate::usage::cpu_time;
+
 /// The fewest rounds, so that the spread over rounds means something.
 pub const MIN_ROUNDS: u32 = 5;
 /// The most rounds.
@@ -72,10 +74,28 @@
     pub rounds: u32,
     /// The most connections to each address.
     pub connections: usize,
+    /// The processes whose processor time is measured.
+    pub processes: Vec<Process>,
     /// The seed of the sending times.
     pub seed: u64,
 }
 
+/// A process whose processor time is measured.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Process {
+    /// The name in reports.
+    pub name: CompactString,
+    /// The process id.
+    pub pid: u32,
+}
+
+impl Process {
+    /// Returns its processor time in nanoseconds.
+    fn cpu_time(&self) -> Result<u64, LoadError> {
+        cpu_time(&self.pid.to_string()).context(ProcessSnafu { pid: self.pid })
+    }
+}
+
 /// A plan that cannot run.
 #[derive(Debug, Snafu)]
 pub enum LoadError {
@@ -98,6 +118,14 @@
         /// The cause.
         source: http::Error,
     },
+    /// The processor time of a process cannot be read.
+    #[snafu(display("cannot read the processor time of process {pid}"))]
+    Process {
+        /// The process id.
+        pid: u32,
+        /// The cause.
+        source: io::Error,
+    },
     /// The sending thread cannot start its runtime.
     #[snafu(display("cannot start the runtime"))]
     Runtime {
@@ -152,7 +180,13 @@
             order.reverse();
         }
         for i in order {
+            let before = processor(plan)?;
             outcomes[i] = runtime.block_on(drivers[i].run(n, &offsets))?;
+            let spent = processor(plan)?.into_iter().zip(before);
+            let calls = f64::from(plan.count);
+            let each =
+                spent.map(|(after, before)| after.saturating_sub(before) as f64 / 1e3 / calls);
+            outcomes[i].cpu = plan.processes.iter().map(|p| p.name.clone()).zip(each).collect();
         }
         let round = Round::new(n + 1, outcomes);
         progress(&round);
@@ -160,3 +194,7 @@
     }
     Ok(Report::new(rounds))
 }
+
+fn processor(plan: &Plan) -> Result<Vec<u64>, LoadError> {
+    plan.processes.iter().map(Process::cpu_time).collect()
+}
--- a/src/openloop/report.rs
+++ b/src/openloop/report.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, fmt};
 
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -28,6 +28,8 @@
     /// 99th percentile of the delay between the planned and the actual sending time. If it is not small
     /// against the latency, the sender was overloaded and the round says nothing about the route.
     pub late_p99: f64,
+    /// Processor time per request by process.
+    pub cpu: BTreeMap<CompactString, f64>,
 }
 
 impl Outcome {
@@ -56,6 +58,9 @@
         for (failure, n) in &self.failed {
             write!(f, " failed_{failure}={n}")?;
         }
+        for (process, us) in &self.cpu {
+            write!(f, " cpu_us_{process}={us:.1}")?;
+        }
         Ok(())
     }
 }
@@ -175,28 +180,32 @@
     /// The rounds.
     pub rounds: Vec<Round>,
     /// The spread over the rounds by route and figure.
-    pub summary: BTreeMap<CompactString, BTreeMap<&'static str, Spread>>,
+    pub summary: BTreeMap<CompactString, BTreeMap<CompactString, Spread>>,
 }
 
 impl Report {
     pub(super) fn new(rounds: Vec<Round>) -> Report {
-        let mut figures: BTreeMap<CompactString, BTreeMap<&'static str, Vec<f64>>> =
+        let mut figures: BTreeMap<CompactString, BTreeMap<CompactString, Vec<f64>>> =
             BTreeMap::new();
         for round in &rounds {
             for o in &round.outcomes {
                 let route = figures.entry(o.route.clone()).or_default();
                 for (name, value) in [("p50_us", o.p50), ("p99_us", o.p99), ("p999_us", o.p999)] {
-                    route.entry(name).or_default().push(value);
+                    route.entry(name.into()).or_default().push(value);
+                }
+                for (process, us) in &o.cpu {
+                    let name = format_compact!("cpu_us_{process}");
+                    route.entry(name).or_default().push(*us);
                 }
             }
             for c in &round.comparisons {
                 let route = figures.entry(c.route.clone()).or_default();
                 for (name, value) in c.values() {
-                    route.entry(name).or_default().push(value);
+                    route.entry(name.into()).or_default().push(value);
                 }
             }
         }
-        let spread = |values: BTreeMap<&'static str, Vec<f64>>| {
+        let spread = |values: BTreeMap<CompactString, Vec<f64>>| {
             values.into_iter().filter_map(|(n, v)| Some((n, Spread::of(v)?))).collect()
         };
         let summary = figures.into_iter().map(|(route, v)| (route, spread(v))).collect();
--- a/src/openloop/tests.rs
+++ b/src/openloop/tests.rs
@@ -2,7 +2,7 @@
 use http::Method;
 use test_case::test_case;
 
-use super::{LoadError, Loopback, LoopbackError, Plan, Route, Spread, poisson, run};
+use super::{LoadError, Loopback, LoopbackError, Plan, Process, Route, Spread, poisson, run};
 use crate::standin::target::{Behaviour, Config, Target};
 
 /// Guards the reproducibility of runs.
@@ -68,6 +68,7 @@
         bytes: 100,
         rounds: 5,
         connections: 4,
+        processes: vec![Process { name: "own".into(), pid: std::process::id() }],
         seed: 1,
     }
 }
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -40,6 +40,7 @@
             measuring: self.measuring(),
             calls: self.calls.len(),
             works: self.works.len(),
+            times: Vec::new(),
             services: self.services(now),
         }
     }
--- a/src/status.rs
+++ b/src/status.rs
@@ -46,6 +46,9 @@
     pub calls: usize,
     /// Requests in progress at this node for its target, those in the queue included.
     pub works: usize,
+    /// The time that requests took inside the node, by part of their way.
+    #[serde(default)]
+    pub times: Vec<StageTime>,
     /// The members that the node knows, by service in the order of the names.
     pub services: Vec<ServiceMembers>,
 }
@@ -84,6 +87,21 @@
     pub probes_denied: u64,
 }
 
+/// The time that requests took for one part of their way through the node, in microseconds since the start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StageTime {
+    /// The part of the way: `call.request`, `call.answer`, `work.request` or `work.answer`.
+    pub stage: CompactString,
+    /// The number of requests.
+    pub count: u64,
+    /// The median.
+    pub p50_us: u64,
+    /// The 99th percentile.
+    pub p99_us: u64,
+    /// The longest time.
+    pub max_us: u64,
+}
+
 /// The members of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceMembers {
@@ -124,6 +142,13 @@
     Suspected,
 }
 
+impl StageTime {
+    fn text(&self) -> String {
+        let StageTime { stage, count, p50_us, p99_us, max_us } = self;
+        format!("{stage} p50 {p50_us}, p99 {p99_us}, max {max_us} ({count})")
+    }
+}
+
 impl MemberStatus {
     /// Lists the conditions of the member in words, such as `alive, cold`.
     pub fn conditions(&self) -> String {
@@ -175,6 +200,7 @@
                 ),
             ),
             ("in progress", format!("{} calls, {} works", self.calls, self.works)),
+            ("times, us", self.times.iter().map(StageTime::text).collect::<Vec<_>>().join("; ")),
             (
                 "addresses",
                 format!(
--- a/src/transports.rs
+++ b/src/transports.rs
@@ -11,7 +11,7 @@
 mod tests;
 
 use std::{
-    fmt, fs, io,
+    fmt, io,
     time::{Duration, Instant},
 };
 
@@ -22,7 +22,10 @@
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::runtime::{Builder, Runtime};
 
-use crate::openloop::{MAX_COUNT, MAX_ROUNDS, MIN_ROUNDS, Spread};
+use crate::{
+    openloop::{MAX_COUNT, MAX_ROUNDS, MIN_ROUNDS, Spread},
+    usage::cpu_time,
+};
 
 /// The body sizes compared, in bytes.
 pub const SIZES: [usize; 2] = [100, 64 << 10];
@@ -172,9 +175,9 @@
             let body: Bytes = (0..*bytes).map(|_| rng.random::<u8>()).collect();
             let warm_up = trial.count.div_ceil(WARM_UP);
             measure(&client, caller, &body, warm_up, trial.width)?;
-            let cpu = cpu_time()?;
+            let cpu = cpu_time("self").context(IoSnafu)?;
             let latency = measure(&client, caller, &body, trial.count, trial.width)?;
-            let cpu = cpu_time()?.saturating_sub(cpu);
+            let cpu = cpu_time("self").context(IoSnafu)?.saturating_sub(cpu);
             let us = |ns: u64| ns as f64 / 1000.0;
             let sample = Sample {
                 transport: *transport,
@@ -277,18 +280,3 @@
     let runtime = Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build();
     runtime.context(IoSnafu)
 }
-
-/// Returns the processor time of all threads of this process in nanoseconds.
-///
-/// `/proc/self/schedstat` covers the main thread only, so the threads are summed up; none of them ends while a
-/// measurement runs.
-fn cpu_time() -> Result<u64, TransportError> {
-    let mut sum = 0;
-    for thread in fs::read_dir("/proc/self/task").context(IoSnafu)? {
-        let path = thread.context(IoSnafu)?.path().join("schedstat");
-        let text = fs::read_to_string(path).context(IoSnafu)?;
-        let ns = text.split(' ').next().and_then(|ns| ns.parse::<u64>().ok());
-        sum += ns.ok_or(io::Error::from(io::ErrorKind::InvalidData)).context(IoSnafu)?;
-    }
-    Ok(sum)
-}
--- a/src/work.rs
+++ b/src/work.rs
@@ -1,6 +1,6 @@
 //! Runs requests at the target beside this node.
 
-use std::{future::poll_fn, sync::Arc};
+use std::{future::poll_fn, sync::Arc, time::Instant};
 
 use axum::body::Body;
 use http::{HeaderValue, Request, Response, Version, header};
@@ -12,6 +12,7 @@
     event::{Event, Failure, WorkEvent, WorkHead},
     headers,
     keys::WorkKey,
+    metrics::Stage,
     pool::{Pool, SendError},
     refusal::{Reason, Refusal},
 };
@@ -59,6 +60,7 @@
         head: WorkHead,
         req: Request<Body>,
     ) -> Result<Response<Body>, WorkError> {
+        let arrived = Instant::now();
         let overloaded = WorkError::Refused(Refusal::not_run(Reason::Overloaded));
         let work = Handle::open(&self.driver).ok_or(overloaded)?;
         work.dispatch(WorkEvent::Arrived(head));
@@ -67,14 +69,18 @@
             Some(WorkStep::Refuse(refusal)) => return Err(WorkError::Refused(refusal)),
             None => return Err(WorkError::Refused(Refusal::not_run(Reason::Draining))),
         }
-        match self.pool.send(prepare(req)).await {
+        let req = prepare(req);
+        self.driver.metrics().time(Stage::WorkRequest, arrived.elapsed());
+        match self.pool.send(req).await {
             Ok(answer) => {
+                let received = Instant::now();
                 let (mut parts, body) = answer.into_parts();
                 work.dispatch(WorkEvent::Answered { status: parts.status.as_u16() });
                 headers::strip_hop_by_hop(&mut parts.headers);
                 headers::strip_internal(&mut parts.headers);
                 let body =
                     Tracked::new(Body::new(body), move |end| work.close(WorkEvent::Ended(end)));
+                self.driver.metrics().time(Stage::WorkAnswer, received.elapsed());
                 Ok(Response::from_parts(parts, Body::new(body)))
             }
             Err(error) => {
