--- a/src/bench/slopes/calls.rs
+++ b/src/bench/slopes/calls.rs
@@ -70,6 +70,7 @@
     let mut points = [vec![], vec![], vec![]];
     for rate in RATES {
         let plan = Plan {
+            processes: Vec::new(),
             routes: vec![Route { name: "entry".into(), addrs: vec![addr] }],
             service: "called".into(),
             method: Method::GET,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,4 +55,5 @@
 mod timer;
 pub mod transports;
 mod verdicts;
+mod usage;
 mod work;
