Test parsers with hostile input and refuse what is not canonical

They found input that was accepted but is never written: text after the end of the settings, bytes after the index and after a payload, longer forms of numbers in the index, signs, capitals and leading zeros in member ids, attempt tags and stamps, and a service in a part of the document that belongs to another number. All are refused now. The envelope reads and writes tags and stamps by their own text forms instead of a second copy of them.

--- a/src/auth/tests.rs
+++ b/src/auth/tests.rs
@@ -1,6 +1,7 @@
 use test_case::test_case;
 
 use super::*;
+use crate::mutation::hostile;
 
 #[test_case("secret-of-the-cluster", 1, &["GET", "/a"], true; "same request")]
 #[test_case("another-cluster-key!!", 1, &["GET", "/a"], false; "other key")]
@@ -17,3 +18,14 @@
 fn refuses_malformed_tags(tag: &str) {
     assert!(!RequestKey::new("secret-of-the-cluster").verify(tag, MemberId(1), &[]));
 }
+
+/// Guards against a changed tag that is accepted.
+#[test]
+fn refuses_changed_tags() {
+    let key = RequestKey::new("secret-of-the-cluster");
+    let tag = key.tag(MemberId(1), &["GET", "/a"]).to_string();
+    for input in hostile(1, &[tag.into_bytes()]) {
+        let Ok(text) = std::str::from_utf8(&input) else { continue };
+        assert!(!key.verify(text, MemberId(1), &["GET", "/a"]), "{text}");
+    }
+}
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -47,14 +47,8 @@
         match self {
             Envelope::Probe { from } => write!(f, "probe;{from}"),
             Envelope::Run { from } => write!(f, "run;{from}"),
-            Envelope::RunOnce(tag) => {
-                let AttemptTag { identity, attempt, sequence, destination } = tag;
-                write!(f, "once;{identity};{attempt};{sequence};{destination}")
-            }
-            Envelope::Relay { stamp, identity } => {
-                let Stamp { sender, sequence, destination } = stamp;
-                write!(f, "relay;{sender};{sequence};{destination};{identity}")
-            }
+            Envelope::RunOnce(tag) => write!(f, "once;{tag}"),
+            Envelope::Relay { stamp, identity } => write!(f, "relay;{stamp};{identity}"),
         }
     }
 }
@@ -63,27 +57,18 @@
     type Err = ParseEnvelopeError;
 
     fn from_str(s: &str) -> Result<Envelope, ParseEnvelopeError> {
-        fn read<T: FromStr>(field: &str) -> Result<T, ParseEnvelopeError> {
-            field.parse().map_err(|_| ParseEnvelopeError)
+        fn read<T: FromStr>(text: &str) -> Result<T, ParseEnvelopeError> {
+            text.parse().map_err(|_| ParseEnvelopeError)
         }
-        let fields: Vec<_> = s.split(';').collect();
-        Ok(match fields[..] {
-            ["probe", from] => Envelope::Probe { from: read(from)? },
-            ["run", from] => Envelope::Run { from: read(from)? },
-            ["once", identity, attempt, sequence, destination] => Envelope::RunOnce(AttemptTag {
-                identity: read(identity)?,
-                attempt: read(attempt)?,
-                sequence: read(sequence)?,
-                destination: read(destination)?,
-            }),
-            ["relay", sender, sequence, destination, identity] => Envelope::Relay {
-                stamp: Stamp {
-                    sender: read(sender)?,
-                    sequence: read(sequence)?,
-                    destination: read(destination)?,
-                },
-                identity: read(identity)?,
-            },
+        let (kind, rest) = s.split_once(';').ok_or(ParseEnvelopeError)?;
+        Ok(match kind {
+            "probe" => Envelope::Probe { from: read(rest)? },
+            "run" => Envelope::Run { from: read(rest)? },
+            "once" => Envelope::RunOnce(read(rest)?),
+            "relay" => {
+                let (stamp, identity) = rest.rsplit_once(';').ok_or(ParseEnvelopeError)?;
+                Envelope::Relay { stamp: read(stamp)?, identity: read(identity)? }
+            }
             _ => return Err(ParseEnvelopeError),
         })
     }
--- a/src/gossip/tests.rs
+++ b/src/gossip/tests.rs
@@ -3,7 +3,10 @@
 use test_case::test_case;
 
 use super::{codec::Outgoing, *};
-use crate::membership::{Body, PAYLOAD_BYTES};
+use crate::{
+    membership::{Body, Claim, Member, PAYLOAD_BYTES, State, Update},
+    mutation::hostile,
+};
 
 const INSIDE: &str = "10.1.2.3:7002";
 
@@ -64,6 +67,66 @@
     assert_eq!(decoded.err(), expected);
 }
 
+/// Bodies of datagrams that carry updates.
+fn bodies() -> Vec<Vec<u8>> {
+    let member = Member {
+        id: MemberId(9),
+        incarnation: 300,
+        revised: 2,
+        service: "pay".into(),
+        version: "v1".into(),
+        centre: "oax-1".into(),
+        region: "oaxaca".into(),
+        peer: address(INSIDE),
+        control: address("10.1.2.3:7003"),
+        gossip: address("[fd00::1]:7004"),
+        leaving: false,
+        cold: true,
+    };
+    let claim = Claim { id: MemberId(8), incarnation: 1, revised: 1, state: State::Dead };
+    let records = vec![Update::Record { member, suspect: true }, Update::Claim(claim)];
+    let bodies = [
+        Body::Ping { probe: 7, target: MemberId(9) },
+        Body::PingRequest { probe: 7, target: MemberId(9), address: address(INSIDE) },
+        Body::Pull { pull: 1, first: MemberId(0), services: vec!["pay".into()], partial: true },
+        Body::Records { records: records.clone(), wanted: vec![MemberId(3)] },
+    ];
+    let encode = |body| {
+        let message = Message { body, updates: records.clone(), ..message(3) };
+        let outgoing = Outgoing { sender: MemberId(1), sequence: 1, message: &message };
+        postcard::to_stdvec(&outgoing).unwrap()
+    };
+    bodies.into_iter().map(encode).collect()
+}
+
+/// Guards against a changed datagram that is accepted.
+#[test]
+fn changed_datagram_is_never_accepted() {
+    let valid: Vec<_> = bodies().iter().map(|body| tagged(body)).collect();
+    for datagram in &valid {
+        assert!(Decoder::new(identity(2, "k")).decode(address(INSIDE), datagram).is_ok());
+    }
+    for datagram in hostile(1, &valid) {
+        let decoded = Decoder::new(identity(2, "k")).decode(address(INSIDE), &datagram);
+        assert!(decoded.is_err(), "{decoded:?} from {datagram:?}");
+    }
+}
+
+/// Guards against a panic on a body of any content from a member with the key, and against one that is read as
+/// something that cannot be sent.
+#[test]
+fn hostile_body_is_refused_or_read_back() {
+    for body in hostile(2, &bodies()) {
+        let decoded = Decoder::new(identity(2, "k")).decode(address(INSIDE), &tagged(&body));
+        let Ok((source, message)) = decoded else { continue };
+        assert!(message.payload.len() <= PAYLOAD_BYTES);
+        let again = Outgoing { sender: source.id, sequence: 1, message: &message };
+        let again = tagged(&postcard::to_stdvec(&again).unwrap());
+        let decoded = Decoder::new(identity(2, "k")).decode(address(INSIDE), &again);
+        assert_eq!(decoded, Ok((source, message)));
+    }
+}
+
 /// Guards against nodes with different keys accepting each other.
 #[test]
 fn decode_rejects_other_key() {
--- a/src/identity/tag.rs
+++ b/src/identity/tag.rs
@@ -54,13 +54,12 @@
     type Err = ParseTagError;
 
     fn from_str(s: &str) -> Result<Stamp, ParseTagError> {
-        let mut fields = s.split(';');
-        let stamp = Stamp {
-            sender: field(&mut fields)?,
-            sequence: field(&mut fields)?,
-            destination: field(&mut fields)?,
-        };
-        if fields.next().is_some() { Err(ParseTagError) } else { Ok(stamp) }
+        let [sender, sequence, destination] = fields(s)?;
+        Ok(Stamp {
+            sender: read(sender)?,
+            sequence: read(sequence)?,
+            destination: read(destination)?,
+        })
     }
 }
 
@@ -74,19 +73,26 @@
     type Err = ParseTagError;
 
     fn from_str(s: &str) -> Result<AttemptTag, ParseTagError> {
-        let mut fields = s.split(';');
-        let tag = AttemptTag {
-            identity: field(&mut fields)?,
-            attempt: field(&mut fields)?,
-            sequence: field(&mut fields)?,
-            destination: field(&mut fields)?,
-        };
-        if fields.next().is_some() { Err(ParseTagError) } else { Ok(tag) }
+        let [identity, attempt, sequence, destination] = fields(s)?;
+        Ok(AttemptTag {
+            identity: read(identity)?,
+            attempt: read(attempt)?,
+            sequence: read(sequence)?,
+            destination: read(destination)?,
+        })
     }
 }
 
-fn field<'a, T: FromStr>(fields: &mut impl Iterator<Item = &'a str>) -> Result<T, ParseTagError> {
-    fields.next().ok_or(ParseTagError)?.parse().map_err(|_| ParseTagError)
+/// Splits a text form into exactly `N` fields.
+fn fields<const N: usize>(s: &str) -> Result<[&str; N], ParseTagError> {
+    let fields: Vec<&str> = s.split(';').collect();
+    fields.try_into().map_err(|_| ParseTagError)
+}
+
+/// Reads a field in the only form that is written: without a sign or leading zeros in numbers.
+fn read<T: FromStr + fmt::Display>(field: &str) -> Result<T, ParseTagError> {
+    let value: T = field.parse().map_err(|_| ParseTagError)?;
+    if value.to_string() == field { Ok(value) } else { Err(ParseTagError) }
 }
 
 /// The text form of a tag is not valid.
--- a/src/identity/tests.rs
+++ b/src/identity/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::{
+    mutation::hostile,
     refusal::{Outcome, Reason, Refusal},
     time::Time,
 };
@@ -47,6 +48,27 @@
     assert_eq!(matches!(presented, Presented::Issued(i) if i.to_string() == text), issued);
 }
 
+// Guards against a panic, and against two texts for one identity, tag or stamp.
+#[test]
+fn hostile_text_is_refused_or_canonical() {
+    fn check<T: std::str::FromStr + std::fmt::Display>(text: &str) {
+        if let Ok(value) = text.parse::<T>() {
+            assert_eq!(value.to_string(), text);
+        }
+    }
+    let tag = AttemptTag { identity: id(ME, 12), attempt: 2, sequence: 345, destination: TARGET };
+    let examples = [tag.identity.to_string(), tag.to_string(), tag.stamp().to_string()];
+    for input in hostile(1, &examples.map(String::into_bytes)) {
+        let Ok(text) = std::str::from_utf8(&input) else { continue };
+        check::<Identity>(text);
+        check::<AttemptTag>(text);
+        check::<Stamp>(text);
+        if let Ok(Presented::Issued(identity)) = Presented::parse("orders", text) {
+            assert_eq!(identity.to_string(), text);
+        }
+    }
+}
+
 // Guards against a header that is read as another tag than the one sent.
 #[test]
 fn tag_text() {
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -37,7 +37,9 @@
     type Err = ParseKeyError;
 
     fn from_str(s: &str) -> Result<MemberId, ParseKeyError> {
-        if s.len() != 16 {
+        // Only one text names a member; `from_str_radix` alone also takes a sign and capitals.
+        let is_digit = |b: u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
+        if s.len() != 16 || !s.bytes().all(is_digit) {
             return Err(ParseKeyError);
         }
         u64::from_str_radix(s, 16).map(MemberId).map_err(|_| ParseKeyError)
@@ -46,5 +48,5 @@
 
 /// The text form of an identifier is not valid.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("an identifier has 16 hexadecimal digits"))]
+#[snafu(display("an identifier has 16 lower-case hexadecimal digits"))]
 pub struct ParseKeyError;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,9 @@
 pub mod logging;
 pub mod membership;
 mod metrics;
+#[cfg(test)]
+#[path = "../tests/utils/mutation.rs"]
+mod mutation;
 pub mod node;
 pub mod openloop;
 pub mod operator;
--- a/src/reducer/exchange.rs
+++ b/src/reducer/exchange.rs
@@ -31,7 +31,8 @@
 impl Payload {
     /// Decodes a payload, or returns `None` if it is not valid or from another version of this program.
     pub(super) fn decode(bytes: &[u8]) -> Option<Payload> {
-        postcard::from_bytes(bytes).ok()
+        let (payload, rest) = postcard::take_from_bytes(bytes).ok()?;
+        rest.is_empty().then_some(payload)
     }
 
     fn encode(&self) -> Vec<u8> {
@@ -91,3 +92,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/reducer/exchange/tests.rs
@@ -0,0 +1,81 @@
+use super::*;
+use crate::{
+    crash_guard::{CrashGuard, RequestHash},
+    document::Version,
+    mutation::hostile,
+    rollout::{
+        Finding, Measure, Part, Report, Stratum, Subject, Verdict,
+        evidence::{CLASSES, Counts, Tally},
+    },
+    time::Wall,
+};
+
+const ME: MemberId = MemberId(1);
+const OTHER: MemberId = MemberId(2);
+const WALL: Wall = Wall::from_millis(1_800_000_000_000);
+
+fn subject() -> Subject {
+    Subject::new("pay", &Version { name: "v2".into(), start_ms: 10, end_ms: 20 })
+}
+
+fn report() -> Report {
+    let mut classes = [0; CLASSES];
+    classes[3..6].copy_from_slice(&[300, 20, 1]);
+    let counts = Counts { ended: 400, errors: 70, classes };
+    let tally = Tally { new: counts.clone(), old: counts };
+    let stratum = Stratum { route: 700, local: true };
+    let window = WALL.as_millis() / crate::rollout::evidence::LONG_WINDOW;
+    Report { subject: subject(), source: OTHER, stratum, window, tally }
+}
+
+fn suspects() -> Vec<SuspectNote> {
+    let mut guard = CrashGuard::new(OTHER);
+    guard.lost(Time::ZERO, RequestHash::default(), false);
+    guard.crashed(Time::ZERO);
+    guard.notes(Time::ZERO, SUSPECT_NOTES)
+}
+
+fn payload() -> Payload {
+    let (new, old) = (Part { hits: 9, of: 300 }, Part { hits: 0, of: 400 });
+    let finding = Finding { measure: Measure::Errors, route: Some(700), new, old };
+    let verdict = Verdict { subject: subject(), revision: 900, finding };
+    Payload {
+        verdicts: vec![VerdictNote::from(&verdict)],
+        suspects: suspects(),
+        evidence: vec![EvidenceNote::new(&report(), OTHER)],
+    }
+}
+
+/// Guards against notes that change on their way.
+#[test]
+fn payload_is_read_back() {
+    let payload = payload();
+    assert_eq!(payload.suspects.len(), 1);
+    assert_eq!(payload.evidence[0].report(WALL, OTHER), Some(report()));
+    assert_eq!(Payload::decode(&payload.encode()), Some(payload));
+}
+
+/// Guards against a payload with bytes that its decoder does not know, which was sent by another version.
+#[test]
+fn payload_with_more_bytes_is_refused() {
+    assert_eq!(Payload::decode(&[&payload().encode()[..], &[0]].concat()), None);
+}
+
+/// Guards against a panic on notes of any content, and against evidence that is not consistent.
+#[test]
+fn hostile_payload_is_refused_or_consistent() {
+    let mut guard = CrashGuard::new(ME);
+    for input in hostile(1, &[payload().encode()]) {
+        let Some(payload) = Payload::decode(&input) else { continue };
+        assert_eq!(Payload::decode(&payload.encode()).unwrap_or_default(), payload);
+        for note in &payload.suspects {
+            guard.merge(Time::ZERO, note);
+        }
+        for report in payload.evidence.iter().filter_map(|note| note.report(WALL, OTHER)) {
+            for counts in [report.tally.new, report.tally.old] {
+                let known = counts.answers() + u64::from(counts.errors);
+                assert!(known <= counts.ended.into(), "{counts:?}");
+            }
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -215,6 +215,10 @@
             let field = e.path().to_compact_string();
             vec![Problem { field, fault: Fault::Syntax { message: e.into_inner().to_string() } }]
         })?;
+        json.end().map_err(|e| {
+            let fault = Fault::Syntax { message: e.to_string() };
+            vec![Problem { field: CompactString::default(), fault }]
+        })?;
         let problems = parsed.problems();
         if problems.is_empty() { Ok(parsed) } else { Err(problems) }
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -33,7 +33,7 @@
     measure::{StoreCost, measure},
 };
 
-/// The number of parts. At 4,700 services of about 200 bytes one part has about 4 KB, and the index 4 KB.
+/// The number of parts. At 4,700 services of about 290 bytes one part has about 5 KB, and the index 4 KB.
 pub const PARTS: usize = 256;
 
 /// The key of the index.
@@ -123,6 +123,8 @@
         ensure!(*format == FORMAT, IndexSnafu);
         let index: Index = postcard::from_bytes(body).ok().context(IndexSnafu)?;
         ensure!(index.parts.len() == PARTS, IndexSnafu);
+        // `postcard` ignores bytes after the value and reads longer forms of numbers.
+        ensure!(index.encode() == bytes, IndexSnafu);
         Ok(index)
     }
 }
@@ -152,6 +154,14 @@
         /// The name of the part.
         digest: Digest,
     },
+    /// A part holds a service that belongs to another one.
+    #[snafu(display("part {digest} of the configuration holds service {service} of another part"))]
+    Misplaced {
+        /// The name of the part.
+        digest: Digest,
+        /// The name of the service.
+        service: CompactString,
+    },
     /// A part has fields that this program does not know, or lacks some.
     #[snafu(display("part {digest} of the configuration has an unknown form: {source}"))]
     Form {
@@ -239,9 +249,14 @@
     let globals: Globals = serde_json::from_slice(part(digest)?).context(FormSnafu { digest })?;
     let mut document =
         Document { centres: globals.centres, services: BTreeMap::new(), budgets: globals.budgets };
-    for &digest in &index.parts {
+    for (number, &digest) in index.parts.iter().enumerate() {
         let services: BTreeMap<CompactString, Service> =
             serde_json::from_slice(part(digest)?).context(FormSnafu { digest })?;
+        // A service in two parts would have two definitions, of which the order of the parts selects one.
+        let misplaced = services.keys().find(|service| part_of(service) != number);
+        if let Some(service) = misplaced {
+            return MisplacedSnafu { digest, service: service.clone() }.fail();
+        }
         document.services.extend(services);
     }
     let problems = validate(&document);
