--- a/tests/data_centres.rs
+++ b/tests/data_centres.rs
@@ -15,6 +15,7 @@
 #[allow(dead_code)] // Each test program uses a part of it.
 #[path = "utils/client.rs"]
 mod client;
+#[allow(dead_code)] // Each test program uses a part of it.
 #[path = "utils/fleet.rs"]
 mod fleet;
 
