--- a/src/console/change.rs
+++ b/src/console/change.rs
@@ -1,16 +1,16 @@
 //! From a form to a commit: show, check, review and commit a change.
 
+mod pages;
+
 use std::sync::Arc;
 
-use askama::Template;
 use axum::{Extension, extract::State, response::Response};
 use http::{StatusCode, Uri};
-use serde_json::Value;
 
 use crate::{
     document::{
         Document,
-        diff::{Change, ChangeKind, diff},
+        diff::{Change, diff},
         validate::{validate, warnings},
     },
     platform::Platform,
@@ -18,138 +18,15 @@
 };
 
 use super::{
-    Console, Frame, Page,
+    Console, Page,
     access::{Posted, Session},
     edit::Edit,
-    form::{Errors, Fields, Group},
+    form::{Errors, Fields},
     html,
     merge::{Clash, merge},
-    utc,
 };
 
-#[derive(Template)]
-#[template(path = "form.html")]
-struct FormPage {
-    frame: Frame,
-    action: String,
-    expected: u64,
-    notice: String,
-    errors: Vec<(String, String)>,
-    groups: Vec<Group>,
-    can_remove: bool,
-    can_grow: bool,
-}
-
-/// What a confirmation carries. The submission identity stays the same when it is repeated.
-struct Ticket {
-    edit: String,
-    expected: u64,
-    submission: String,
-}
-
-#[derive(Template)]
-#[template(path = "review.html")]
-struct Review {
-    frame: Frame,
-    changes: Vec<Line>,
-    warnings: Vec<String>,
-    ticket: Ticket,
-}
-
-#[derive(Template)]
-#[template(path = "stale.html")]
-struct Stale {
-    frame: Frame,
-    current: u64,
-    was: u64,
-    mine: Vec<Line>,
-    /// What others changed; `None` if the former revision is no longer kept.
-    meanwhile: Option<Vec<Line>>,
-    clashes: Vec<String>,
-    combined: Vec<Line>,
-    problems: Vec<String>,
-    ticket: Ticket,
-}
-
-#[derive(Template)]
-#[template(path = "result.html")]
-struct Outcome {
-    frame: Frame,
-    kind: OutcomeKind,
-    changes: Vec<Line>,
-    messages: Vec<String>,
-    ticket: Ticket,
-}
-
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-enum OutcomeKind {
-    Committed { revision: u64 },
-    Refused,
-    Failed,
-    Unknown,
-}
-
-/// One change as a row of a table.
-struct Line {
-    word: &'static str,
-    path: String,
-    from: String,
-    to: String,
-}
-
-impl From<&Change> for Line {
-    fn from(change: &Change) -> Line {
-        let path = change.path.to_string();
-        let is_time = path.ends_with(".start_ms") || path.ends_with(".end_ms");
-        let text = |value: &Value| match value.as_u64() {
-            Some(ms) if is_time && ms > 0 => format!("{ms} ({}Z)", utc::format(ms)),
-            _ => value.to_string(),
-        };
-        let (word, from, to) = match &change.kind {
-            ChangeKind::Added { to } => ("added", String::new(), text(to)),
-            ChangeKind::Removed { from } => ("removed", text(from), String::new()),
-            ChangeKind::Changed { from, to } => ("changed", text(from), text(to)),
-        };
-        Line { word, path, from, to }
-    }
-}
-
-impl Ticket {
-    fn new(edit: &Edit, expected: u64) -> Ticket {
-        let submission = format!("{:032x}", rand::random::<u128>());
-        let edit = serde_json::to_string(edit).expect("a change has string keys only");
-        Ticket { edit, expected, submission }
-    }
-}
-
-impl OutcomeKind {
-    fn status(self) -> StatusCode {
-        match self {
-            OutcomeKind::Committed { .. } => StatusCode::OK,
-            OutcomeKind::Refused => StatusCode::UNPROCESSABLE_ENTITY,
-            OutcomeKind::Failed | OutcomeKind::Unknown => StatusCode::SERVICE_UNAVAILABLE,
-        }
-    }
-
-    fn revision(self) -> u64 {
-        match self {
-            OutcomeKind::Committed { revision } => revision,
-            _ => 0,
-        }
-    }
-
-    fn can_repeat(self) -> bool {
-        matches!(self, OutcomeKind::Failed | OutcomeKind::Unknown)
-    }
-
-    fn is_unknown(self) -> bool {
-        self == OutcomeKind::Unknown
-    }
-
-    fn is_refused(self) -> bool {
-        self == OutcomeKind::Refused
-    }
-}
+use pages::{FormPage, Outcome, OutcomeKind, Review, Stale, Ticket, lines};
 
 /// Shows a form with the values of the document in force.
 pub(super) async fn show<P: Platform>(
@@ -392,10 +269,6 @@
     Some((edit, fields.get("expected").parse().ok()?))
 }
 
-fn lines(changes: &[Change]) -> Vec<Line> {
-    changes.iter().map(Line::from).collect()
-}
-
 fn missing() -> Response {
     plain(StatusCode::NOT_FOUND, "there is no such page; see / for the pages\n")
 }
--- /dev/null
+++ b/src/console/change/pages.rs
@@ -0,0 +1,138 @@
+//! The pages that lead from a form to a commit.
+
+use askama::Template;
+use http::StatusCode;
+use serde_json::Value;
+
+use crate::{
+    console::{Frame, edit::Edit, form::Group, utc},
+    document::diff::{Change, ChangeKind},
+};
+
+#[derive(Template)]
+#[template(path = "form.html")]
+pub(super) struct FormPage {
+    pub(super) frame: Frame,
+    pub(super) action: String,
+    pub(super) expected: u64,
+    pub(super) notice: String,
+    pub(super) errors: Vec<(String, String)>,
+    pub(super) groups: Vec<Group>,
+    pub(super) can_remove: bool,
+    pub(super) can_grow: bool,
+}
+
+/// What a confirmation carries. The submission identity stays the same when it is repeated.
+pub(super) struct Ticket {
+    pub(super) edit: String,
+    pub(super) expected: u64,
+    pub(super) submission: String,
+}
+
+#[derive(Template)]
+#[template(path = "review.html")]
+pub(super) struct Review {
+    pub(super) frame: Frame,
+    pub(super) changes: Vec<Line>,
+    pub(super) warnings: Vec<String>,
+    pub(super) ticket: Ticket,
+}
+
+#[derive(Template)]
+#[template(path = "stale.html")]
+pub(super) struct Stale {
+    pub(super) frame: Frame,
+    pub(super) current: u64,
+    pub(super) was: u64,
+    pub(super) mine: Vec<Line>,
+    /// What others changed; `None` if the former revision is no longer kept.
+    pub(super) meanwhile: Option<Vec<Line>>,
+    pub(super) clashes: Vec<String>,
+    pub(super) combined: Vec<Line>,
+    pub(super) problems: Vec<String>,
+    pub(super) ticket: Ticket,
+}
+
+#[derive(Template)]
+#[template(path = "result.html")]
+pub(super) struct Outcome {
+    pub(super) frame: Frame,
+    pub(super) kind: OutcomeKind,
+    pub(super) changes: Vec<Line>,
+    pub(super) messages: Vec<String>,
+    pub(super) ticket: Ticket,
+}
+
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(super) enum OutcomeKind {
+    Committed { revision: u64 },
+    Refused,
+    Failed,
+    Unknown,
+}
+
+/// One change as a row of a table.
+pub(super) struct Line {
+    pub(super) word: &'static str,
+    pub(super) path: String,
+    pub(super) from: String,
+    pub(super) to: String,
+}
+
+impl From<&Change> for Line {
+    fn from(change: &Change) -> Line {
+        let path = change.path.to_string();
+        let is_time = path.ends_with(".start_ms") || path.ends_with(".end_ms");
+        let text = |value: &Value| match value.as_u64() {
+            Some(ms) if is_time && ms > 0 => format!("{ms} ({}Z)", utc::format(ms)),
+            _ => value.to_string(),
+        };
+        let (word, from, to) = match &change.kind {
+            ChangeKind::Added { to } => ("added", String::new(), text(to)),
+            ChangeKind::Removed { from } => ("removed", text(from), String::new()),
+            ChangeKind::Changed { from, to } => ("changed", text(from), text(to)),
+        };
+        Line { word, path, from, to }
+    }
+}
+
+impl Ticket {
+    pub(super) fn new(edit: &Edit, expected: u64) -> Ticket {
+        let submission = format!("{:032x}", rand::random::<u128>());
+        let edit = serde_json::to_string(edit).expect("a change has string keys only");
+        Ticket { edit, expected, submission }
+    }
+}
+
+impl OutcomeKind {
+    pub(super) fn status(self) -> StatusCode {
+        match self {
+            OutcomeKind::Committed { .. } => StatusCode::OK,
+            OutcomeKind::Refused => StatusCode::UNPROCESSABLE_ENTITY,
+            OutcomeKind::Failed | OutcomeKind::Unknown => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    pub(super) fn revision(self) -> u64 {
+        match self {
+            OutcomeKind::Committed { revision } => revision,
+            _ => 0,
+        }
+    }
+
+    pub(super) fn can_repeat(self) -> bool {
+        matches!(self, OutcomeKind::Failed | OutcomeKind::Unknown)
+    }
+
+    pub(super) fn is_unknown(self) -> bool {
+        self == OutcomeKind::Unknown
+    }
+
+    pub(super) fn is_refused(self) -> bool {
+        self == OutcomeKind::Refused
+    }
+}
+
+pub(super) fn lines(changes: &[Change]) -> Vec<Line> {
+    changes.iter().map(Line::from).collect()
+}
