--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -200,16 +200,20 @@
     pub(super) fn on_identify(&mut self, from: Source, out: &mut Vec<Output>) {
         if !self.left {
             let records = vec![self.table.me().full_update()];
-            self.send(
-                from.into(),
-                Class::Bulk,
-                vec![],
-                Body::Records { records, wanted: vec![] },
-                out,
-            );
+            self.send_records(from, records, vec![], out);
         }
     }
 
+    fn send_records(
+        &mut self,
+        to: Source,
+        records: Vec<Update>,
+        wanted: Vec<MemberId>,
+        out: &mut Vec<Output>,
+    ) {
+        self.send(to.into(), Class::Bulk, vec![], Body::Records { records, wanted }, out);
+    }
+
     /// Lists the claims from the start of one slice in which the tables differ.
     pub(super) fn on_digest(&mut self, from: Source, slices: &[u32], out: &mut Vec<Output>) {
         if slices.len() != SLICES {
@@ -288,7 +292,7 @@
             records.push(update);
         }
         if !records.is_empty() || !wanted.is_empty() {
-            self.send(from.into(), Class::Bulk, vec![], Body::Records { records, wanted }, out);
+            self.send_records(from, records, wanted, out);
         }
     }
 
@@ -321,13 +325,7 @@
             records.push(update);
         }
         if !records.is_empty() {
-            self.send(
-                from.into(),
-                Class::Bulk,
-                vec![],
-                Body::Records { records, wanted: vec![] },
-                out,
-            );
+            self.send_records(from, records, vec![], out);
         }
     }
 }
