List as public only what embedding programs and tests use

Admission, retries, the crash guard and header names are internal. Four accessors that only tests use are compiled for tests only.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -20,7 +20,7 @@
 
 /// The answer to a request that arrives.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum Decision {
+pub(crate) enum Decision {
     /// Run it at the target now.
     Run,
     /// It waits; a later [`Next`] decides.
@@ -31,7 +31,7 @@
 
 /// What to do with a request that waited.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum Next {
+pub(crate) enum Next {
     /// Run it at the target now.
     Run(WorkKey),
     /// Refuse it.
@@ -40,7 +40,7 @@
 
 /// The end of a request at the target.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum Finish {
+pub(crate) enum Finish {
     /// The target answered.
     Answer,
     /// The target failed the request, shed it or reset its connection.
@@ -63,7 +63,7 @@
 
 /// Admits, queues and refuses requests for one target.
 #[derive(Clone, Debug)]
-pub struct Gate {
+pub(crate) struct Gate {
     slots: u16,
     limit: Limit,
     /// At most `slots` entries, so that a linear search is cheap.
@@ -76,7 +76,7 @@
 
 impl Gate {
     /// Creates the gate of a target with `slots` slots that has just started.
-    pub fn new(slots: u16, now: Time) -> Gate {
+    pub(crate) fn new(slots: u16, now: Time) -> Gate {
         Gate {
             slots,
             limit: Limit::new(slots, now),
@@ -88,7 +88,7 @@
     }
 
     /// Decides on a request that arrives.
-    pub fn arrive(&mut self, now: Time, work: WorkKey, deadline: Time) -> Decision {
+    pub(crate) fn arrive(&mut self, now: Time, work: WorkKey, deadline: Time) -> Decision {
         if self.draining {
             return Decision::Refuse(Refusal::not_run(Reason::Draining));
         }
@@ -118,7 +118,7 @@
     /// Notes the end of a running request and returns what to do with those that waited.
     ///
     /// The end of a request that is not running, such as one from before a crash, is ignored.
-    pub fn finish(&mut self, now: Time, work: WorkKey, finish: Finish) -> Vec<Next> {
+    pub(crate) fn finish(&mut self, now: Time, work: WorkKey, finish: Finish) -> Vec<Next> {
         let Some(running) = self.remove(work) else { return Vec::new() };
         self.progress = now;
         match finish {
@@ -129,19 +129,20 @@
     }
 
     /// Notes that the caller cancelled a request. The latency of a cancelled request says nothing.
-    pub fn cancel(&mut self, now: Time, work: WorkKey) -> Vec<Next> {
+    pub(crate) fn cancel(&mut self, now: Time, work: WorkKey) -> Vec<Next> {
         self.queue.retain(|w| w.work != work);
         self.remove(work);
         self.advance(now)
     }
 
     /// Refuses queue entries that can no longer meet their deadline.
-    pub fn tick(&mut self, now: Time) -> Vec<Next> {
+    pub(crate) fn tick(&mut self, now: Time) -> Vec<Next> {
         self.advance(now)
     }
 
     /// Returns the time of the next useful [`Gate::tick`].
-    pub fn next_tick(&self) -> Option<Time> {
+    #[cfg(test)]
+    pub(crate) fn next_tick(&self) -> Option<Time> {
         self.queue.iter().map(|w| w.deadline).min()
     }
 
@@ -149,7 +150,7 @@
     ///
     /// The running requests are forgotten, those in the queue are refused as not run, and the target is in
     /// cold start when it returns.
-    pub fn crashed(&mut self, now: Time) -> Vec<Next> {
+    pub(crate) fn crashed(&mut self, now: Time) -> Vec<Next> {
         self.running.clear();
         self.progress = now;
         self.limit = Limit::new(self.slots, now);
@@ -158,22 +159,23 @@
     }
 
     /// Puts the target back into cold start, as after a time without work. What runs or waits is not touched.
-    pub fn chill(&mut self, now: Time) {
+    pub(crate) fn chill(&mut self, now: Time) {
         self.limit = Limit::new(self.slots, now);
     }
 
     /// Refuses new work from now on. Work that was accepted, also in the queue, still runs.
-    pub fn drain(&mut self) {
+    pub(crate) fn drain(&mut self) {
         self.draining = true;
     }
 
     /// Returns whether the gate is draining and nothing is running or waiting.
-    pub fn is_drained(&self) -> bool {
+    #[cfg(test)]
+    pub(crate) fn is_drained(&self) -> bool {
         self.draining && self.running.is_empty() && self.queue.is_empty()
     }
 
     /// Returns the load report for answers.
-    pub fn report(&self) -> LoadReport {
+    pub(crate) fn report(&self) -> LoadReport {
         LoadReport {
             running: u16::try_from(self.running.len()).unwrap_or(u16::MAX),
             queued: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
--- a/src/crash_guard.rs
+++ b/src/crash_guard.rs
@@ -16,19 +16,19 @@
 
 /// The crashes after which a request is refused. One more is needed if other requests were in progress at both
 /// and none of them was suspected yet.
-pub const BLOCK_CRASHES: usize = 2;
+pub(crate) const BLOCK_CRASHES: usize = 2;
 
 /// How long a crash counts against the requests that were in progress. Callers send again within seconds or
 /// minutes; a longer time would only keep innocent requests from running together.
-pub const SUSPICION_TIME: Duration = Duration::from_secs(600);
+pub(crate) const SUSPICION_TIME: Duration = Duration::from_secs(600);
 
 /// The most suspicions held: 85 crashes of targets with 12 requests each. Beyond it, those that end first are
 /// dropped.
-pub const MAX_SUSPICIONS: usize = 1_024;
+pub(crate) const MAX_SUSPICIONS: usize = 1_024;
 
 /// The time around a crash within which lost connections count as lost by it. The node notices the crash with
 /// its next connection, within 250 ms unless its retries are due.
-pub const CRASH_WINDOW: Duration = Duration::from_secs(1);
+pub(crate) const CRASH_WINDOW: Duration = Duration::from_secs(1);
 
 /// The most crashes remembered for one request.
 const MAX_CRASHES: usize = 4;
@@ -68,13 +68,18 @@
     Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct RequestHash([u8; 8]);
+pub(crate) struct RequestHash([u8; 8]);
 
 impl RequestHash {
     /// Returns the fingerprint of a request: its identity if the caller gave one, else a hash of the head.
     ///
     /// The body is streamed and takes part with its length only.
-    pub fn new(service: &str, method: &Method, uri: &Uri, headers: &HeaderMap) -> RequestHash {
+    pub(crate) fn new(
+        service: &str,
+        method: &Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+    ) -> RequestHash {
         let mut hasher = blake3::Hasher::new();
         let mut part = |bytes: &[u8]| {
             // The length separates the parts.
@@ -118,7 +123,7 @@
 
 /// Whether a request may run.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Standing {
+pub(crate) enum Standing {
     /// It is not suspected.
     Clear,
     /// It was in progress at one crash. It runs, but not together with another suspected request.
@@ -130,7 +135,7 @@
 
 impl Standing {
     /// Returns the name used in logs.
-    pub const fn as_str(self) -> &'static str {
+    pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Standing::Clear => "cleared",
             Standing::Suspected => "suspected",
@@ -154,7 +159,7 @@
 
 /// What is known of one request, as other members receive it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectNote {
+pub(crate) struct SuspectNote {
     fingerprint: RequestHash,
     crashes: Vec<CrashNote>,
 }
@@ -171,11 +176,11 @@
 
 /// A request and whether it may run.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub struct Judged {
+pub(crate) struct Judged {
     /// The request.
-    pub fingerprint: RequestHash,
+    pub(crate) fingerprint: RequestHash,
     /// Whether it may run.
-    pub standing: Standing,
+    pub(crate) standing: Standing,
 }
 
 /// A request whose connection was lost before the crash was noticed.
@@ -190,7 +195,7 @@
 ///
 /// Suspicions are merged as sets of crashes, so a note that arrives repeatedly or late changes nothing.
 #[derive(Clone, Debug)]
-pub struct CrashGuard {
+pub(crate) struct CrashGuard {
     me: MemberId,
     crashes: u32,
     crashed: Option<Time>,
@@ -202,7 +207,7 @@
 
 impl CrashGuard {
     /// Creates the guard of member `me` without suspicions.
-    pub fn new(me: MemberId) -> CrashGuard {
+    pub(crate) fn new(me: MemberId) -> CrashGuard {
         CrashGuard {
             me,
             crashes: 0,
@@ -214,7 +219,7 @@
     }
 
     /// Returns whether a request may run.
-    pub fn standing(&self, now: Time, fingerprint: RequestHash) -> Standing {
+    pub(crate) fn standing(&self, now: Time, fingerprint: RequestHash) -> Standing {
         let Some(crashes) = self.suspicions.get(&fingerprint) else { return Standing::Clear };
         let counts = |crash: &&Crash| crash.ends > now && !crash.is_cleared;
         let counted = crashes.iter().filter(counts).count();
@@ -231,7 +236,7 @@
     /// standing if it was lost by a crash that is known already.
     ///
     /// `was_suspected` says that it was suspected when it was admitted, and so ran with no other suspected one.
-    pub fn lost(
+    pub(crate) fn lost(
         &mut self,
         now: Time,
         fingerprint: RequestHash,
@@ -248,7 +253,7 @@
     }
 
     /// Notes that this node's target has crashed, and returns the requests that were in progress.
-    pub fn crashed(&mut self, now: Time) -> Vec<Judged> {
+    pub(crate) fn crashed(&mut self, now: Time) -> Vec<Judged> {
         self.crashes += 1;
         self.crashed = Some(now);
         let lost = std::mem::take(&mut self.lost);
@@ -261,12 +266,12 @@
     }
 
     /// Notes that this node's target accepts connections again; a later loss belongs to a later crash.
-    pub fn returned(&mut self) {
+    pub(crate) fn returned(&mut self) {
         self.crashed = None;
     }
 
     /// Notes that a request has completed, which clears it of all crashes so far.
-    pub fn completed(&mut self, now: Time, fingerprint: RequestHash) -> Option<Judged> {
+    pub(crate) fn completed(&mut self, now: Time, fingerprint: RequestHash) -> Option<Judged> {
         self.change(now, fingerprint, |crashes| {
             crashes.iter_mut().for_each(|crash| crash.is_cleared = true);
         })
@@ -334,12 +339,12 @@
     }
 
     /// Drops suspicions that have ended.
-    pub fn expire(&mut self, now: Time) {
+    pub(crate) fn expire(&mut self, now: Time) {
         self.suspicions.retain(|_, crashes| crashes.iter().any(|crash| crash.ends > now));
     }
 
     /// Returns the next notes for other members, in turn over all requests.
-    pub fn notes(&mut self, now: Time, count: usize) -> Vec<SuspectNote> {
+    pub(crate) fn notes(&mut self, now: Time, count: usize) -> Vec<SuspectNote> {
         self.expire(now);
         let after = |f: &&RequestHash| self.noted.is_none_or(|noted| **f > noted);
         let keys = self.suspicions.keys();
@@ -350,7 +355,7 @@
     }
 
     /// Returns what other members should know of a request, or `None` if there is nothing.
-    pub fn note(&self, now: Time, fingerprint: RequestHash) -> Option<SuspectNote> {
+    pub(crate) fn note(&self, now: Time, fingerprint: RequestHash) -> Option<SuspectNote> {
         let crashes = self.suspicions.get(&fingerprint)?.iter();
         let crashes = crashes.map(|crash| CrashNote {
             member: crash.member.0.to_be_bytes(),
@@ -364,7 +369,7 @@
     }
 
     /// Merges a note of another member, and returns the change.
-    pub fn merge(&mut self, now: Time, note: &SuspectNote) -> Option<Judged> {
+    pub(crate) fn merge(&mut self, now: Time, note: &SuspectNote) -> Option<Judged> {
         let fingerprint = note.fingerprint;
         let before = self.standing(now, fingerprint);
         for crash in note.crashes.iter().filter(|c| c.left > 0).take(MAX_CRASHES) {
@@ -379,12 +384,14 @@
     }
 
     /// Returns the number of requests with a suspicion.
-    pub fn len(&self) -> usize {
+    #[cfg(test)]
+    pub(crate) fn len(&self) -> usize {
         self.suspicions.len()
     }
 
     /// Returns whether no request is suspected.
-    pub fn is_empty(&self) -> bool {
+    #[cfg(test)]
+    pub(crate) fn is_empty(&self) -> bool {
         self.suspicions.is_empty()
     }
 }
--- a/src/headers.rs
+++ b/src/headers.rs
@@ -3,19 +3,19 @@
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 
 /// The time left for the request, in milliseconds.
-pub const DEADLINE: HeaderName = HeaderName::from_static("poplarbarrow-deadline-ms");
+pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("poplarbarrow-deadline-ms");
 
 /// The number of calls above this one in its chain.
-pub const DEPTH: HeaderName = HeaderName::from_static("poplarbarrow-depth");
+pub(crate) const DEPTH: HeaderName = HeaderName::from_static("poplarbarrow-depth");
 
 /// The identity under which a non-idempotent request runs at most once.
-pub const IDENTITY: HeaderName = HeaderName::from_static("idempotency-key");
+pub(crate) const IDENTITY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Whether a refused request may have run.
-pub const OUTCOME: HeaderName = HeaderName::from_static("poplarbarrow-outcome");
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("poplarbarrow-outcome");
 
 /// The cause of a refusal.
-pub const REASON: HeaderName = HeaderName::from_static("poplarbarrow-reason");
+pub(crate) const REASON: HeaderName = HeaderName::from_static("poplarbarrow-reason");
 
 /// The load report of a target, between nodes only.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("poplarbarrow-load");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //! The library holds all behaviour; the programs under `src/bin` are thin. `docs/design.md` describes the
 //! architecture.
 
-pub mod admission;
+mod admission;
 mod auth;
 pub mod bench;
 mod body;
@@ -12,7 +12,7 @@
 mod config;
 mod console;
 mod control;
-pub mod crash_guard;
+mod crash_guard;
 pub mod demo;
 mod directory;
 pub mod document;
@@ -22,7 +22,7 @@
 mod envelope;
 mod event;
 pub mod gossip;
-pub mod headers;
+mod headers;
 mod health;
 pub mod identity;
 mod ingress;
@@ -44,7 +44,7 @@
 mod reducer;
 pub mod refusal;
 mod remote;
-pub mod retry;
+mod retry;
 pub mod rollout;
 pub mod routing;
 mod seat;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics in statsd form, sent to a UDP address if the settings name one.
 //!
-//! The metrics are listed in `docs/metrics.md`.
+//! The metrics are listed in `docs/logs.md`.
 
 use std::{
     net::{Ipv4Addr, SocketAddr, UdpSocket},
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -20,14 +20,14 @@
     time::Time,
 };
 
-pub use eject::Ejector;
-pub use hedge::HedgeDelay;
+pub(crate) use eject::Ejector;
+pub(crate) use hedge::HedgeDelay;
 
 /// The largest call depth at which requests are retried.
-pub const RETRY_DEPTH: u8 = 3;
+pub(crate) const RETRY_DEPTH: u8 = 3;
 
 /// The most attempts of one request, the first included.
-pub const MAX_ATTEMPTS: u8 = 3;
+pub(crate) const MAX_ATTEMPTS: u8 = 3;
 
 /// Retries per second that a service may make at depth 0 however few calls it has. Deeper calls have none,
 /// because floors multiply along a chain.
@@ -45,17 +45,17 @@
 
 /// A request whose last attempt did not succeed.
 #[derive(Copy, Clone, Debug)]
-pub struct Attempted {
+pub(crate) struct Attempted {
     /// Whether the request may run more than once.
-    pub idempotent: bool,
+    pub(crate) idempotent: bool,
     /// Whether every attempt so far is proven not to have run.
-    pub not_run: bool,
+    pub(crate) not_run: bool,
     /// Attempts so far.
-    pub attempts: u8,
+    pub(crate) attempts: u8,
     /// The deadline of the request.
-    pub deadline: Time,
+    pub(crate) deadline: Time,
     /// The call depth of the request, 0 for one from outside.
-    pub depth: u8,
+    pub(crate) depth: u8,
 }
 
 impl Attempted {
@@ -67,7 +67,7 @@
 
 /// The retry budget of one service at one node. Hedges are paid from the same budget.
 #[derive(Clone, Debug)]
-pub struct RetryBudget {
+pub(crate) struct RetryBudget {
     percent: f64,
     /// Available retries by depth.
     tokens: [f64; RETRY_DEPTH as usize + 1],
@@ -76,19 +76,19 @@
 
 impl RetryBudget {
     /// Creates a budget of `percent` retries per 100 first attempts with only the floor saved up.
-    pub fn new(percent: u8, now: Time) -> RetryBudget {
+    pub(crate) fn new(percent: u8, now: Time) -> RetryBudget {
         let mut tokens = [0.0; RETRY_DEPTH as usize + 1];
         tokens[0] = FLOOR_RATE;
         RetryBudget { percent: percent.into(), tokens, refilled: now }
     }
 
     /// Applies a new share of retries.
-    pub fn set(&mut self, percent: u8) {
+    pub(crate) fn set(&mut self, percent: u8) {
         self.percent = percent.into();
     }
 
     /// Notes a first attempt, which earns a share of a retry.
-    pub fn first(&mut self, depth: u8) {
+    pub(crate) fn first(&mut self, depth: u8) {
         if let Some(tokens) = self.tokens.get_mut(usize::from(depth)) {
             let earned = self.percent / 100.0 / f64::from(1u32 << depth);
             *tokens = (*tokens + earned).min(MAX_TOKENS);
@@ -101,7 +101,7 @@
     ///
     /// The request is not attempted again because it may have run and must not run twice, because its deadline
     /// has passed, or because its attempts, its depth or the budget do not allow it.
-    pub fn retry(&mut self, now: Time, request: &Attempted) -> Result<(), Refusal> {
+    pub(crate) fn retry(&mut self, now: Time, request: &Attempted) -> Result<(), Refusal> {
         if !request.not_run && !request.idempotent {
             return Err(Refusal::unknown(Reason::AnswerLost));
         }
@@ -118,13 +118,13 @@
     ///
     /// Such an attempt put no load on any target, so the number of attempts bounds the repeats and the budget is
     /// not used. With it, a service with few calls would refuse some for each node that is gone.
-    pub fn resend(now: Time, request: &Attempted) -> bool {
+    pub(crate) fn resend(now: Time, request: &Attempted) -> bool {
         request.attempts < MAX_ATTEMPTS && now + HOP_TIME < request.deadline
     }
 
     /// Decides whether an idempotent request that has waited for `elapsed` is also sent to another target, and
     /// takes one retry from the budget if so.
-    pub fn hedge(
+    pub(crate) fn hedge(
         &mut self,
         now: Time,
         request: &Attempted,
@@ -156,7 +156,7 @@
 }
 
 /// Returns the time that remains for the next hop, or `None` if too little is left to send the request.
-pub fn hop_time(now: Time, deadline: Time) -> Option<Duration> {
+pub(crate) fn hop_time(now: Time, deadline: Time) -> Option<Duration> {
     let left = deadline.since(now);
     let next = left.checked_sub(HOP_TIME + left / HOP_DIVISOR)?;
     (!next.is_zero()).then_some(next)
--- a/src/retry/eject.rs
+++ b/src/retry/eject.rs
@@ -32,19 +32,19 @@
 
 /// Decides which targets of one service receive no requests because they fail.
 #[derive(Clone, Debug, Default)]
-pub struct Ejector {
+pub(crate) struct Ejector {
     records: SecondaryMap<MemberKey, Record>,
 }
 
 impl Ejector {
     /// Creates an ejector without any record.
-    pub fn new() -> Ejector {
+    pub(crate) fn new() -> Ejector {
         Ejector::default()
     }
 
     /// Notes a successful request. A target without failures for as long as its last ejection took loses one
     /// level.
-    pub fn succeeded(&mut self, now: Time, key: MemberKey) {
+    pub(crate) fn succeeded(&mut self, now: Time, key: MemberKey) {
         let Some(record) = self.records.get_mut(key) else { return };
         record.failures *= 1.0 - WEIGHT;
         if let Some(until) = record.until
@@ -59,7 +59,7 @@
     /// Notes a failed request, and ejects the target if it keeps failing. Returns the end of the ejection.
     ///
     /// At most `percent` of the `targets` of the service are ejected at once, and never the last one.
-    pub fn failed(
+    pub(crate) fn failed(
         &mut self,
         now: Time,
         key: MemberKey,
@@ -89,7 +89,12 @@
     ///
     /// The share of a service that failures may eject does not apply: a node without a listener can take nothing.
     /// The last target of `targets` is not paused, because the cause may be at this node.
-    pub fn unreachable(&mut self, now: Time, key: MemberKey, targets: usize) -> Option<Time> {
+    pub(crate) fn unreachable(
+        &mut self,
+        now: Time,
+        key: MemberKey,
+        targets: usize,
+    ) -> Option<Time> {
         let ejected = self.records.keys().filter(|&k| self.is_ejected(now, k)).count();
         if self.is_ejected(now, key) || ejected + 1 >= targets {
             return None;
@@ -103,7 +108,7 @@
     }
 
     /// Returns whether the target is ejected or paused now.
-    pub fn is_ejected(&self, now: Time, key: MemberKey) -> bool {
+    pub(crate) fn is_ejected(&self, now: Time, key: MemberKey) -> bool {
         self.records.get(key).is_some_and(|r| {
             let is_failing = r.level > 0 && r.until.is_some_and(|t| now < t);
             is_failing || r.unreachable.is_some_and(|t| now < t)
@@ -111,7 +116,7 @@
     }
 
     /// Forgets a target that is gone.
-    pub fn remove(&mut self, key: MemberKey) {
+    pub(crate) fn remove(&mut self, key: MemberKey) {
         self.records.remove(key);
     }
 }
--- a/src/retry/hedge.rs
+++ b/src/retry/hedge.rs
@@ -20,14 +20,14 @@
 /// The estimate moves up by 95% of a step for each slower answer and down by 5% for each faster one, so it needs
 /// no samples in memory.
 #[derive(Copy, Clone, Debug, Default)]
-pub struct HedgeDelay {
+pub(crate) struct HedgeDelay {
     us: f64,
     answers: u32,
 }
 
 impl HedgeDelay {
     /// Notes the response time of an answer.
-    pub fn answered(&mut self, response: Duration) {
+    pub(crate) fn answered(&mut self, response: Duration) {
         let us = response.as_micros() as f64;
         self.answers = self.answers.saturating_add(1);
         if self.answers <= MIN_ANSWERS {
@@ -40,7 +40,7 @@
     }
 
     /// Returns the delay, or `None` before enough answers are known.
-    pub fn get(&self) -> Option<Duration> {
+    pub(crate) fn get(&self) -> Option<Duration> {
         let delay = Duration::from_micros(self.us as u64).max(MIN_DELAY);
         (self.answers >= MIN_ANSWERS).then_some(delay)
     }
