--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -14,9 +14,11 @@
 mod config;
 mod control;
 mod decide;
+mod faults;
 mod fit;
 mod judge;
 mod node;
+mod region;
 pub mod scale;
 mod spread;
 
@@ -104,6 +106,7 @@
     step("directory", decide::directory());
     step("decisions", decide::decisions(seed));
     step("spread of a revision", spread::measure(seed));
+    step("faults of a region", faults::measure(seed));
     let figures = scale::figures(&slopes);
     Ok(Slopes { seed, load: (before, load_average()), slopes, figures })
 }
--- a/src/bench/slopes/calls.rs
+++ b/src/bench/slopes/calls.rs
@@ -1,6 +1,11 @@
 //! The processor time of calls through an entry node and a target's node, each on a thread of its own.
 
-use std::{io, sync::mpsc, thread, time::Instant};
+use std::{
+    io,
+    sync::mpsc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use http::Method;
 use tokio::{runtime::Builder, sync::oneshot};
@@ -19,7 +24,7 @@
 };
 
 /// Calls per second; a node has 158 of them as entry node and as many as target's node on average.
-const RATES: [u32; 4] = [50, 100, 200, 400];
+const RATES: [u32; 5] = [0, 50, 100, 200, 400];
 
 /// The rounds of one second each.
 const ROUNDS: u32 = 5;
@@ -69,27 +74,9 @@
     let addr = Loopback::try_from(entry.callers).map_err(io::Error::other)?;
     let mut points = [vec![], vec![], vec![]];
     for rate in RATES {
-        let plan = Plan {
-            routes: vec![Route { name: "entry".into(), addrs: vec![addr] }],
-            service: "called".into(),
-            method: Method::GET,
-            path: "/search/items/1234".into(),
-            ids: false,
-            deadline_ms: None,
-            rate: rate.into(),
-            count: rate,
-            bytes: 0,
-            rounds: ROUNDS,
-            connections: 64,
-            seed,
-        };
         let before = [entry.cpu(), called.cpu(), named_cpu(logging::THREAD)];
         let begin = Instant::now();
-        let mut answered = 0;
-        openloop::run(&plan, |round| {
-            answered += round.outcomes.iter().map(|outcome| outcome.ok).sum::<u64>();
-        })
-        .map_err(io::Error::other)?;
+        let answered = if rate == 0 { idle() } else { load(addr, rate, seed)? };
         let seconds = begin.elapsed().as_secs_f64();
         let after = [entry.cpu(), called.cpu(), named_cpu(logging::THREAD)];
         let spent = after.iter().zip(before).map(|(after, before)| after.saturating_sub(before));
@@ -107,3 +94,32 @@
         Slope::new("log.process", "us/s for both nodes", "calls/s", log),
     ])
 }
+
+fn idle() -> u64 {
+    thread::sleep(Duration::from_secs(ROUNDS.into()));
+    0
+}
+
+/// Sends calls at a rate, and returns the number of answers.
+fn load(addr: Loopback, rate: u32, seed: u64) -> io::Result<u64> {
+    let plan = Plan {
+        routes: vec![Route { name: "entry".into(), addrs: vec![addr] }],
+        service: "called".into(),
+        method: Method::GET,
+        path: "/search/items/1234".into(),
+        ids: false,
+        deadline_ms: None,
+        rate: rate.into(),
+        count: rate,
+        bytes: 0,
+        rounds: ROUNDS,
+        connections: 64,
+        seed,
+    };
+    let mut answered = 0;
+    let count = |round: &openloop::Round| {
+        answered += round.outcomes.iter().map(|outcome| outcome.ok).sum::<u64>();
+    };
+    openloop::run(&plan, count).map_err(io::Error::other)?;
+    Ok(answered)
+}
--- a/src/bench/slopes/scale/figures.rs
+++ b/src/bench/slopes/scale/figures.rs
@@ -7,7 +7,7 @@
 use crate::{
     bench::slopes::Slope,
     identity::{FLEET_CLAIMS, MAX_ANSWERS, MAX_ENTRIES},
-    membership::TABLE_MEMBERS,
+    membership::{GOSSIP_BYTES, TABLE_MEMBERS},
     seat::{CONTACT_INTERVAL, SEATS, WATCH_WAIT},
     store::{COLLECT_EVERY, PARTS},
 };
@@ -37,6 +37,12 @@
         self.find(id).map_or(f64::NAN, |slope| slope.line.slope)
     }
 
+    /// The value that was measured at one of the sizes.
+    fn measured(&self, id: &str, size: f64) -> f64 {
+        let points = self.find(id).map_or(&[][..], |slope| &slope.points);
+        points.iter().find(|point| point.0 == size).map_or(f64::NAN, |point| point.1)
+    }
+
     fn find(&self, id: &str) -> Option<&Slope> {
         self.0.iter().find(|slope| slope.id == id)
     }
@@ -86,6 +92,7 @@
     let roles = [
         member(&costs),
         joining(&costs),
+        faults(&costs),
         configuration(&costs),
         judge(&costs),
         caller(&costs),
@@ -115,6 +122,27 @@
     role
 }
 
+fn faults(costs: &Costs<'_>) -> Role {
+    let mut role = Role::new("bad days");
+    let at = |id| costs.at(id, REGION);
+    let name = "1,200 of 2,667 lost, 99% known";
+    role.derived(name, at("lost.most"), "s", None, "lost.most(2,667)");
+    role.derived("the same, all known", at("lost.time"), "s", None, "lost.time(2,667)");
+    let name = "1,200 of 2,667 return, 99% known";
+    role.derived(name, at("returned.most"), "s", None, "returned.most(2,667)");
+    role.derived("the same, all known", at("returned.time"), "s", None, "returned.time(2,667)");
+    let name = "1,200 of 2,667 cut off for 600 s, 99% healed";
+    role.derived(name, at("healed.most"), "s", None, "healed.most(2,667)");
+    role.derived("the same, all healed", at("healed.time"), "s", None, "healed.time(2,667)");
+    let bytes = 2.0 * f64::from(GOSSIP_BYTES) + config_bytes(costs);
+    let formula = "2 x 6,000 + configuration; membership sends at most 6,000 B/s";
+    role.derived("control bytes meanwhile, at most", bytes, "B/s", BYTES, formula);
+    let document = costs.at("pull.full", SERVICES);
+    let formula = "pull.full(4,700) / 17 KB/s";
+    role.derived("document at 17 KB/s", document / MAX_BYTES, "s", None, formula);
+    role
+}
+
 fn joining(costs: &Costs<'_>) -> Role {
     let mut role = Role::new("joining node");
     let received = costs.at("join.received", REGION);
@@ -188,8 +216,9 @@
     role.measured("decisions of a call", decisions, "us", LATENCY, "entry.time(5.1)");
     let process = costs.each("entry.process");
     role.measured("processor of a call", process, "us", LATENCY, "slope of entry.process");
-    let calls = NODE_CALLS * process;
-    role.derived("processor of 158 calls/s", calls, "us/s", None, "158 x slope of entry.process");
+    let calls = costs.at("entry.process", NODE_CALLS) - costs.measured("entry.process", 0.0);
+    let formula = "entry.process(158) - entry.process(0)";
+    role.measured("processor of 158 calls/s", calls, "us/s", None, formula);
     role
 }
 
@@ -199,10 +228,11 @@
     role.measured("decisions of a call", decisions, "us", LATENCY, "target.region(2,667)");
     let process = costs.each("target.process");
     role.measured("processor of a call", process, "us", LATENCY, "slope of target.process");
-    let calls = NODE_CALLS * process;
-    role.derived("processor of 158 calls/s", calls, "us/s", None, "158 x slope of target.process");
+    let calls = costs.at("target.process", NODE_CALLS) - costs.measured("target.process", 0.0);
+    let formula = "target.process(158) - target.process(0)";
+    role.measured("processor of 158 calls/s", calls, "us/s", None, formula);
     let reports = costs.at("reports.capped", NODE_CALLS);
-    role.measured("load reports", reports, "B/s", None, "reports.capped(158)");
+    role.measured("load reports", reports, "B/s", BYTES, "reports.capped(158)");
     role
 }
 
@@ -240,7 +270,10 @@
     let formula = "member + configuration";
     role.derived("control bytes, 2,667", bytes(REGION), "B/s", BYTES, formula);
     role.derived("control bytes, 8,192", bytes(FULL), "B/s", BYTES, formula);
-    let idle = costs.at("entry.process", 0.0).max(0.0);
+    let all = bytes(REGION) + 2.0 * costs.at("reports.capped", NODE_CALLS);
+    let formula = "member + configuration + 2 x reports.capped(158)";
+    role.derived("the same with load reports, 2,667", all, "B/s", BYTES, formula);
+    let idle = costs.measured("entry.process", 0.0);
     let changes =
         CHANGES * (costs.at("pull.time", SERVICES) + costs.at("judge.document", SERVICES));
     let rollouts = costs.at("judge.moving", SERVICES);
--- a/src/bench/slopes/tests.rs
+++ b/src/bench/slopes/tests.rs
@@ -1,6 +1,6 @@
 use test_case::test_case;
 
-use super::{Line, Slope, Slopes, config, control, scale, spread::spread};
+use super::{Line, Slope, Slopes, config, control, faults, scale, spread::spread};
 use crate::{document::Budgets, membership, store};
 
 #[test_case(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)], 2.0, 3.0; "exact line")]
@@ -69,6 +69,20 @@
     assert_eq!(spread, super::spread::spread(members, seed), "equal seeds give equal results");
 }
 
+/// Guards against members that do not agree again after a data centre was lost and returned, or after a cut.
+#[test_case(1; "first seed")]
+#[test_case(2; "second seed")]
+fn members_agree_again(seed: u64) {
+    let (lost, back) = faults::centre(24, seed);
+    for fault in [lost, back, faults::cut(24, seed)] {
+        assert!(fault.most <= fault.seconds);
+        assert!(fault.seconds < faults::PATIENCE.as_secs_f64(), "{fault:?}");
+        // A member saves up the budget of at most two seconds.
+        let budget = f64::from(membership::GOSSIP_BYTES) * (1.0 + 2.0 / fault.seconds);
+        assert!(fault.bytes <= budget, "{fault:?}");
+    }
+}
+
 /// Guards against a pull of the whole document, or of the whole index, for the change of one service.
 #[tokio::test]
 async fn pull_of_a_change_is_small() {
