--- a/src/bench/slopes/node.rs
+++ b/src/bench/slopes/node.rs
@@ -40,7 +40,7 @@
         centre: CompactString::const_new("centre-0"),
         region: REGION,
         listen: Listen::default(),
-        target: TargetSettings { address: target, slots: 12, connections: 200 },
+        target: TargetSettings { address: target, slots: 12, connections: 200, health: None },
         // Not used: the nodes share a platform in memory.
         platform: SocketAddr::from(([127, 0, 0, 1], 9)),
         contacts: Vec::new(),
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -27,8 +27,8 @@
     Probe { to: MemberId, peer: SocketAddr },
     /// Pulls the document from another member.
     Pull { from: MemberId, control: SocketAddr },
-    /// Closes the connections to a member that is gone.
-    Forget(SocketAddr),
+    /// Forgets the connections to a member that is gone; requests in progress at a failed one are lost.
+    Forget { peer: SocketAddr, has_failed: bool },
     /// Writes or reads the claim of a caller's own key.
     Claim { call: CallKey, io: ClaimIo },
     /// Hands the outcomes of this node's identities to another member.
@@ -152,10 +152,16 @@
     Synced { members: usize },
     /// The table of members is full.
     TableFull { refused: u64 },
+    /// Another region stopped or resumed confirming its members of a service.
+    Region { region: CompactString, service: CompactString, members: usize, is_confirmed: bool },
+    /// Calls were for services that are not asked for in other regions, because too many others are.
+    RemoteFull { calls: u64 },
     /// The node talks to the platform for its data centre, or no longer does.
     Seat { seat: Option<usize> },
     /// A newer document is pulled from a member.
     Pull { from: MemberId, revision: u64 },
+    /// What measuring load has cost since the start.
+    Measured { bytes: u64, reports: u64, probes: u64, denied: u64 },
     /// A document came into force.
     Document { revision: u64, services: usize },
     /// A rollout came to another stage.
--- a/src/event.rs
+++ b/src/event.rs
@@ -11,13 +11,12 @@
     document::Document,
     identity::{Answer, AttemptTag, ClaimEvent, Fingerprint},
     keys::{CallKey, MemberId, WorkKey},
-    load::LoadReport,
-    membership::{Message, Source},
+    load::{Health, LoadReport},
+    membership::{Contact, Message, Source},
     pool::Reach,
     reducer::Presentation,
     refusal::Refusal,
     rollout::VerdictRecord,
-    seat::Contact,
     time::Wall,
 };
 
@@ -46,6 +45,8 @@
     Suspects(Vec<SuspectNote>),
     /// The target became reachable or unreachable.
     Target(Reach),
+    /// The target's health endpoint was read.
+    Health(Health),
     /// A timer that the reducer set has expired.
     Timer(Timer),
     /// The wall clock was read; schedules depend on it.
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -3,24 +3,22 @@
 //! Section 5.1 of `docs/design.md` gives the requirements. The driver passes in verified messages and the time,
 //! and executes the [`Output`]s. All traffic is bounded by a token bucket, see [`GOSSIP_BYTES`].
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
-
-use compact_str::CompactString;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
-
-use crate::{keys::MemberId, time::Time};
-
 mod budget;
 mod measure;
 mod merge;
 mod message;
 mod output;
 mod probe;
+mod regional;
 mod sync;
 mod table;
 
-#[cfg(test)]
-mod tests;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use compact_str::CompactString;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{keys::MemberId, time::Time};
 
 pub use budget::{CONTROL_BYTES, GOSSIP_BYTES};
 pub(crate) use measure::member as sample;
@@ -31,11 +29,12 @@
 };
 pub use output::{Counters, Loss, Output};
 pub use probe::PROBE_PERIOD;
+pub use regional::{Contact, REGIONAL_BYTES, Regional};
 pub use sync::WANTED_SERVICES;
 pub use table::{TABLE_MEMBERS, TOMBSTONE_TIME};
 
 use budget::{Budget, HEADER_BYTES};
-use message::encoded_bytes;
+pub(crate) use message::encoded_bytes;
 use probe::Probing;
 use sync::Sync;
 use table::Table;
@@ -117,6 +116,8 @@
     probing: Probing,
     sync: Sync,
     budget: Budget,
+    /// The part of the budget that messages to other regions may use.
+    regional: Budget,
     rng: SmallRng,
     revision: u64,
     payload: Vec<u8>,
@@ -138,6 +139,7 @@
         Membership {
             id: me.id,
             budget: Budget::new(settings.send_bytes),
+            regional: Budget::new(settings.send_bytes.min(REGIONAL_BYTES)),
             probing: Probing::new(phase, rng.random()),
             sync: Sync::new(phase),
             table: Table::new(me),
@@ -259,7 +261,8 @@
                 self.on_ping_request(now, from, probe, Receiver { address, id: Some(target) }, out);
             }
             Body::Ack { probe, subject } => self.on_ack(now, from, probe, subject, out),
-            Body::Gossip => {}
+            // Messages of other regions are not about this table; see `crate::remote`.
+            Body::Gossip | Body::Regional(_) => {}
             Body::Identify => self.on_identify(from, out),
             Body::Pull { pull, first, services, partial } => {
                 self.on_pull(from, pull, first, &services, partial, out);
@@ -401,3 +404,6 @@
         MESSAGE_BYTES.min(spare).saturating_sub(fixed)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node.rs
+++ b/src/node.rs
@@ -30,10 +30,11 @@
     driver::{Driver, HandOver, Outlets, Pull},
     egress::Egress,
     event::Event,
-    gossip,
+    gossip::{self, DropKind},
+    health,
     ingress::Ingress,
     keys::MemberId,
-    membership::{Member, Message, Source},
+    membership::{Contact, Member, Message, Source},
     metrics::Metrics,
     peer::Peers,
     platform::{Http, Platform, http::Limits},
@@ -41,8 +42,8 @@
     probe::Prober,
     reducer::{Me, Reducer},
     rollout,
-    seat::{Contact, Seat},
-    server,
+    seat::Seat,
+    server::{self, Limits as Heads},
     settings::Settings,
     tell,
     time::Wall,
@@ -57,6 +58,9 @@
 /// Messages about requests that may crash targets that may wait for the reducer.
 const MAX_TOLD: usize = 64;
 
+/// The interval at which counts of dropped datagrams are reported.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
 /// A node cannot start.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -166,6 +170,7 @@
         let me = me(&settings, id, addresses);
         let contact = Contact {
             id,
+            centre: me.info.centre.clone(),
             region: me.info.region.clone(),
             gossip: addresses.gossip,
             peer: addresses.peers,
@@ -182,6 +187,10 @@
         tasks.spawn(pool.clone().keep_warm());
         tasks.spawn(forward(reached, driver.clone()));
         tasks.spawn(receive(gossip.messages, driver.clone()));
+        tasks.spawn(report_drops(gossip.counters, driver.clone()));
+        if let Some(path) = &target.health {
+            tasks.spawn(health::watch(target.address, path.clone(), driver.clone()));
+        }
         tasks.spawn(read_clock(driver.clone()));
         tasks.spawn(hear(told, driver.clone()));
         let (tell, news) = mpsc::unbounded_channel();
@@ -225,7 +234,7 @@
             driver: driver.clone(),
             replica,
             me: contact,
-            centre: settings.centre.clone(),
+            has_peers: !settings.contacts.is_empty(),
             rank,
             log: log.clone(),
         });
@@ -241,19 +250,37 @@
             let ingress = ingress.clone();
             async move { ingress.serve(req).await }
         };
-        tasks.spawn(server::serve(callers, Vec::new(), stop.subscribe(), log.clone(), handle));
+        tasks.spawn(server::serve(
+            callers,
+            Heads::CALLERS,
+            Vec::new(),
+            stop.subscribe(),
+            log.clone(),
+            handle,
+        ));
         let handle = move |req: Request<Body>| {
             let egress = egress.clone();
             async move { egress.serve(req).await }
         };
         let (quit, records) = (stop.subscribe(), log.clone());
-        tasks.spawn(server::serve(peers, settings.networks, quit, records, handle));
+        tasks.spawn(server::serve(peers, Heads::PEERS, settings.networks, quit, records, handle));
         let pages = console.router();
         let handle = move |req: Request<Body>| console::answer(pages.clone(), req);
-        tasks.spawn(server::serve(operator, Vec::new(), stop.subscribe(), log, handle));
+        tasks.spawn(server::serve(
+            operator,
+            Heads::CALLERS,
+            Vec::new(),
+            stop.subscribe(),
+            log,
+            handle,
+        ));
 
         let fire = driver.clone();
-        let timers = Timers::start(move |timer| fire.dispatch(Event::Timer(timer)));
+        let ask = driver.clone();
+        let timers = Timers::start(
+            move |timer| fire.dispatch(Event::Timer(timer)),
+            move |timer| ask.inspect(|reducer| reducer.awaits(timer)),
+        );
         driver.start(Outlets {
             gossip: gossip.sender,
             pulls,
@@ -310,6 +337,11 @@
         self.driver.inspect(|reducer| reducer.rollouts(now))
     }
 
+    /// Returns the number of members of a service that take no new work because they are leaving.
+    pub fn leaving(&self, service: &str) -> usize {
+        self.driver.inspect(|reducer| reducer.leaving(service))
+    }
+
     /// Returns the number of members of a service that this node knows.
     pub fn known(&self, service: &str) -> usize {
         self.driver.inspect(|reducer| reducer.known(service))
@@ -411,6 +443,24 @@
     }
 }
 
+/// Logs and counts datagrams that were dropped; the decoder itself must not, because anybody can send datagrams.
+async fn report_drops(counters: Arc<gossip::Counters>, driver: Arc<Driver>) {
+    let mut reported = [0; DropKind::ALL.len()];
+    let mut interval = time::interval(REPORT_INTERVAL);
+    loop {
+        interval.tick().await;
+        for (kind, reported) in DropKind::ALL.into_iter().zip(&mut reported) {
+            let total = counters.dropped(kind);
+            if total > *reported {
+                let new = total - *reported;
+                slog::warn!(driver.log(), "gossip-dropped"; "kind" => kind.name(), "new" => new, "total" => total);
+                driver.metrics().dropped(kind.name(), new);
+                *reported = total;
+            }
+        }
+    }
+}
+
 async fn receive(mut messages: mpsc::Receiver<(Source, Message)>, driver: Arc<Driver>) {
     while let Some((from, message)) = messages.recv().await {
         driver.dispatch(Event::Gossip(from, Box::new(message)));
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -6,15 +6,14 @@
 mod calls;
 mod crashes;
 mod exchange;
+mod health;
 mod identities;
 mod members;
+mod remote;
 mod status;
 mod versions;
 mod works;
 
-#[cfg(test)]
-mod tests;
-
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::SmallRng};
@@ -32,17 +31,21 @@
     load::MeasureBudget,
     membership::{self, Member, Membership},
     pool::Reach,
+    remote::{Remote, Serving},
     rollout::Rollouts,
     time::{Time, Wall},
 };
 
 pub(crate) use self::identities::Presentation;
 
-use self::{calls::Call, members::Pull, works::Work};
+use self::{calls::Call, health::TargetHealth, members::Pull, works::Work};
 
 /// The interval of periodic work.
 const TICK: Duration = Duration::from_millis(100);
 
+/// The interval at which the cost of measuring load is logged.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+
 /// What a node knows about itself.
 #[derive(Clone, Debug)]
 pub(crate) struct Me {
@@ -64,8 +67,15 @@
     membership: Membership,
     has_joined: bool,
     next_seat: Time,
+    next_report: Time,
+    /// The bytes spent on measuring load at the last report.
+    reported: u64,
     seat: Option<usize>,
     pull: Option<Pull>,
+    remote: Remote,
+    serving: Serving,
+    /// The calls that wait for an answer of another region.
+    waiting: Vec<CallKey>,
     document: Option<Arc<Document>>,
     revision: u64,
     rollouts: Rollouts,
@@ -84,6 +94,7 @@
     is_handing_over: bool,
     measure: MeasureBudget,
     is_target_up: bool,
+    health: TargetHealth,
     is_stopping: bool,
     has_exited: bool,
     /// The difference between wall clock and monotonic time at the last reading.
@@ -93,13 +104,14 @@
 impl Reducer {
     /// Creates the state of a node that has just started.
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
-        let mut directory = Directory::default();
+        let mut directory = Directory::new(me.info.region.clone());
         directory.upsert(me.info.clone());
         let guard = CrashGuard::new(me.info.id);
         let rollouts = Rollouts::new(me.info.id);
         let owner = Owner::new(me.info.id, me.started.as_millis().saturating_mul(1_000));
         let gate = Gate::new(me.slots, Time::ZERO);
         let membership = Membership::new(me.info.clone(), membership::Settings::default(), seed);
+        let remote = Remote::new(me.info.id, me.info.region.clone());
         Reducer {
             me,
             rng: SmallRng::seed_from_u64(seed),
@@ -107,8 +119,13 @@
             membership,
             has_joined: false,
             next_seat: Time::ZERO,
+            next_report: Time::ZERO,
+            reported: 0,
             seat: None,
             pull: None,
+            remote,
+            serving: Serving::default(),
+            waiting: Vec::new(),
             document: None,
             revision: 0,
             rollouts,
@@ -126,6 +143,7 @@
             measure: MeasureBudget::new(&Budgets::default(), Time::ZERO),
             // Until a connection fails, requests may try the target; a failed connection proves "not run".
             is_target_up: true,
+            health: TargetHealth::default(),
             is_stopping: false,
             has_exited: false,
             wall: None,
@@ -142,11 +160,28 @@
         self.revision
     }
 
+    /// Returns the number of members of a service that are leaving.
+    pub(crate) fn leaving(&self, service: &str) -> usize {
+        let members = self.directory.members();
+        members.filter(|member| member.info.service == service && member.info.leaving).count()
+    }
+
     /// Returns the number of known members of a service.
     pub(crate) fn known(&self, service: &str) -> usize {
         self.directory.members().filter(|member| member.info.service == service).count()
     }
 
+    /// Returns whether a timer still has an effect when it expires.
+    pub(crate) fn awaits(&self, timer: Timer) -> bool {
+        match timer {
+            Timer::CallDeadline(key)
+            | Timer::Hedge(key)
+            | Timer::ClaimWrite(key)
+            | Timer::ClaimTimeout(key) => self.calls.contains_key(key),
+            Timer::Tick | Timer::StopDeadline => true,
+        }
+    }
+
     /// Applies one event that happened at `now` and appends its effects to `out`.
     pub(crate) fn apply(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
@@ -165,6 +200,7 @@
             Event::Target(reach) => self.set_reach(now, reach, out),
             Event::Timer(timer) => self.expire(now, timer, out),
             Event::Clock(wall) => self.wall = Some((now, wall)),
+            Event::Health(health) => self.health_read(now, health, out),
             Event::Stop => self.stop(now, out),
         }
     }
@@ -188,6 +224,7 @@
         out.push(Effect::Log(Record::Document { revision, services: document.services.len() }));
         let was_out = self.is_centre_out();
         self.document = Some(document);
+        self.serving.note_all();
         if was_out && !self.is_centre_out() {
             // Caches and connections of a target without work are cold, so its share returns step by step.
             self.gate.chill(now);
@@ -216,8 +253,10 @@
                 self.advance_queue(next, out);
                 self.tick_rollouts(now, out);
                 self.tick_members(now, out);
+                self.tick_remote(now, out);
                 self.owner.sweep(now);
                 self.share_claims();
+                self.report_measuring(now, out);
                 self.check_stopped(out);
                 out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
             }
@@ -234,6 +273,7 @@
         self.owner.leave();
         self.me.info.leaving = true;
         self.directory.upsert(self.me.info.clone());
+        self.serving.note_change(&self.me.info.service);
         self.announce_leave(now, out);
         out.push(Effect::Log(self.stop_record("begin")));
         out.push(Effect::Arm { timer: Timer::StopDeadline, after: self.me.drain });
@@ -247,6 +287,22 @@
         self.claim_budget.set_rate(document.budgets.claim_rate, nodes as u64);
     }
 
+    /// Logs what measuring load has cost, at a low rate and only if it changed.
+    fn report_measuring(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let counts = self.measure.counts();
+        if now < self.next_report || counts.bytes == self.reported {
+            return;
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        self.reported = counts.bytes;
+        out.push(Effect::Log(Record::Measured {
+            bytes: counts.bytes,
+            reports: counts.reports,
+            probes: counts.probes,
+            denied: counts.reports_denied + counts.probes_denied,
+        }));
+    }
+
     fn check_stopped(&mut self, out: &mut Vec<Effect>) {
         let is_idle = self.calls.is_empty() && self.works.is_empty();
         let has_told = self.membership.has_left() || self.membership.group() <= 1;
@@ -268,3 +324,6 @@
         Record::Stop { phase, calls: self.calls.len(), works: self.works.len() }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -10,6 +10,9 @@
 //! first for `p` = 10, and 4.22 times for `p` = 100, plus the floor of one retry per second at depth 0. Without
 //! the cut-off and the halving, a chain 11 deep would reach 1.1^11 = 2.85 and 2^11 = 2,048 times.
 
+mod eject;
+mod hedge;
+
 use std::time::Duration;
 
 use crate::{
@@ -17,12 +20,6 @@
     time::Time,
 };
 
-mod eject;
-mod hedge;
-
-#[cfg(test)]
-mod tests;
-
 pub use eject::Ejector;
 pub use hedge::HedgeDelay;
 
@@ -117,6 +114,14 @@
         Ok(())
     }
 
+    /// Returns whether a request may go to another target after an attempt of which nothing was sent.
+    ///
+    /// Such an attempt put no load on any target, so the number of attempts bounds the repeats and the budget is
+    /// not used. With it, a service with few calls would refuse some for each node that is gone.
+    pub fn resend(now: Time, request: &Attempted) -> bool {
+        request.attempts < MAX_ATTEMPTS && now + HOP_TIME < request.deadline
+    }
+
     /// Decides whether an idempotent request that has waited for `elapsed` is also sent to another target, and
     /// takes one retry from the budget if so.
     pub fn hedge(
@@ -156,3 +161,6 @@
     let next = left.checked_sub(HOP_TIME + left / HOP_DIVISOR)?;
     (!next.is_zero()).then_some(next)
 }
+
+#[cfg(test)]
+mod tests;
