--- a/src/bench/slopes.rs
+++ b/src/bench/slopes.rs
@@ -102,6 +102,7 @@
     step("joins", control::joins(seed));
     step("identities", control::identities());
     step("claims and reports", control::budgets());
+    step("contacts", control::contacts());
     step("log lines", control::log_lines());
     step("directory", decide::directory());
     step("decisions", decide::decisions(seed));
--- a/src/bench/slopes/control.rs
+++ b/src/bench/slopes/control.rs
@@ -73,6 +73,27 @@
     ]
 }
 
+/// The bytes of the contact keys and their values, which each seat lists.
+pub(super) fn contacts() -> Vec<Slope> {
+    let points = [3, 9, 27, 60].map(|contacts: u32| {
+        let entries = (0..contacts).map(|n| {
+            let member = membership::sample(MemberId(u64::MAX - u64::from(n)), n);
+            let contact = membership::Contact {
+                id: member.id,
+                centre: member.centre,
+                region: member.region,
+                gossip: member.gossip,
+                peer: member.peer,
+            };
+            let value =
+                serde_json::to_vec(&contact).expect("a contact has no type that JSON lacks");
+            "contact/".len() + contact.centre.len() + "/0".len() + value.len()
+        });
+        (f64::from(contacts), entries.sum::<usize>() as f64)
+    });
+    vec![Slope::new("contact.list", "B", "contacts", points.to_vec())]
+}
+
 /// The rates at which the budgets let claims and reports pass, over ten minutes and one minute.
 pub(super) fn budgets() -> Vec<Slope> {
     const CLAIM_TIME: Duration = Duration::from_secs(600);
--- a/src/bench/slopes/scale/figures.rs
+++ b/src/bench/slopes/scale/figures.rs
@@ -94,6 +94,7 @@
         joining(&costs),
         faults(&costs),
         configuration(&costs),
+        seat(&costs),
         judge(&costs),
         caller(&costs),
         target(&costs),
@@ -137,6 +138,9 @@
     let bytes = 2.0 * f64::from(GOSSIP_BYTES) + config_bytes(costs);
     let formula = "2 x 6,000 + configuration; membership sends at most 6,000 B/s";
     role.derived("control bytes meanwhile, at most", bytes, "B/s", BYTES, formula);
+    let room = (MAX_BYTES - 2.0 * f64::from(GOSSIP_BYTES)) * CHANGES / config_bytes(costs);
+    let formula = "(17,000 - 2 x 6,000) / (2 x (pull.received + pull.sent)) x 86,400";
+    role.derived("changes a day that fit beside", room * 86_400.0, "", None, formula);
     let document = costs.at("pull.full", SERVICES);
     let formula = "pull.full(4,700) / 17 KB/s";
     role.derived("document at 17 KB/s", document / MAX_BYTES, "s", None, formula);
@@ -196,6 +200,26 @@
     CHANGES * 2.0 * pull
 }
 
+fn seat(costs: &Costs<'_>) -> Role {
+    let mut role = Role::new("seat");
+    let list = costs.at("contact.list", CENTRES * SEATS as f64);
+    role.measured("list of contacts", list, "B", None, "contact.list(60)");
+    let change = costs.at("store.index", SERVICES) + costs.at("pull.received", SERVICES);
+    let read = list / CONTACT_INTERVAL.as_secs_f64() + CHANGES * change;
+    let formula = "contact.list(60) / 5 s + 0.61 x (store.index + pull.received)";
+    role.derived("read from the platform", read, "B/s", None, formula);
+    let gossip = costs.at("member.sent", REGION) + costs.at("member.received", REGION);
+    // A seat reads changes from the platform in place of a pull, and serves pulls like any node.
+    let bytes = gossip + read + config_bytes(costs) / 2.0;
+    let formula = "member(2,667) + read from the platform + configuration / 2";
+    role.derived("control bytes, 2,667", bytes, "B/s", BYTES, formula);
+    let calls =
+        CHANGES * 3.0 + 2.0 / WATCH_WAIT.as_secs_f64() + 2.0 / CONTACT_INTERVAL.as_secs_f64();
+    let formula = "0.61 x 3 + 2 / 20 s + 2 / 5 s";
+    role.derived("calls to the platform", calls, "1/s", None, formula);
+    role
+}
+
 fn judge(costs: &Costs<'_>) -> Role {
     let mut role = Role::new("version judge");
     let at = |id| costs.at(id, SERVICES);
@@ -258,6 +282,8 @@
     role.measured("time per identity", time, "us", None, "identity.time(65,536)");
     let claims = costs.at("claims.fleet", NODES);
     role.measured("claims of the fleet", claims, "1/s", WRITES, "claims.fleet(24,000)");
+    let share = FLEET_CLAIMS as f64 / CALLS * 1e6;
+    role.derived("claims per million calls", share, "", None, "200 / 3.8 M");
     let pause = NODES / FLEET_CLAIMS as f64;
     role.derived("time between claims of a node", pause, "s", None, "24,000 / 200");
     role
