Name members in the candidates of a routing decision

Cause: the log line of a choice listed candidates by arena keys, which mean nothing to an operator. Change: it lists member ids with their scores. Conclusion: a route line can be read together with the member lines.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,6 +1,6 @@
 //! The members that this node knows, by service, and what it has seen of their targets.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, fmt::Write};
 
 use compact_str::CompactString;
 use rand::rngs::SmallRng;
@@ -12,7 +12,7 @@
     load::TargetView,
     membership,
     retry::{Ejector, HedgeDelay, RetryBudget},
-    routing::{Candidate, Choice, NoChoice, Router, TargetState},
+    routing::{Candidate, Choice, NoChoice, Router, Score, TargetState},
     time::Time,
 };
 
@@ -178,6 +178,18 @@
         &mut self.services[service]
     }
 
+    /// Lists members with their scores, in whole units and separated by commas, for one log line.
+    pub(crate) fn describe(&self, scores: &[Score]) -> CompactString {
+        let mut text = CompactString::default();
+        for score in scores {
+            let Some(member) = self.members.get(score.key) else { continue };
+            let comma = if text.is_empty() { "" } else { "," };
+            // Writing to a string cannot fail.
+            let _ = write!(text, "{comma}{}:{:.0}", member.info.id, score.score);
+        }
+        text
+    }
+
     /// Iterates over all members.
     pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/src/reducer/calls/attempts.rs
+++ b/src/reducer/calls/attempts.rs
@@ -1,7 +1,5 @@
 //! Attempts of a call at targets, and what they show about the targets.
 
-use compact_str::ToCompactString;
-
 use crate::{
     effect::{Attempt, AttemptKind, CallStep, Effect, Hop, Record},
     keys::{CallKey, MemberId, MemberKey},
@@ -26,6 +24,7 @@
         let timeout = hop_time(now, call.deadline).ok_or(Reason::Deadline)?;
         self.check_crashes(now, key)?;
         let choice = self.choose_target(now, key)?;
+        let candidates = self.directory.describe(&choice.scores);
         let Some(call) = self.calls.get_mut(key) else { return Err(Reason::Deadline) };
         let member = self.directory.get_mut(choice.key).ok_or(Reason::NoTarget)?;
         let kind = match call.identity {
@@ -52,7 +51,7 @@
             attempt: number,
             member: member.info.id,
             reason: choice.why.as_str(),
-            candidates: choice.scores.to_compact_string(),
+            candidates,
         }));
         let attempt = Attempt { number, member: member.info.id, hop, timeout, kind };
         out.push(Effect::Call(key, CallStep::Attempt(attempt)));
