Open the crate's documentation with an example

Cause: the root module listed modules only; a stranger had to find the examples first. Change: a short example that is compiled and run as a documentation test. Figures: the documentation test passes. Conclusion: the first page of the documentation shows a use of the library.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,33 @@
 //!
 //! The library holds all behaviour; the programs under `src/bin` are thin. `docs/design.md` describes the
 //! architecture.
+//!
+//! # Example
+//!
+//! Chooses a target among two, of which nothing is known yet:
+//!
+//! ```
+//! use poplarbarrow::{
+//!     keys::MemberKey,
+//!     load::TargetView,
+//!     routing::{Candidate, Policy, Router, TargetState},
+//!     time::Time,
+//! };
+//! use rand::{SeedableRng, rngs::SmallRng};
+//! use slotmap::SlotMap;
+//!
+//! let mut views: SlotMap<MemberKey, TargetView> = SlotMap::with_key();
+//! let (first, second) = (views.insert(TargetView::new()), views.insert(TargetView::new()));
+//! let candidates = [first, second].map(|key| Candidate {
+//!     key,
+//!     view: &views[key],
+//!     local: true,
+//!     state: TargetState::InService,
+//! });
+//! let mut rng = SmallRng::seed_from_u64(1);
+//! let choice = Router::new(Policy::LeastLoaded).choose(Time::ZERO, &candidates, &[], &mut rng);
+//! assert!(choice.is_ok_and(|choice| choice.key == first || choice.key == second));
+//! ```
 
 mod admission;
 mod auth;
