--- /dev/null
+++ b/mesh/src/budget.rs
@@ -0,0 +1,63 @@
+//! The budget for requests that are sent to a target once more.
+//!
+//! The whole deployment shares one bound: repeats within a window may be a share of the requests and a fixed
+//! number besides. Each node earns its part of the share with its own requests and holds an equal part of the
+//! fixed number, so that all nodes together stay below the bound without any exchange.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// The part of the bound that the nodes use. The rest covers repeats that nodes cannot see, such as calls made by
+/// a run that was a repeat itself, and nodes that join or return.
+const USED_PART: f64 = 0.5;
+
+/// The bound of the whole deployment.
+#[derive(Copy, Clone, Debug, PartialEq)]
+pub struct RetryBound {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats in each window besides.
+    pub slack: f64,
+    /// The length of the sliding window.
+    pub window: Duration,
+}
+
+/// The repeats that this node may still send to one service.
+#[derive(Clone, Debug)]
+pub(crate) struct RetryBudget {
+    earned: f64,
+    spare: f64,
+    refilled: Time,
+}
+
+impl RetryBudget {
+    pub(crate) fn new(now: Time) -> RetryBudget {
+        RetryBudget { earned: 0.0, spare: 0.0, refilled: now }
+    }
+
+    /// Notes a caller's request for the service.
+    pub(crate) fn earn(&mut self, bound: &RetryBound) {
+        // What was earned long ago must not be spent within one window.
+        let most = bound.slack * USED_PART;
+        self.earned = (self.earned + bound.ratio * USED_PART).min(most.max(1.0));
+    }
+
+    /// Takes one repeat, or returns `false` if none is left.
+    pub(crate) fn take(&mut self, now: Time, bound: &RetryBound, nodes: usize) -> bool {
+        let part = bound.slack * USED_PART / 2.0 / nodes.max(1) as f64;
+        let refill = part * now.since(self.refilled).as_secs_f64() / bound.window.as_secs_f64();
+        self.refilled = now;
+        self.spare = (self.spare + refill).min(part.max(1.0));
+        for balance in [&mut self.earned, &mut self.spare] {
+            if *balance >= 1.0 {
+                *balance -= 1.0;
+                return true;
+            }
+        }
+        false
+    }
+}
+
+#[cfg(any())]
+mod tests;
--- /dev/null
+++ b/mesh/src/directory.rs
@@ -0,0 +1,253 @@
+//! The members of the deployment as this node knows them: one node beside each target.
+//!
+//! The store lists the members. While the store is away the list stays as it was, and what members say themselves,
+//! or do not say any more, decides who receives requests.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use slotmap::SlotMap;
+
+use crate::{
+    keys::{MemberId, MemberKey},
+    report::LoadReport,
+    time::Time,
+};
+
+/// The time without any sign of a member after which it receives requests only if no other can.
+const SILENCE: Duration = Duration::from_millis(1_600);
+
+/// The pause after a connection to a member could not be opened or broke.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
+
+/// The time for which a member stays listed although its record is gone from the store, because records that
+/// lapsed while the store was away return only some time after it.
+const LAPSE_GRACE: Duration = Duration::from_secs(3);
+
+/// What a node keeps about itself in the store, under a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// This process lifetime.
+    pub id: MemberId,
+    /// Where other nodes send requests, and notes by datagram.
+    pub address: SocketAddr,
+    /// The data centre.
+    pub centre: CompactString,
+    /// The service of the target.
+    pub service: CompactString,
+    /// The lifetime of the target that takes work.
+    pub target: Option<TargetRecord>,
+}
+
+/// The target beside a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRecord {
+    /// The id of the lifetime.
+    pub id: CompactString,
+    /// The version of its software.
+    pub version: CompactString,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+}
+
+/// A member as this node sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) record: MemberRecord,
+    /// The last load report and when it arrived.
+    pub(crate) load: Option<(Time, LoadReport)>,
+    /// Requests sent since that report and not answered.
+    pub(crate) sent: u32,
+    /// Requests sent and not answered at all.
+    pub(crate) in_flight: u32,
+    /// The last sign of life.
+    pub(crate) heard: Time,
+    /// The end of a pause after a failed connection.
+    pub(crate) paused: Option<Time>,
+    /// When its record disappeared from the store.
+    lapsed: Option<Time>,
+    /// What its target answered, by its own count.
+    pub(crate) tally: Tally,
+    /// The version of the configuration that it has.
+    pub(crate) config: u64,
+}
+
+/// Answers of one lifetime of a target, as its node counts them.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Answers with success.
+    pub good: u32,
+    /// Failures and lost answers.
+    pub bad: u32,
+    /// The sum of the service times at the usual pace in milliseconds, of answers outside cold start.
+    pub slowness: u32,
+    /// The number of those answers.
+    pub timed: u32,
+    /// Requests sent to the target.
+    pub sent: u32,
+}
+
+impl Member {
+    /// Returns whether nothing was heard of the member for long.
+    pub(crate) fn is_silent(&self, now: Time) -> bool {
+        now.since(self.heard) > SILENCE
+    }
+
+    pub(crate) fn is_paused(&self, now: Time) -> bool {
+        self.paused.is_some_and(|until| now < until)
+    }
+
+    /// Returns the version of the target.
+    pub(crate) fn version(&self) -> Option<&CompactString> {
+        self.record.target.as_ref().map(|target| &target.version)
+    }
+
+    /// Returns whether the target may take new work, as far as this node knows.
+    pub(crate) fn is_open(&self) -> bool {
+        let is_listed = self.record.target.as_ref().is_some_and(|target| !target.is_leaving);
+        is_listed && self.load.is_none_or(|(_, load)| load.is_open)
+    }
+
+    /// Notes a load report; requests that were sent before are part of it.
+    pub(crate) fn reported(&mut self, now: Time, load: LoadReport) {
+        self.load = Some((now, load));
+        self.sent = 0;
+        self.heard = now;
+    }
+}
+
+/// All members, by key, id and service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Directory {
+    members: SlotMap<MemberKey, Member>,
+    ids: HashMap<MemberId, MemberKey>,
+    services: HashMap<CompactString, Vec<MemberKey>>,
+}
+
+impl Directory {
+    /// Adds a member or brings it up to date; returns whether it was new.
+    pub(crate) fn put(&mut self, now: Time, record: MemberRecord) -> bool {
+        if let Some(&key) = self.ids.get(&record.id) {
+            let member = &mut self.members[key];
+            member.lapsed = None;
+            // A lifetime that is leaving does not return, whatever an older record says.
+            let was_leaving = member.record.target.as_ref().filter(|target| target.is_leaving);
+            let is_same = |target: &TargetRecord| was_leaving.is_some_and(|old| old.id == target.id);
+            let stays = record.target.as_ref().is_some_and(is_same);
+            member.record = record;
+            if let Some(target) = member.record.target.as_mut().filter(|_| stays) {
+                target.is_leaving = true;
+            }
+            return false;
+        }
+        // A new process at an address replaces the earlier one there.
+        let earlier = self.members.iter().find(|(_, member)| member.record.address == record.address);
+        if let Some(id) = earlier.map(|(_, member)| member.record.id) {
+            self.remove(id);
+        }
+        let (id, service) = (record.id, record.service.clone());
+        let member = Member {
+            record,
+            load: None,
+            sent: 0,
+            in_flight: 0,
+            heard: now,
+            paused: None,
+            lapsed: None,
+            tally: Tally::default(),
+            config: 0,
+        };
+        let key = self.members.insert(member);
+        self.ids.insert(id, key);
+        self.services.entry(service).or_default().push(key);
+        true
+    }
+
+    /// Removes a member at once.
+    pub(crate) fn remove(&mut self, id: MemberId) -> Option<Member> {
+        let key = self.ids.remove(&id)?;
+        let member = self.members.remove(key)?;
+        if let Some(keys) = self.services.get_mut(&member.record.service) {
+            keys.retain(|&other| other != key);
+        }
+        Some(member)
+    }
+
+    /// Notes that the record of a member is gone from the store.
+    pub(crate) fn lapse(&mut self, now: Time, id: MemberId) {
+        if let Some(member) = self.ids.get(&id).and_then(|&key| self.members.get_mut(key)) {
+            member.lapsed.get_or_insert(now);
+        }
+    }
+
+    /// Takes the store's list: members that are not in it have lapsed.
+    pub(crate) fn replace(&mut self, now: Time, records: Vec<MemberRecord>) {
+        let listed: Vec<MemberId> = records.iter().map(|record| record.id).collect();
+        for record in records {
+            self.put(now, record);
+        }
+        let missing: Vec<MemberId> =
+            self.ids.keys().filter(|id| !listed.contains(id)).copied().collect();
+        for id in missing {
+            self.lapse(now, id);
+        }
+    }
+
+    /// Removes members whose records are gone for long, and returns them. A member that still speaks stays as long
+    /// as the store cannot be reached, because its record may have lapsed with the store.
+    pub(crate) fn expire(&mut self, now: Time, has_store: bool, me: MemberId) -> Vec<Member> {
+        if !has_store {
+            for member in self.members.values_mut() {
+                if member.lapsed.is_some() {
+                    member.lapsed = Some(now);
+                }
+            }
+            return Vec::new();
+        }
+        let is_gone = |member: &&Member| {
+            let is_silent = member.is_silent(now);
+            member.record.id != me
+                && member.lapsed.is_some_and(|at| is_silent || now.since(at) > LAPSE_GRACE)
+        };
+        let gone: Vec<MemberId> =
+            self.members.values().filter(is_gone).map(|member| member.record.id).collect();
+        gone.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Pauses a member whose connection could not be opened or broke.
+    pub(crate) fn pause(&mut self, now: Time, key: MemberKey) {
+        if let Some(member) = self.members.get_mut(key) {
+            member.paused = Some(now + UNREACHABLE_PAUSE);
+        }
+    }
+
+    pub(crate) fn key(&self, id: MemberId) -> Option<MemberKey> {
+        self.ids.get(&id).copied()
+    }
+
+    pub(crate) fn get(&self, key: MemberKey) -> Option<&Member> {
+        self.members.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: MemberKey) -> Option<&mut Member> {
+        self.members.get_mut(key)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (MemberKey, &Member)> {
+        self.members.iter()
+    }
+
+    /// Iterates over the members of one service.
+    pub(crate) fn of(&self, service: &str) -> impl Iterator<Item = (MemberKey, &Member)> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().filter_map(|&key| Some((key, self.members.get(key)?)))
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+}
+
+#[cfg(any())]
+mod tests;
--- /dev/null
+++ b/mesh/src/entry.rs
@@ -0,0 +1,250 @@
+//! The entry of callers' requests: has the reducer choose targets and passes the answer back.
+
+use std::{
+    future::poll_fn,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
+
+use compact_str::{CompactString, ToCompactString};
+use futures_util::{
+    StreamExt,
+    future::{BoxFuture, FutureExt},
+    stream::FuturesUnordered,
+};
+use http::{HeaderValue, Request, Response, header, request::Parts};
+use http_body::Body as _;
+use hyper::body::Incoming;
+
+use crate::{
+    driver::Driver,
+    effect::{Attempt, CallStep, Hop},
+    event::{CallEvent, CallHead, Event, Failure},
+    inbound::{self, Reply},
+    keys::CallKey,
+    names::{self, Names},
+    payload::{Body, Payload},
+    peers::Peers,
+    refusal::{Reason, Refusal},
+    worker::{Ending, Worker},
+};
+
+/// The longest time that a caller may state.
+const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
+
+/// The longest time in which the body of a request must arrive if its caller states no time.
+const BODY_TIME: Duration = Duration::from_secs(30);
+
+/// Serves callers' requests.
+#[derive(Clone)]
+pub(crate) struct Entry {
+    pub(crate) driver: Arc<Driver>,
+    pub(crate) names: Arc<Names>,
+    /// The service of the instance on which this node runs.
+    pub(crate) caller: HeaderValue,
+    pub(crate) peers: Peers,
+    pub(crate) worker: Worker,
+}
+
+impl Entry {
+    /// Serves one request; the answer is the target's own, or a refusal.
+    pub(crate) async fn serve(&self, req: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = req.into_parts();
+        let id = parts.headers.get(&self.names.request_id).cloned();
+        let mut answer = match self.take(parts, body).await {
+            Ok(answer) => answer,
+            Err(refusal) => refuse(&refusal),
+        };
+        let headers = answer.headers_mut();
+        if let Some(id) = id
+            && !headers.contains_key(&self.names.request_id)
+        {
+            headers.insert(self.names.request_id.clone(), id);
+        }
+        if self.driver.inspect(|_, reducer| reducer.is_stopping()) {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+
+    async fn take(&self, mut parts: Parts, body: Incoming) -> Result<Response<Body>, Refusal> {
+        let timeout = read_timeout(&parts, &self.names)?;
+        let limit = self.driver.inspect(|_, reducer| {
+            reducer.config().map_or(u64::MAX, |table| table.config.limits.body)
+        });
+        let refuse = |reason| Refusal { reason, may_have_run: false, retry_after: None };
+        if body.size_hint().lower() > limit {
+            return Err(refuse(Reason::BodyTooLarge));
+        }
+        let host = host(&parts).ok_or(refuse(Reason::Malformed))?;
+        let read = tokio::time::timeout(timeout.unwrap_or(BODY_TIME), Payload::read(body)).await;
+        let payload = match read {
+            Ok(Ok(payload)) => payload,
+            Ok(Err(_)) | Err(_) => return Err(refuse(Reason::BodyCut)),
+        };
+        names::strip_hop_by_hop(&mut parts.headers);
+        names::strip_internal(&mut parts.headers);
+        parts.headers.insert(self.names.caller.clone(), self.caller.clone());
+        let head = CallHead {
+            id: names::text(&parts.headers, &self.names.request_id).unwrap_or_default().into(),
+            host,
+            path: parts.uri.path().to_compact_string(),
+            timeout,
+            can_resend: payload.is_whole(),
+            print: self.fingerprint(&parts, &payload),
+        };
+        self.route(head, parts, payload).await
+    }
+
+    async fn route(
+        &self,
+        head: CallHead,
+        parts: Parts,
+        mut payload: Payload,
+    ) -> Result<Response<Body>, Refusal> {
+        let Some(call) = Handle::open(&self.driver) else {
+            let retry_after = Some(Duration::from_secs(1));
+            return Err(Refusal { reason: Reason::Overloaded, may_have_run: false, retry_after });
+        };
+        call.dispatch(CallEvent::Arrived(head));
+        let mut attempts = FuturesUnordered::new();
+        let mut answers: Vec<(u32, Response<Body>)> = Vec::new();
+        loop {
+            tokio::select! {
+                biased;
+                step = call.next() => match step {
+                    Some(CallStep::Attempt(attempt)) => {
+                        attempts.push(self.attempt(attempt, &parts, &mut payload));
+                    }
+                    Some(CallStep::Deliver { attempt }) => {
+                        let index = answers.iter().position(|(number, _)| *number == attempt);
+                        let Some(index) = index else { continue };
+                        let (_, answer) = answers.swap_remove(index);
+                        return Ok(answer.map(|body| body.on_end(move || drop(call))));
+                    }
+                    Some(CallStep::Refuse(refusal)) => return Err(refusal),
+                    None => {
+                        let reason = Reason::Stopping;
+                        return Err(Refusal { reason, may_have_run: true, retry_after: None });
+                    }
+                },
+                Some((attempt, reply)) = attempts.next() => {
+                    let (event, answer) = read_reply(attempt, reply);
+                    answers.extend(answer.map(|answer| (attempt, answer)));
+                    call.dispatch(event);
+                }
+            }
+        }
+    }
+
+    /// Sends the request to a target's node; its body is copied if it is kept, and used up otherwise.
+    fn attempt(
+        &self,
+        attempt: Attempt,
+        parts: &Parts,
+        payload: &mut Payload,
+    ) -> BoxFuture<'static, (u32, Reply)> {
+        let Attempt { number, hop, order } = attempt;
+        let this = self.clone();
+        let parts = parts.clone();
+        let Some(payload) = payload.share() else {
+            return async move { (number, Reply::failed(Failure::BodyCut)) }.boxed();
+        };
+        async move {
+            let reply = match hop {
+                Hop::Own => {
+                    let ending = this.worker.run(&order, parts, payload).await;
+                    let (load, usual) = this.driver.inspect(|now, reducer| {
+                        (reducer.load(now), reducer.usual_service(&order.route))
+                    });
+                    Reply { ending, load: Some(load), usual: Some(usual) }
+                }
+                Hop::Peer { member, address } => {
+                    inbound::send(&this.peers.to(address), member, &order, parts, payload).await
+                }
+            };
+            (number, reply)
+        }
+        .boxed()
+    }
+
+    /// Identifies a request when it comes again under another id.
+    fn fingerprint(&self, parts: &Parts, payload: &Payload) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        parts.method.as_str().hash(&mut hasher);
+        parts.uri.path_and_query().map(|path| path.as_str()).hash(&mut hasher);
+        self.caller.as_bytes().hash(&mut hasher);
+        payload.start.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// Turns the end of an attempt into an event and the answer, if there is one.
+fn read_reply(attempt: u32, reply: Reply) -> (CallEvent, Option<Response<Body>>) {
+    let Reply { ending, load, usual } = reply;
+    match ending {
+        Ending::Answer(answer) => {
+            let status = answer.status().as_u16();
+            (CallEvent::Answered { attempt, status, load, usual }, Some(answer))
+        }
+        Ending::Shed => (CallEvent::Shed { attempt, load }, None),
+        Ending::Refused { reason, wait } => {
+            (CallEvent::Refused { attempt, reason, wait, load }, None)
+        }
+        Ending::Failed(failure) => (CallEvent::Failed { attempt, failure }, None),
+    }
+}
+
+/// A registered request of a caller; dropping it tells the reducer that the request has ended.
+struct Handle {
+    driver: Arc<Driver>,
+    key: CallKey,
+}
+
+impl Handle {
+    fn open(driver: &Arc<Driver>) -> Option<Handle> {
+        let key = driver.open_call()?;
+        Some(Handle { driver: driver.clone(), key })
+    }
+
+    async fn next(&self) -> Option<CallStep> {
+        poll_fn(|cx| self.driver.poll_call(self.key, cx)).await
+    }
+
+    fn dispatch(&self, event: CallEvent) {
+        self.driver.dispatch(Event::Call(self.key, event));
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.driver.close_call(self.key);
+    }
+}
+
+fn read_timeout(parts: &Parts, names: &Names) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = parts.headers.get(&names.deadline) else { return Ok(None) };
+    let ms = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    let ms = ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
+    let malformed = Refusal { reason: Reason::Malformed, may_have_run: false, retry_after: None };
+    let ms = ms.ok_or(malformed)?;
+    Ok(Some(Duration::from_secs_f64(ms / 1_000.0).min(MAX_TIMEOUT)))
+}
+
+fn host(parts: &Parts) -> Option<CompactString> {
+    let from_uri = parts.uri.host().map(CompactString::from);
+    from_uri.or_else(|| names::text(&parts.headers, &header::HOST).map(CompactString::from))
+}
+
+/// Creates the response that refuses a request.
+fn refuse(refusal: &Refusal) -> Response<Body> {
+    let mut answer = Response::new(Body::default());
+    *answer.status_mut() = refusal.status();
+    let headers = answer.headers_mut();
+    headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
+    if let Some(after) = refusal.retry_after {
+        names::set(headers, &header::RETRY_AFTER, &format!("{:.3}", after.as_secs_f64()));
+    }
+    answer
+}
--- /dev/null
+++ b/mesh/src/gate.rs
@@ -0,0 +1,363 @@
+//! Admission at the target's node: how much runs at once, who waits, and who is refused at once.
+//!
+//! A target gets slower when nearly all of its slots are taken, so the gate leaves some free. Work that waits is
+//! ordered by rank. Work that cannot end within its objective is refused while its entry node can still have it
+//! run elsewhere; the refusal names the expected wait.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::{
+    keys::WorkKey,
+    pace::{Pace, ServiceTimes},
+    refusal::Reason,
+    report::LoadReport,
+    time::Time,
+};
+
+/// The part of its slots up to which a target works at full speed; nearly full ones slow down.
+const FULL_SPEED_PART: f64 = 0.8;
+
+/// The part of the limit that work which is already late may take, so that it delays nothing that is in time.
+const LATE_PART: f64 = 0.5;
+
+/// Waiting requests for each slot; beyond it the lowest rank is refused.
+const QUEUE_PER_SLOT: usize = 3;
+
+/// The part of the cold rate that is used, because the bound holds for arrivals at the target, whose spacing
+/// differs from that of the sends.
+const COLD_PART: f64 = 0.9;
+
+/// The requests that a cold target may get at once.
+const COLD_BURST: f64 = 2.0;
+
+/// The weight of an outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.06;
+
+/// The age at which the share of failures counts half, in seconds, so that a target is tried again.
+const FAILURE_HALF_AGE: f64 = 2.0;
+
+/// A request that asks to run at the target.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Ask {
+    pub(crate) route: CompactString,
+    /// The rank; 0 is the highest.
+    pub(crate) priority: u8,
+    /// The time until which the answer has its full value.
+    pub(crate) objective: Time,
+    /// The time at which the caller stops waiting.
+    pub(crate) deadline: Time,
+    /// Whether the entry node knows that no target can meet the objective.
+    pub(crate) is_late: bool,
+}
+
+/// The answer to a request that arrives.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Decision {
+    /// It runs now.
+    Run,
+    /// It waits; a later [`Next`] decides.
+    Queue,
+    /// It is refused and has not run. `wait` says when it could have started.
+    Refuse { reason: Reason, wait: Duration },
+}
+
+/// What to do with a request that waited.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Next {
+    Run(WorkKey),
+    Refuse { work: WorkKey, reason: Reason, wait: Duration },
+}
+
+/// How a request at the target ended.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Finish {
+    /// The target answered with success, or with a failure that says nothing about the target.
+    Answer,
+    /// The target failed the request or its answer was lost.
+    Failure,
+    /// The target said that it did not run the request.
+    Shed,
+    /// The caller went away.
+    Cancelled,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    work: WorkKey,
+    route: CompactString,
+    since: Time,
+    pace: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    work: WorkKey,
+    ask: Ask,
+}
+
+/// Admits, queues and refuses requests for one target.
+#[derive(Clone, Debug)]
+pub(crate) struct Gate {
+    slots: u16,
+    running: Vec<Running>,
+    /// In the order in which they run.
+    queue: Vec<Waiting>,
+    /// Why no new work is taken, if so.
+    closed: Option<Reason>,
+    pace: Pace,
+    times: ServiceTimes,
+    failing: f64,
+    failed_at: Time,
+    cold: Option<ColdRate>,
+}
+
+/// A bucket of the requests that a cold target tolerates.
+#[derive(Copy, Clone, Debug)]
+struct ColdRate {
+    rate: f64,
+    tokens: f64,
+    filled: Time,
+}
+
+impl ColdRate {
+    fn refill(&mut self, now: Time) {
+        let earned = now.since(self.filled).as_secs_f64() * self.rate;
+        self.tokens = (self.tokens + earned).min(COLD_BURST);
+        self.filled = now;
+    }
+
+    /// Returns the time until a request may start.
+    fn wait(&mut self, now: Time) -> Duration {
+        self.refill(now);
+        let missing = (1.0 - self.tokens).max(0.0);
+        Duration::from_secs_f64(missing / self.rate.max(0.1))
+    }
+}
+
+impl Gate {
+    pub(crate) fn new() -> Gate {
+        Gate {
+            slots: 1,
+            running: Vec::new(),
+            queue: Vec::new(),
+            closed: Some(Reason::NoTarget),
+            pace: Pace::new(),
+            times: ServiceTimes::default(),
+            failing: 0.0,
+            failed_at: Time::ZERO,
+            cold: None,
+        }
+    }
+
+    /// Sets the number of slots of the target.
+    pub(crate) fn set_slots(&mut self, slots: u16) {
+        self.slots = slots.max(1);
+    }
+
+    /// Notes a reading of the target's pace in per cent of the usual time.
+    pub(crate) fn read_pace(&mut self, now: Time, percent: u32) {
+        self.pace.read(now, percent);
+    }
+
+    /// Takes work again, or refuses it with a reason; what runs already goes on.
+    pub(crate) fn set_closed(&mut self, closed: Option<Reason>) -> Vec<Next> {
+        self.closed = closed;
+        let Some(reason) = closed else { return Vec::new() };
+        let refuse = |waiting: Waiting| Next::Refuse {
+            work: waiting.work,
+            reason,
+            wait: Duration::ZERO,
+        };
+        self.queue.drain(..).map(refuse).collect()
+    }
+
+    /// Sets the requests per second that the target tolerates in cold start, or `None` if it is warm.
+    pub(crate) fn set_cold(&mut self, now: Time, rate: Option<f64>) {
+        match (&mut self.cold, rate) {
+            (Some(cold), Some(rate)) => cold.rate = rate * COLD_PART,
+            (cold, Some(rate)) => {
+                *cold = Some(ColdRate { rate: rate * COLD_PART, tokens: 1.0, filled: now });
+            }
+            (cold, None) => *cold = None,
+        }
+    }
+
+    /// Forgets what was learnt of an earlier lifetime of the target.
+    pub(crate) fn restart(&mut self) {
+        self.failing = 0.0;
+    }
+
+    /// Decides on a request that arrives.
+    pub(crate) fn arrive(&mut self, now: Time, work: WorkKey, ask: &Ask) -> Decision {
+        if let Some(reason) = self.closed {
+            return Decision::Refuse { reason, wait: Duration::ZERO };
+        }
+        if ask.deadline <= now {
+            return Decision::Refuse { reason: Reason::Deadline, wait: Duration::ZERO };
+        }
+        let position = self.position(ask);
+        let wait = self.wait(now, position);
+        let finish = now + wait + self.service(now, &ask.route);
+        if ask.is_late {
+            if self.running.len() >= self.late_limit() || !self.queue.is_empty() {
+                return Decision::Refuse { reason: Reason::Overloaded, wait };
+            }
+            if finish > ask.deadline && !self.running.is_empty() {
+                return Decision::Refuse { reason: Reason::Deadline, wait };
+            }
+        } else if finish > ask.objective && !self.is_unmeasurable(now, ask) {
+            return Decision::Refuse { reason: Reason::Overloaded, wait };
+        }
+        if position == 0 && self.has_room(now) {
+            self.start(now, work, ask.route.clone());
+            return Decision::Run;
+        }
+        if self.queue.len() >= usize::from(self.slots) * QUEUE_PER_SLOT {
+            return Decision::Refuse { reason: Reason::Overloaded, wait };
+        }
+        self.queue.insert(position, Waiting { work, ask: ask.clone() });
+        Decision::Queue
+    }
+
+    /// Notes the end of a running request and returns what to do with those that wait.
+    pub(crate) fn finish(&mut self, now: Time, work: WorkKey, finish: Finish) -> Vec<Next> {
+        let Some(index) = self.running.iter().position(|running| running.work == work) else {
+            self.queue.retain(|waiting| waiting.work != work);
+            return Vec::new();
+        };
+        let running = self.running.swap_remove(index);
+        match finish {
+            Finish::Answer => {
+                // The pace may have changed while the work ran; the mean of both ends is the best guess.
+                let pace = (running.pace + self.pace.get(now)) / 2.0;
+                self.times.measured(&running.route, now.since(running.since), pace);
+                self.count(now, 0.0);
+            }
+            Finish::Failure | Finish::Shed => self.count(now, 1.0),
+            Finish::Cancelled => {}
+        }
+        self.advance(now)
+    }
+
+    /// Starts what may start, and refuses what can no longer end within its objective.
+    pub(crate) fn advance(&mut self, now: Time) -> Vec<Next> {
+        let mut next = Vec::new();
+        let mut position = 0;
+        while position < self.queue.len() {
+            let ask = &self.queue[position].ask;
+            let wait = self.wait(now, position);
+            let bound = if ask.is_late { ask.deadline } else { ask.objective };
+            if now + wait + self.service(now, &ask.route) > bound {
+                let work = self.queue.remove(position).work;
+                next.push(Next::Refuse { work, reason: Reason::Overloaded, wait });
+            } else if position == 0 && self.has_room(now) {
+                let Waiting { work, ask } = self.queue.remove(0);
+                self.start(now, work, ask.route);
+                next.push(Next::Run(work));
+            } else {
+                position += 1;
+            }
+        }
+        next
+    }
+
+    /// Returns whether requests wait, so that [`Gate::advance`] is due soon.
+    pub(crate) fn has_queue(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// Returns the number of requests that run or wait.
+    pub(crate) fn busy(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+
+    /// Returns what other nodes are told.
+    pub(crate) fn report(&self, now: Time) -> LoadReport {
+        let small = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
+        LoadReport {
+            running: small(self.running.len()),
+            queued: small(self.queue.len()),
+            limit: small(self.limit()),
+            pace: (self.pace.get(now) * 100.0) as u16,
+            service_us: self.times.mean().as_micros() as u32,
+            failing: (self.failing(now) * 1_000.0) as u16,
+            is_open: self.closed.is_none(),
+            is_cold: self.cold.is_some(),
+        }
+    }
+
+    /// Returns the expected service time of a route at the usual pace.
+    pub(crate) fn usual_service(&self, route: &str) -> Duration {
+        self.times.get(route)
+    }
+
+    fn limit(&self) -> usize {
+        ((f64::from(self.slots) * FULL_SPEED_PART) as usize).max(1)
+    }
+
+    fn late_limit(&self) -> usize {
+        ((self.limit() as f64 * LATE_PART) as usize).max(1)
+    }
+
+    /// Returns whether a request runs although it seems too slow for its objective. An idle target whose measured
+    /// service time alone exceeds the objective would otherwise never correct that measurement.
+    fn is_unmeasurable(&self, now: Time, ask: &Ask) -> bool {
+        let is_idle = self.running.is_empty() && self.queue.is_empty() && self.cold.is_none();
+        is_idle && now + self.times.get(&ask.route) > ask.objective
+    }
+
+    fn has_room(&mut self, now: Time) -> bool {
+        let has_slot = self.running.len() < self.limit();
+        has_slot && self.cold.as_mut().is_none_or(|cold| cold.wait(now).is_zero())
+    }
+
+    fn start(&mut self, now: Time, work: WorkKey, route: CompactString) {
+        if let Some(cold) = &mut self.cold {
+            cold.tokens -= 1.0;
+        }
+        let pace = self.pace.get(now);
+        self.running.push(Running { work, route, since: now, pace });
+    }
+
+    /// Returns the place of a request in the queue: by lateness, then rank, then objective.
+    fn position(&self, ask: &Ask) -> usize {
+        let key = |ask: &Ask| (ask.is_late, ask.priority, ask.objective);
+        self.queue.partition_point(|waiting| key(&waiting.ask) <= key(ask))
+    }
+
+    /// Returns the expected time until the request at a place in the queue starts.
+    fn wait(&self, now: Time, position: usize) -> Duration {
+        let limit = self.limit();
+        let ahead = (self.running.len() + position + 1).saturating_sub(limit);
+        let mut wait = self.mean_service(now).mul_f64(ahead as f64 / limit as f64);
+        if let Some(mut cold) = self.cold {
+            let turns = Duration::from_secs_f64(position as f64 / cold.rate.max(0.1));
+            wait = wait.max(cold.wait(now) + turns);
+        }
+        wait
+    }
+
+    fn service(&self, now: Time, route: &str) -> Duration {
+        self.times.get(route).mul_f64(self.pace.get(now))
+    }
+
+    fn mean_service(&self, now: Time) -> Duration {
+        self.times.mean().mul_f64(self.pace.get(now))
+    }
+
+    fn failing(&self, now: Time) -> f64 {
+        let age = now.since(self.failed_at).as_secs_f64();
+        self.failing * 0.5_f64.powf(age / FAILURE_HALF_AGE)
+    }
+
+    fn count(&mut self, now: Time, outcome: f64) {
+        let failing = self.failing(now);
+        self.failing = failing + (outcome - failing) * FAILURE_WEIGHT;
+        self.failed_at = now;
+    }
+}
+
+#[cfg(any())]
+mod tests;
--- /dev/null
+++ b/mesh/src/lib.rs
@@ -0,0 +1,50 @@
+//! The sidecar node of poplarbarrow for deployments whose store keeps members and configuration.
+//!
+//! One node runs beside each target. Callers on its instance send requests to it; it chooses a target, whose own node
+//! admits, queues or refuses the request. Nodes find each other through the [`store`]; what must last is kept there,
+//! and nothing is kept on the instance. All decisions are made in one reducer, without input or output.
+//!
+//! `docs/platform.md` describes the design.
+
+pub mod config;
+pub mod keys;
+pub mod lines;
+pub mod logging;
+pub mod names;
+pub mod node;
+pub mod payload;
+pub mod pool;
+pub mod serve;
+pub mod settings;
+pub mod store;
+pub mod time;
+pub mod timer;
+
+mod budget;
+mod directory;
+mod driver;
+mod effect;
+mod entry;
+mod event;
+mod gate;
+mod health;
+mod inbound;
+mod metrics;
+mod note;
+mod pace;
+mod peers;
+mod placement;
+mod reducer;
+mod refusal;
+mod registry;
+mod report;
+mod rollout;
+mod target;
+mod worker;
+
+pub use crate::{
+    budget::RetryBound,
+    reducer::Limits,
+    rollout::{RolloutOrder, RolloutRecord, RolloutState},
+    target::{Heard, Heartbeat, Lifetime},
+};
--- a/src/logging/lines.rs
+++ b/mesh/src/lines.rs
@@ -7,7 +7,8 @@
     time::Duration,
 };
 
-use super::THREAD;
+/// The name of the thread that writes log lines.
+pub const THREAD: &str = "log";
 
 /// The bytes of log lines that may wait for the writer, about 20,000 lines and an eighth of a node's 32 MB;
 /// beyond it lines are dropped and counted.
@@ -20,7 +21,7 @@
 const KEPT_CAPACITY: usize = 64 << 10;
 
 /// Takes lines, each ended by a flush, and writes them from a thread of its own.
-pub(super) struct Lines {
+pub struct Lines {
     line: Vec<u8>,
     shared: Arc<Shared>,
     writer: Option<JoinHandle<()>>,
@@ -41,7 +42,11 @@
 
 impl Lines {
     /// Starts the writer; `report` formats the line that tells how many lines were dropped.
-    pub(super) fn start(
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread cannot be started.
+    pub fn start(
         out: impl Write + Send + 'static,
         report: fn(u64) -> String,
     ) -> io::Result<Lines> {
--- /dev/null
+++ b/mesh/src/logging.rs
@@ -0,0 +1,115 @@
+//! Log lines of key=value pairs, one for each decision that touches a request or changes what the node believes.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    io,
+    sync::Mutex,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use slog::{Drain, Level, Logger, info, o, warn};
+use slog_logfmt::Logfmt;
+
+use crate::{effect::Record, lines::Lines};
+
+/// One in this many requests that are served without trouble is logged in full, chosen by its id so that all nodes
+/// log the same requests.
+const SAMPLED: u64 = 16;
+
+/// Creates a logger that writes to standard output from a thread of its own.
+///
+/// # Panics
+///
+/// Panics if the thread cannot be started.
+pub fn logger() -> Logger {
+    let lines = Lines::start(io::stdout(), dropped).expect("a process can start its first threads");
+    let lines = Mutex::new(Logfmt::new(lines).set_prefix(write_prefix).build());
+    Logger::root(lines.filter_level(Level::Info).fuse(), o!())
+}
+
+/// Creates a logger that writes nothing.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+/// Writes one record as one line.
+pub(crate) fn write(log: &Logger, record: &Record) {
+    let ms = |time: &Duration| time.as_micros() as f64 / 1_000.0;
+    match record {
+        Record::Route { id, route, service, attempt, member, cost, compared, age, config } => {
+            if *attempt > 1 || is_sampled(id) {
+                info!(log, "route"; "id" => id.as_str(), "route" => route.as_str(),
+                    "service" => service.as_str(), "attempt" => attempt, "member" => %member,
+                    "cost_ms" => ms(cost), "compared" => compared,
+                    "report_age_ms" => age.as_ref().map(ms), "config" => config);
+            }
+        }
+        Record::Retry { id, attempt, cause, is_resent } => info!(log, "retry";
+            "id" => id.as_str(), "attempt" => attempt, "cause" => cause, "resent" => is_resent),
+        Record::Refuse { id, route, refusal, attempts, waited } => info!(log, "refuse";
+            "id" => id.as_str(), "route" => route.as_str(), "reason" => refusal.reason.as_str(),
+            "may_have_run" => refusal.may_have_run, "status" => refusal.status().as_u16(),
+            "retry_after_ms" => refusal.retry_after.as_ref().map(ms), "attempts" => attempts,
+            "waited_ms" => ms(waited)),
+        Record::Answer { id, status, attempts, took } => {
+            if *attempts > 1 || *status >= 400 || is_sampled(id) {
+                info!(log, "answer"; "id" => id.as_str(), "status" => status,
+                    "attempts" => attempts, "took_ms" => ms(took));
+            }
+        }
+        Record::Admit { id, route, decision, reason, running, queued, limit, pace } => {
+            if reason.is_some() || is_sampled(id) {
+                info!(log, "admit"; "id" => id.as_str(), "route" => route.as_str(),
+                    "decision" => decision, "reason" => reason.map(|reason| reason.as_str()),
+                    "running" => running, "queued" => queued, "limit" => limit, "pace" => pace);
+            }
+        }
+        Record::Ran { id, outcome, status, took } => {
+            if *outcome != "answered" || *status >= 400 || is_sampled(id) {
+                info!(log, "ran"; "id" => id.as_str(), "outcome" => outcome, "status" => status,
+                    "took_ms" => ms(took));
+            }
+        }
+        Record::Member { id, service, change } => info!(log, "member";
+            "member" => %id, "service" => service.as_str(), "change" => change),
+        Record::Target { life, change } => info!(log, "target";
+            "life" => life.as_str(), "change" => change),
+        Record::Store { is_reachable } => {
+            info!(log, "store"; "change" => if *is_reachable { "regained" } else { "lost" });
+        }
+        Record::Config { version, routes, previous } => info!(log, "config";
+            "version" => version, "routes" => routes, "previous" => previous),
+        Record::Evacuated { centres } => info!(log, "evacuated"; "centres" => centres.as_str()),
+        Record::Rollout { service, version, stage, new_good, new_bad, old_good, old_bad } => {
+            info!(log, "rollout"; "service" => service.as_str(), "version" => version.as_str(),
+                "stage" => stage, "new_good" => new_good, "new_bad" => new_bad,
+                "old_good" => old_good, "old_bad" => old_bad);
+        }
+        Record::Suspect { print, crashes } => warn!(log, "suspect";
+            "print" => format!("{print:016x}"), "crashes" => crashes),
+        Record::Stop { phase, calls, works } => info!(log, "stop";
+            "phase" => phase, "calls" => calls, "works" => works),
+    }
+}
+
+fn is_sampled(id: &str) -> bool {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish().is_multiple_of(SAMPLED)
+}
+
+/// Starts a line with the time in milliseconds since the Unix epoch, the severity and the event.
+fn write_prefix(out: &mut dyn io::Write, record: &slog::Record<'_>) -> slog::Result {
+    let level = record.level().as_str().to_ascii_lowercase();
+    write!(out, "time={} level={level} event={} ", wall_millis(), record.msg())?;
+    Ok(())
+}
+
+/// Formats the line about lines that were dropped because the writer was too slow.
+fn dropped(lines: u64) -> String {
+    format!("time={} level=error event=log-lines-dropped lines={lines}\n", wall_millis())
+}
+
+fn wall_millis() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
+}
--- /dev/null
+++ b/mesh/src/payload.rs
@@ -0,0 +1,170 @@
+//! Message bodies: small ones are kept whole, so that they can be sent again or checked; large ones stream on.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// The largest body in bytes that is kept whole.
+pub(crate) const KEPT: usize = 128 << 10;
+
+/// A body as far as it was read.
+pub(crate) struct Payload {
+    pub(crate) start: Bytes,
+    /// What follows; absent if the body is whole.
+    pub(crate) rest: Option<Incoming>,
+    /// The length of the whole body, if the sender said it.
+    length: Option<u64>,
+    /// Whether what streams on was given away.
+    is_spent: bool,
+}
+
+/// The sender stopped before the end of its body.
+#[derive(Debug, snafu::Snafu)]
+#[snafu(display("the body is not complete"))]
+pub struct BodyCut;
+
+impl Payload {
+    /// Reads a body up to [`KEPT`].
+    pub(crate) async fn read(mut body: Incoming) -> Result<Payload, BodyCut> {
+        let length = body.size_hint().exact();
+        if body.is_end_stream() {
+            return Ok(Payload { start: Bytes::new(), rest: None, length, is_spent: false });
+        }
+        let mut first: Option<Bytes> = None;
+        let mut joined = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| BodyCut)?.into_data() else { continue };
+            match first.take() {
+                None if joined.is_empty() => first = Some(data),
+                None => joined.extend_from_slice(&data),
+                Some(start) => {
+                    joined.reserve(start.len() + data.len());
+                    joined.extend_from_slice(&start);
+                    joined.extend_from_slice(&data);
+                }
+            }
+            if first.as_ref().map_or(joined.len(), Bytes::len) > KEPT {
+                let start = first.unwrap_or_else(|| joined.freeze());
+                return Ok(Payload { start, rest: Some(body), length, is_spent: false });
+            }
+        }
+        let start = first.unwrap_or_else(|| joined.freeze());
+        Ok(Payload { start, rest: None, length, is_spent: false })
+    }
+
+    /// Returns whether the whole body is here.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.rest.is_none()
+    }
+
+    /// Returns the body for one attempt: a copy of a whole one; what streams on is given away once.
+    pub(crate) fn share(&mut self) -> Option<Payload> {
+        let (start, length) = (self.start.clone(), self.length);
+        if self.is_whole() && !self.is_spent {
+            return Some(Payload { start, rest: None, length, is_spent: false });
+        }
+        let rest = Some(self.rest.take()?);
+        self.is_spent = true;
+        Some(Payload { start, rest, length, is_spent: false })
+    }
+
+    /// Takes the body to send it. What streams on can be taken once; `None` afterwards.
+    pub(crate) fn take(&mut self) -> Option<Body> {
+        if self.is_whole() && !self.is_spent {
+            return Some(Body::from(self.start.clone()));
+        }
+        let rest = self.rest.take()?;
+        self.is_spent = true;
+        Some(Body { start: Some(self.start.clone()), rest: Some(rest), length: self.length, end: None })
+    }
+}
+
+/// A body to be sent.
+#[derive(Default)]
+pub struct Body {
+    start: Option<Bytes>,
+    rest: Option<Incoming>,
+    length: Option<u64>,
+    /// Called when the body has been sent or dropped.
+    end: Option<Box<dyn FnOnce() + Send>>,
+}
+
+impl Body {
+    /// Calls `end` when the body has been sent or dropped.
+    pub(crate) fn on_end(mut self, end: impl FnOnce() + Send + 'static) -> Body {
+        match self.end.take() {
+            None => self.end = Some(Box::new(end)),
+            Some(first) => {
+                self.end = Some(Box::new(move || {
+                    first();
+                    end();
+                }));
+            }
+        }
+        self
+    }
+
+    fn finish(&mut self) {
+        if let Some(end) = self.end.take() {
+            end();
+        }
+    }
+}
+
+impl From<Bytes> for Body {
+    fn from(bytes: Bytes) -> Body {
+        let length = Some(bytes.len() as u64);
+        let start = (!bytes.is_empty()).then_some(bytes);
+        Body { start, rest: None, length, end: None }
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = BodyCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyCut>>> {
+        if let Some(start) = self.start.take() {
+            return Poll::Ready(Some(Ok(Frame::data(start))));
+        }
+        let Some(rest) = &mut self.rest else {
+            self.finish();
+            return Poll::Ready(None);
+        };
+        match ready!(Pin::new(rest).poll_frame(cx)) {
+            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Err(_)) => Poll::Ready(Some(Err(BodyCut))),
+            None => {
+                self.finish();
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.start.is_none() && self.rest.as_ref().is_none_or(HttpBody::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        if let Some(start) = &self.start {
+            let exact = if self.rest.is_none() { Some(start.len() as u64) } else { self.length };
+            return exact.map_or_else(SizeHint::new, SizeHint::with_exact);
+        }
+        self.rest.as_ref().map_or_else(|| SizeHint::with_exact(0), HttpBody::size_hint)
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.finish();
+    }
+}
--- /dev/null
+++ b/mesh/src/placement.rs
@@ -0,0 +1,119 @@
+//! The choice of a target at the entry node: the one that is expected to answer first.
+
+use std::time::Duration;
+
+use rand::{Rng as _, rngs::SmallRng};
+
+use crate::{keys::MemberKey, report::LoadReport, time::Time};
+
+/// The advantage of the own data centre. Traffic between data centres costs money and a few milliseconds, so it
+/// goes there only if it gains more than that.
+const CENTRE_COST: Duration = Duration::from_millis(30);
+
+/// The advantage of the target beside this node, which needs no other node.
+const HOP_COST: Duration = Duration::from_millis(3);
+
+/// The cost of a certain failure. A target that fails everything at once has no queue and would otherwise attract
+/// all requests.
+const FAILURE_COST: Duration = Duration::from_secs(3);
+
+/// The service time assumed for a target that has reported nothing.
+const ASSUMED_SERVICE: Duration = Duration::from_millis(100);
+
+/// The age from which a report counts less, and the pace it names is taken for the usual one.
+const REPORT_AGE: Duration = Duration::from_millis(1_500);
+
+/// The part of the best cost within which targets count as equal, so that nodes with the same reports do not all
+/// choose the same target.
+const EQUAL_PART: f64 = 0.1;
+
+/// The most candidates compared in one decision, so that its cost does not grow with the service.
+pub(crate) const MAX_CANDIDATES: usize = 32;
+
+/// How far a target is from this node.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Distance {
+    /// Beside this node.
+    Own,
+    /// In the same data centre.
+    Centre,
+    /// In another data centre.
+    Other,
+}
+
+/// A target that may be chosen.
+#[derive(Copy, Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) key: MemberKey,
+    /// The last load report and its age.
+    pub(crate) load: Option<(Duration, LoadReport)>,
+    /// Requests that this node has sent there since that report.
+    pub(crate) sent: u32,
+    pub(crate) distance: Distance,
+    /// Whether the member has been silent or unreachable, so that it is a last resort.
+    pub(crate) is_doubtful: bool,
+}
+
+/// A chosen target.
+#[derive(Copy, Clone, Debug, PartialEq)]
+pub(crate) struct Choice {
+    pub(crate) key: MemberKey,
+    /// The expected time to the answer, with the costs of distance and failures.
+    pub(crate) cost: Duration,
+    /// The number of candidates compared.
+    pub(crate) compared: usize,
+}
+
+/// Chooses the target with the lowest expected time to an answer; `usual` is the service time of the request at
+/// the usual pace, if known.
+pub(crate) fn choose(
+    candidates: &[Candidate],
+    usual: Option<Duration>,
+    rng: &mut SmallRng,
+) -> Option<Choice> {
+    let sound = candidates.iter().any(|candidate| !candidate.is_doubtful);
+    let eligible = candidates.iter().filter(|candidate| !sound || !candidate.is_doubtful);
+    let count = eligible.clone().count();
+    let first = if count > MAX_CANDIDATES { rng.random_range(0..count) } else { 0 };
+    let costs = eligible.cycle().skip(first).take(count.min(MAX_CANDIDATES));
+    let costs: Vec<(MemberKey, Duration)> =
+        costs.map(|candidate| (candidate.key, cost(candidate, usual))).collect();
+    let best = costs.iter().map(|&(_, cost)| cost).min()?;
+    let bound = best + best.mul_f64(EQUAL_PART);
+    let near: Vec<_> = costs.iter().filter(|(_, cost)| *cost <= bound).collect();
+    let &(key, cost) = near[rng.random_range(0..near.len())];
+    Some(Choice { key, cost, compared: costs.len() })
+}
+
+/// Returns the expected time to the answer of a candidate.
+pub(crate) fn cost(candidate: &Candidate, usual: Option<Duration>) -> Duration {
+    let away = match candidate.distance {
+        Distance::Own => Duration::ZERO,
+        Distance::Centre => HOP_COST,
+        Distance::Other => HOP_COST + CENTRE_COST,
+    };
+    let Some((age, load)) = candidate.load else {
+        return away + usual.unwrap_or(ASSUMED_SERVICE) * (1 + candidate.sent);
+    };
+    let is_old = age > REPORT_AGE;
+    let pace = if is_old { 1.0 } else { f64::from(load.pace.max(10)) / 100.0 };
+    let mean = Duration::from_micros(load.service_us.into()).mul_f64(pace);
+    let service = usual.map_or(mean, |usual| usual.mul_f64(pace));
+    let limit = u32::from(load.limit.max(1));
+    let busy = u32::from(load.running) + u32::from(load.queued) + candidate.sent;
+    let ahead = (busy + 1).saturating_sub(limit);
+    // Some of what was reported has ended since; what runs also slows the rest a little.
+    let wait = mean.mul_f64(f64::from(ahead) / f64::from(limit));
+    let fill = mean.mul_f64(0.1 * f64::from(busy.min(limit)) / f64::from(limit));
+    let failures = FAILURE_COST.mul_f64(f64::from(load.failing) / 1_000.0);
+    let cold = if load.is_cold { service } else { Duration::ZERO };
+    away + wait + fill + service + failures + cold
+}
+
+/// Returns the age of a report.
+pub(crate) fn aged(now: Time, load: Option<(Time, LoadReport)>) -> Option<(Duration, LoadReport)> {
+    load.map(|(at, load)| (now.since(at), load))
+}
+
+#[cfg(any())]
+mod tests;
--- /dev/null
+++ b/mesh/src/reducer.rs
@@ -0,0 +1,310 @@
+//! The one place where decisions are made: a pure function of state, event and time.
+//!
+//! The reducer does no input or output and reads no clock, so that a recorded sequence of events leads to the same
+//! effects again.
+
+mod calls;
+mod members;
+mod versions;
+mod works;
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use compact_str::CompactString;
+use rand::{SeedableRng, rngs::SmallRng};
+use slotmap::SecondaryMap;
+
+use crate::{
+    budget::{RetryBound, RetryBudget},
+    config::RouteTable,
+    directory::{Directory, MemberRecord, Tally},
+    effect::{Effect, Record},
+    event::{Event, Timer},
+    gate::Gate,
+    keys::{CallKey, MemberId, WorkKey},
+    report::LoadReport,
+    rollout::Rollout,
+    target::{Heard, Heartbeat, Lifetime, Target},
+    time::Time,
+};
+
+use self::{calls::Call, works::Work};
+
+/// The interval of periodic work.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The time after a stop begins during which new requests are still taken, because callers learn only with their
+/// next questions that the node is not ready any more.
+const STOP_NOTICE: Duration = Duration::from_millis(2_500);
+
+/// The part of the time for a graceful stop that is left for closing connections.
+const CLOSE_TIME: Duration = Duration::from_millis(700);
+
+/// What a node knows about itself.
+#[derive(Clone, Debug)]
+pub(crate) struct Me {
+    pub(crate) id: MemberId,
+    /// Where other nodes reach this one.
+    pub(crate) address: SocketAddr,
+    pub(crate) centre: CompactString,
+    pub(crate) service: CompactString,
+    pub(crate) limits: Limits,
+}
+
+/// Bounds that all nodes of a deployment keep together.
+#[derive(Copy, Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// The repeats of requests.
+    pub retries: RetryBound,
+    /// The share of requests that a version may receive while it may be bad.
+    pub exposure: f64,
+    /// The time that a graceful stop may take.
+    pub grace: Duration,
+}
+
+/// The state of all decisions of one node.
+pub(crate) struct Reducer {
+    me: Me,
+    rng: SmallRng,
+    config: Option<Arc<RouteTable>>,
+    directory: Directory,
+    /// Whether the members were listed since the start.
+    is_synced: bool,
+    has_store: bool,
+    evacuated: BTreeSet<CompactString>,
+    rollouts: HashMap<CompactString, Rollout>,
+    target: Target,
+    gate: Gate,
+    tally: Tally,
+    calls: SecondaryMap<CallKey, Call>,
+    works: SecondaryMap<WorkKey, Work>,
+    budgets: HashMap<CompactString, RetryBudget>,
+    /// The service time at the usual pace, as targets' nodes tell it with their answers.
+    usual: HashMap<calls::ServiceRoute, Duration>,
+    /// The position of each split route in the order of its shares.
+    turns: HashMap<CompactString, calls::Turns>,
+    /// The longest time that callers of a route have stated.
+    patience: HashMap<CompactString, calls::Patience>,
+    published: Option<MemberRecord>,
+    told: Option<(Time, LoadReport)>,
+    is_ready: bool,
+    is_queue_timed: bool,
+    stopping: Option<Time>,
+    has_exited: bool,
+}
+
+impl Reducer {
+    pub(crate) fn new(me: Me, seed: u64) -> Reducer {
+        Reducer {
+            me,
+            rng: SmallRng::seed_from_u64(seed),
+            config: None,
+            directory: Directory::default(),
+            is_synced: false,
+            has_store: false,
+            evacuated: BTreeSet::new(),
+            rollouts: HashMap::new(),
+            target: Target::default(),
+            gate: Gate::new(),
+            tally: Tally::default(),
+            calls: SecondaryMap::new(),
+            works: SecondaryMap::new(),
+            budgets: HashMap::new(),
+            usual: HashMap::new(),
+            turns: HashMap::new(),
+            patience: HashMap::new(),
+            published: None,
+            told: None,
+            is_ready: false,
+            is_queue_timed: false,
+            stopping: None,
+            has_exited: false,
+        }
+    }
+
+    /// Starts periodic work.
+    pub(crate) fn start(&mut self, now: Time, out: &mut Vec<Effect>) {
+        out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
+        self.publish(now, out);
+    }
+
+    /// Applies one event.
+    pub(crate) fn apply(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Call(key, event) => self.call(now, key, event, out),
+            Event::Work(key, event) => self.work(now, key, event, out),
+            Event::Health(health) => self.health(now, health, out),
+            Event::Pace(percent) => self.read_pace(now, percent, out),
+            Event::Members(records) => self.members_listed(now, records, out),
+            Event::MemberPut(record) => self.member_put(now, record, out),
+            Event::MemberGone(id) => self.directory.lapse(now, id),
+            Event::Store { is_reachable } => self.store_changed(is_reachable, out),
+            Event::Config(table) => self.configure(now, table, out),
+            Event::Evacuated(centres) => self.evacuate(now, centres, out),
+            Event::Rollout { service, order } => self.rollout_ordered(now, service, order, out),
+            Event::RolloutRecorded(record) => self.rollout_recorded(now, &record, out),
+            Event::Note(note) => self.noted(now, &note),
+            Event::Timer(timer) => self.expired(now, timer, out),
+            Event::Stop => self.stop(now, out),
+        }
+    }
+
+    /// Takes a heartbeat of the target; the answer says whether it is in force here.
+    pub(crate) fn heartbeat(
+        &mut self,
+        now: Time,
+        beat: &Heartbeat,
+        out: &mut Vec<Effect>,
+    ) -> Heard {
+        if beat.service != self.me.service {
+            return Heard::Refused;
+        }
+        let (heard, change) = self.target.heard(now, beat);
+        if heard == Heard::Accepted {
+            self.target_changed(now, change, out);
+        }
+        heard
+    }
+
+    /// Takes the farewell of the target.
+    pub(crate) fn farewell(&mut self, now: Time, life: &Lifetime, out: &mut Vec<Effect>) -> Heard {
+        let (heard, change) = self.target.left(life);
+        self.target_changed(now, change, out);
+        heard
+    }
+
+    /// Returns whether a timer still has an effect.
+    pub(crate) fn awaits(&self, timer: Timer) -> bool {
+        match timer {
+            Timer::CallDeadline(key) | Timer::Hedge(key) => self.calls.contains_key(key),
+            Timer::Queue => self.gate.has_queue(),
+            Timer::Tick | Timer::StopDeadline => true,
+        }
+    }
+
+    /// Returns the load report for an answer to another node.
+    pub(crate) fn load(&self, now: Time) -> LoadReport {
+        self.gate.report(now)
+    }
+
+    /// Returns the service time of a route at the usual pace.
+    pub(crate) fn usual_service(&self, route: &str) -> Duration {
+        self.gate.usual_service(route)
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn config(&self) -> Option<&Arc<RouteTable>> {
+        self.config.as_ref()
+    }
+
+    /// Returns the number of members that this node knows.
+    pub(crate) fn members(&self) -> usize {
+        self.directory.len()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.is_some()
+    }
+
+    fn configure(&mut self, now: Time, table: Arc<RouteTable>, out: &mut Vec<Effect>) {
+        let previous = self.config.as_ref().map_or(0, |config| config.config.version);
+        let version = table.config.version;
+        if self.config.is_some() && version <= previous {
+            return;
+        }
+        let routes = table.config.routes.len();
+        if let Some(service) = table.service(&self.me.service) {
+            out.push(Effect::Watch { health: service.health.clone() });
+        }
+        self.config = Some(table);
+        out.push(Effect::Log(Record::Config { version, routes, previous }));
+        self.reopen(now, out);
+        self.update_ready(out);
+    }
+
+    fn evacuate(
+        &mut self,
+        now: Time,
+        centres: BTreeSet<CompactString>,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.evacuated == centres {
+            return;
+        }
+        self.evacuated = centres;
+        let centres: Vec<&str> = self.evacuated.iter().map(CompactString::as_str).collect();
+        out.push(Effect::Log(Record::Evacuated { centres: centres.join(",").into() }));
+        self.reopen(now, out);
+    }
+
+    fn expired(&mut self, now: Time, timer: Timer, out: &mut Vec<Effect>) {
+        match timer {
+            Timer::CallDeadline(key) => self.call_deadline(now, key, out),
+            Timer::Hedge(key) => self.hedge(now, key, out),
+            Timer::Queue => {
+                self.is_queue_timed = false;
+                let next = self.gate.advance(now);
+                self.continue_works(now, next, out);
+            }
+            Timer::Tick => self.tick(now, out),
+            Timer::StopDeadline => self.exit(out),
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
+        self.expire_members(now, out);
+        self.judge_rollouts(now, out);
+        self.reopen(now, out);
+        self.tell(now, out);
+        if let Some(since) = self.stopping {
+            let is_idle = self.calls.is_empty() && self.works.is_empty();
+            if is_idle && now.since(since) >= STOP_NOTICE {
+                self.exit(out);
+            }
+        }
+    }
+
+    fn stop(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.stopping.is_some() {
+            return;
+        }
+        self.stopping = Some(now);
+        self.log_stop("begin", out);
+        let after = self.me.limits.grace.saturating_sub(CLOSE_TIME);
+        out.push(Effect::Arm { timer: Timer::StopDeadline, after });
+        self.reopen(now, out);
+        self.publish(now, out);
+        self.update_ready(out);
+    }
+
+    fn exit(&mut self, out: &mut Vec<Effect>) {
+        if !self.has_exited {
+            self.has_exited = true;
+            self.log_stop("end", out);
+            out.push(Effect::Exit);
+        }
+    }
+
+    fn log_stop(&self, phase: &'static str, out: &mut Vec<Effect>) {
+        let (calls, works) = (self.calls.len(), self.works.len());
+        out.push(Effect::Log(Record::Stop { phase, calls, works }));
+    }
+
+    /// Callers may use this node once it knows where requests go.
+    fn update_ready(&mut self, out: &mut Vec<Effect>) {
+        let is_ready = self.config.is_some() && self.is_synced && self.stopping.is_none();
+        if is_ready != self.is_ready {
+            self.is_ready = is_ready;
+            out.push(Effect::Ready(is_ready));
+        }
+    }
+}
+
+#[cfg(any())]
+mod tests;
--- /dev/null
+++ b/mesh/src/reducer/versions.rs
@@ -0,0 +1,187 @@
+//! Rollouts: which version a request goes to, and what is recorded.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use rand::Rng as _;
+
+use crate::{
+    directory::Member,
+    effect::{Effect, Record},
+    rollout::{Rollout, RolloutOrder, RolloutRecord, RolloutState, Side, Verdict},
+    time::Time,
+};
+
+use super::Reducer;
+
+/// The delay by which each further node waits before it records an outcome that the ones before it have not.
+const RANK_DELAY: Duration = Duration::from_millis(700);
+
+/// The most nodes that take turns at recording.
+const MAX_RANK: usize = 5;
+
+/// The time between attempts to record the same outcome.
+const RECORD_GAP: Duration = Duration::from_millis(500);
+
+/// Which versions may serve a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Versions {
+    /// All of them.
+    Any,
+    /// Only this one.
+    Only(CompactString),
+    /// All but this one.
+    Except(CompactString),
+}
+
+impl Versions {
+    pub(super) fn allow(&self, member: &Member) -> bool {
+        let version = member.version();
+        match self {
+            Versions::Any => true,
+            Versions::Only(only) => version == Some(only),
+            // A target whose version is not known yet may be of the new one.
+            Versions::Except(except) => version.is_some_and(|v| !v.is_empty() && v != except),
+        }
+    }
+}
+
+impl Reducer {
+    pub(super) fn rollout_ordered(
+        &mut self,
+        now: Time,
+        service: CompactString,
+        order: Option<RolloutOrder>,
+        out: &mut Vec<Effect>,
+    ) {
+        match order {
+            None => {
+                self.rollouts.remove(&service);
+            }
+            Some(order) => {
+                let is_known = self.rollouts.get(&service).is_some_and(|known| {
+                    known.order.version == order.version && known.order.duration == order.duration
+                });
+                if !is_known {
+                    let rollout = Rollout::new(now, order);
+                    self.log_rollout(&rollout, "ordered", &Side::default(), &Side::default(), out);
+                    self.rollouts.insert(service, rollout);
+                }
+            }
+        }
+        self.reopen(now, out);
+    }
+
+    pub(super) fn rollout_recorded(
+        &mut self,
+        now: Time,
+        record: &RolloutRecord,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(rollout) = self.rollouts.get_mut(&record.service) else { return };
+        let before = rollout.state;
+        rollout.recorded(record);
+        if before != rollout.state {
+            let rollout = rollout.clone();
+            let (new, old) = self.sides(&rollout.order);
+            let stage = match record.state {
+                RolloutState::Running => "running",
+                RolloutState::Completed => "completed",
+                RolloutState::RolledBack => "rolled-back",
+            };
+            self.log_rollout(&rollout, stage, &new, &old, out);
+        }
+        self.reopen(now, out);
+    }
+
+    /// Judges all rollouts and asks for what is to be recorded.
+    pub(super) fn judge_rollouts(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let services: Vec<CompactString> =
+            self.rollouts.iter().filter(|(_, r)| !r.is_over()).map(|(s, _)| s.clone()).collect();
+        for service in services {
+            let Some(mut rollout) = self.rollouts.get(&service).cloned() else { continue };
+            let (new, old) = self.sides(&rollout.order);
+            let was_stopped = rollout.is_stopped;
+            let verdict = rollout.judge(now, &new, &old);
+            if rollout.is_stopped && !was_stopped {
+                let stage = if verdict == Verdict::Slow { "slow" } else { "failing" };
+                self.log_rollout(&rollout, stage, &new, &old, out);
+            }
+            if let Some((since, state)) = rollout.due()
+                && self.is_turn(now, since)
+            {
+                let version = rollout.order.version.clone();
+                out.push(Effect::Record(RolloutRecord { service: service.clone(), version, state }));
+            }
+            self.rollouts.insert(service, rollout);
+        }
+    }
+
+    /// Returns whether the version of the own target receives nothing any more.
+    pub(super) fn is_version_stopped(&self) -> bool {
+        let Some(rollout) = self.rollouts.get(&self.me.service) else { return false };
+        let version = self.target.version();
+        rollout.is_stopped && version == Some(&rollout.order.version)
+    }
+
+    /// Draws the versions that may serve a request of a service.
+    pub(super) fn draw_versions(&mut self, now: Time, service: &str) -> Versions {
+        let Some(rollout) = self.rollouts.get(service) else { return Versions::Any };
+        let version = rollout.order.version.clone();
+        let share = rollout.share(now, self.me.limits.exposure);
+        if rollout.state == Some(RolloutState::Completed) {
+            return Versions::Any;
+        }
+        if self.rng.random_bool(share.clamp(0.0, 1.0)) {
+            Versions::Only(version)
+        } else {
+            Versions::Except(version)
+        }
+    }
+
+    fn sides(&self, order: &RolloutOrder) -> (Side, Side) {
+        let (mut new, mut old) = (Side::default(), Side::default());
+        for (_, member) in self.directory.of(&order.service) {
+            let is_me = self.is_me(member.record.id);
+            let tally = if is_me { &self.tally } else { &member.tally };
+            let running = member.load.map_or(0, |(_, load)| load.running + load.queued);
+            let running = if is_me { self.gate.busy() as u16 } else { running };
+            let is_new = member.version() == Some(&order.version);
+            let side = if is_new { &mut new } else { &mut old };
+            side.add(tally, running, member.is_open());
+        }
+        (new, old)
+    }
+
+    /// Returns whether it is this node's turn to record something that is due since a time. The member with the
+    /// lowest id is first.
+    fn is_turn(&mut self, now: Time, since: Time) -> bool {
+        let me = self.me.id;
+        let before = |member: &Member| member.record.id < me && !member.is_silent(now);
+        let rank = self.directory.iter().filter(|(_, member)| before(member)).count();
+        let elapsed = now.since(since).as_millis();
+        let wait = RANK_DELAY.as_millis() * rank as u128;
+        rank < MAX_RANK
+            && elapsed >= wait
+            && (elapsed - wait) % RECORD_GAP.as_millis() < super::TICK.as_millis()
+    }
+
+    fn log_rollout(
+        &self,
+        rollout: &Rollout,
+        stage: &'static str,
+        new: &Side,
+        old: &Side,
+        out: &mut Vec<Effect>,
+    ) {
+        out.push(Effect::Log(Record::Rollout {
+            service: rollout.order.service.clone(),
+            version: rollout.order.version.clone(),
+            stage,
+            new_good: new.tally.good,
+            new_bad: new.tally.bad,
+            old_good: old.tally.good,
+            old_bad: old.tally.bad,
+        }));
+    }
+}
--- /dev/null
+++ b/mesh/src/reducer/works.rs
@@ -0,0 +1,176 @@
+//! Requests at the target's node.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::{
+    effect::{Effect, Record, WorkStep},
+    event::{Failure, Timer, WorkEvent, WorkHead},
+    gate::{Ask, Decision, Finish, Next},
+    keys::WorkKey,
+    refusal::Reason,
+    time::Time,
+};
+
+use super::Reducer;
+
+/// The interval at which requests in the queue are looked at.
+const QUEUE_INTERVAL: Duration = Duration::from_millis(15);
+
+/// A request at the target's node.
+pub(super) struct Work {
+    id: CompactString,
+    deadline: Time,
+    /// When it was sent to the target.
+    started: Option<Time>,
+}
+
+impl Reducer {
+    pub(super) fn work(
+        &mut self,
+        now: Time,
+        key: WorkKey,
+        event: WorkEvent,
+        out: &mut Vec<Effect>,
+    ) {
+        match event {
+            WorkEvent::Arrived(head) => self.work_arrived(now, key, &head, out),
+            WorkEvent::Answered { status } => {
+                let finish = if status >= 500 { Finish::Failure } else { Finish::Answer };
+                self.work_ended(now, key, finish, ("answered", status), out);
+            }
+            WorkEvent::Shed => self.work_ended(now, key, Finish::Shed, ("shed", 0), out),
+            WorkEvent::Misdirected => {
+                self.target.replaced();
+                self.work_ended(now, key, Finish::Cancelled, ("misdirected", 0), out);
+                self.reopen(now, out);
+                self.publish(now, out);
+            }
+            WorkEvent::Failed(failure) => {
+                let finish = match failure {
+                    Failure::BodyCut => Finish::Cancelled,
+                    Failure::NotSent | Failure::Lost | Failure::NodeLost => Finish::Failure,
+                };
+                self.work_ended(now, key, finish, (failure.as_str(), 0), out);
+            }
+            WorkEvent::Cancelled => {
+                self.work_ended(now, key, Finish::Cancelled, ("cancelled", 0), out);
+            }
+        }
+    }
+
+    fn work_arrived(&mut self, now: Time, key: WorkKey, head: &WorkHead, out: &mut Vec<Effect>) {
+        let ask = Ask {
+            route: head.route.clone(),
+            priority: head.priority,
+            objective: now + head.objective,
+            deadline: now + head.timeout,
+            is_late: head.is_late,
+        };
+        let decision = if head.service == self.me.service {
+            self.gate.arrive(now, key, &ask)
+        } else {
+            Decision::Refuse { reason: Reason::WrongMember, wait: Duration::ZERO }
+        };
+        let (name, reason) = match decision {
+            Decision::Run => ("run", None),
+            Decision::Queue => ("queue", None),
+            Decision::Refuse { reason, .. } => ("refuse", Some(reason)),
+        };
+        let load = self.gate.report(now);
+        out.push(Effect::Log(Record::Admit {
+            id: head.id.clone(),
+            route: head.route.clone(),
+            decision: name,
+            reason,
+            running: load.running,
+            queued: load.queued,
+            limit: load.limit,
+            pace: load.pace,
+        }));
+        if let Decision::Refuse { reason, wait } = decision {
+            out.push(Effect::Work(key, WorkStep::Refuse { reason, wait }));
+            return;
+        }
+        let work = Work { id: head.id.clone(), deadline: ask.deadline, started: None };
+        self.works.insert(key, work);
+        match decision {
+            Decision::Run => self.run(now, key, out),
+            Decision::Queue | Decision::Refuse { .. } => self.time_queue(out),
+        }
+        self.tell(now, out);
+    }
+
+    fn run(&mut self, now: Time, key: WorkKey, out: &mut Vec<Effect>) {
+        let Some(work) = self.works.get_mut(key) else { return };
+        let Some(life) = self.target.open() else {
+            let next = self.gate.finish(now, key, Finish::Cancelled);
+            self.works.remove(key);
+            let (reason, wait) = (Reason::NoTarget, Duration::ZERO);
+            out.push(Effect::Work(key, WorkStep::Refuse { reason, wait }));
+            return self.continue_works(now, next, out);
+        };
+        work.started = Some(now);
+        self.tally.sent += 1;
+        let timeout = work.deadline.since(now);
+        out.push(Effect::Work(key, WorkStep::Run { life: life.id.clone(), timeout }));
+    }
+
+    fn work_ended(
+        &mut self,
+        now: Time,
+        key: WorkKey,
+        finish: Finish,
+        (outcome, status): (&'static str, u16),
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(work) = self.works.remove(key) else { return };
+        let next = self.gate.finish(now, key, finish);
+        if let Some(started) = work.started {
+            let took = now.since(started);
+            self.count(now, finish, took);
+            out.push(Effect::Log(Record::Ran { id: work.id, outcome, status, took }));
+        }
+        self.continue_works(now, next, out);
+        self.tell(now, out);
+    }
+
+    /// Counts an answer for the comparison of versions; a cold target is slow whatever its version.
+    fn count(&mut self, now: Time, finish: Finish, took: Duration) {
+        match finish {
+            Finish::Answer => {
+                self.tally.good += 1;
+                if !self.target.is_cold(now) {
+                    let pace = f64::from(self.gate.report(now).pace.max(10)) / 100.0;
+                    let usual = took.mul_f64(1.0 / pace).as_millis();
+                    self.tally.slowness = self.tally.slowness.saturating_add(usual as u32);
+                    self.tally.timed += 1;
+                }
+            }
+            Finish::Failure => self.tally.bad += 1,
+            Finish::Shed | Finish::Cancelled => {}
+        }
+    }
+
+    /// Carries out what the gate decided about requests that waited.
+    pub(super) fn continue_works(&mut self, now: Time, next: Vec<Next>, out: &mut Vec<Effect>) {
+        for step in next {
+            match step {
+                Next::Run(key) => self.run(now, key, out),
+                Next::Refuse { work, reason, wait } => {
+                    self.works.remove(work);
+                    out.push(Effect::Work(work, WorkStep::Refuse { reason, wait }));
+                }
+            }
+        }
+        self.time_queue(out);
+    }
+
+    fn time_queue(&mut self, out: &mut Vec<Effect>) {
+        if self.gate.has_queue() && !self.is_queue_timed {
+            self.is_queue_timed = true;
+            out.push(Effect::Arm { timer: Timer::Queue, after: QUEUE_INTERVAL });
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/refusal.rs
@@ -0,0 +1,109 @@
+//! Refusals of the system itself: why, whether the request may have run, and when the caller should return.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+/// The cause of a refusal.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+    /// The head of the request cannot be used.
+    Malformed,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The caller's body ended early.
+    BodyCut,
+    /// The configuration has no such route.
+    NoRoute,
+    /// The node knows no configuration yet.
+    NoConfig,
+    /// No target of the service takes work.
+    NoTarget,
+    /// The targets have no room for the request in time.
+    Overloaded,
+    /// The target is leaving, or its data centre is out of service.
+    OutOfService,
+    /// The node is stopping.
+    Stopping,
+    /// Another process answers at the node's address.
+    WrongMember,
+    /// The request is known to crash targets.
+    CrashSuspect,
+    /// The time of the caller or of the route has passed.
+    Deadline,
+    /// The request was sent, and its answer was lost or is not the target's.
+    AnswerLost,
+}
+
+impl Reason {
+    /// All reasons, in the order of the documentation.
+    pub const ALL: [Reason; 13] = [
+        Reason::Malformed,
+        Reason::BodyTooLarge,
+        Reason::BodyCut,
+        Reason::NoRoute,
+        Reason::NoConfig,
+        Reason::NoTarget,
+        Reason::Overloaded,
+        Reason::OutOfService,
+        Reason::Stopping,
+        Reason::WrongMember,
+        Reason::CrashSuspect,
+        Reason::Deadline,
+        Reason::AnswerLost,
+    ];
+
+    /// Returns the name used in logs, metrics and between nodes.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Reason::Malformed => "malformed",
+            Reason::BodyTooLarge => "body-too-large",
+            Reason::BodyCut => "body-cut",
+            Reason::NoRoute => "no-route",
+            Reason::NoConfig => "no-config",
+            Reason::NoTarget => "no-target",
+            Reason::Overloaded => "overloaded",
+            Reason::OutOfService => "out-of-service",
+            Reason::Stopping => "stopping",
+            Reason::WrongMember => "wrong-member",
+            Reason::CrashSuspect => "crash-suspect",
+            Reason::Deadline => "deadline",
+            Reason::AnswerLost => "answer-lost",
+        }
+    }
+
+    /// Reads a name written by [`Reason::as_str`].
+    pub fn parse(text: &str) -> Option<Reason> {
+        Reason::ALL.into_iter().find(|reason| reason.as_str() == text)
+    }
+}
+
+/// A refusal of a caller's request.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The cause.
+    pub reason: Reason,
+    /// Whether a target may have run the request.
+    pub may_have_run: bool,
+    /// When the caller should send the request again.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Returns the status, which must not promise "not run" for a request that may have run.
+    pub const fn status(&self) -> StatusCode {
+        match self.reason {
+            Reason::Malformed | Reason::BodyCut => StatusCode::BAD_REQUEST,
+            Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::NoRoute => StatusCode::NOT_FOUND,
+            Reason::Deadline if self.may_have_run => StatusCode::GATEWAY_TIMEOUT,
+            _ if self.may_have_run => StatusCode::BAD_GATEWAY,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+#[cfg(any())]
+mod tests;
--- /dev/null
+++ b/mesh/src/serve.rs
@@ -0,0 +1,76 @@
+//! HTTP servers of a node: accept connections and close them gracefully.
+
+use std::{convert::Infallible, future::Future, time::Duration};
+
+use http::{Request, Response};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::Logger;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time,
+};
+
+use crate::{payload::Body, pool};
+
+/// The largest head of a request in bytes; a larger one is answered with status 431.
+const MAX_HEAD: usize = 64 << 10;
+
+/// The time in which the next head must arrive, counted from the end of the answer before it. It is longer than any
+/// time for which callers and nodes use idle connections again.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(90);
+
+/// The pause after the listener failed to accept, for instance because no file descriptor was free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections until `stop` becomes true, then closes them gracefully.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, stop.clone(), handle.clone()));
+            }
+            Err(error) => {
+                slog::warn!(log, "accept-failed"; "error" => %error);
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, mut stop: watch::Receiver<bool>, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    pool::tune(&stream);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let answer = handle(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD);
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    // A connection that fails has told its requests already.
+    tokio::select! {
+        _ = conn.as_mut() => {}
+        _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => {
+            conn.as_mut().graceful_shutdown();
+            let _ = conn.await;
+        }
+    }
+}
--- /dev/null
+++ b/mesh/src/store.rs
@@ -0,0 +1,201 @@
+//! The store in which the deployment keeps what must last: the interface that an adapter implements, and the way in
+//! which a node follows the keys below a prefix.
+
+use std::{future::Future, time::Duration};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use rand::Rng as _;
+use slog::Logger;
+use snafu::Snafu;
+use tokio::time;
+
+/// The time for which one watch waits for a change. Each watch is a call, and each call is paid for.
+const WATCH_TIME: Duration = Duration::from_secs(20);
+
+/// The pause behind the changes of one watch, so that changes in quick succession arrive together.
+const GATHER_TIME: Duration = Duration::from_millis(40);
+
+/// The first pause after a failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+
+/// The longest pause after a failure, short enough that the store's return is noticed within a second.
+const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+
+/// One key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The key.
+    pub key: CompactString,
+    /// The value.
+    pub value: Bytes,
+    /// The revision of its last change.
+    pub revision: u64,
+}
+
+/// A change of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It was written.
+    Put(Item),
+    /// It was removed, or its lease ended.
+    Removed(CompactString),
+}
+
+/// Identifies a lease.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// The id that the store gave.
+    pub id: u64,
+    /// The time after which it ends unless it is renewed.
+    pub ttl: Duration,
+}
+
+/// A write under conditions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Keys with the revisions that they must have; 0 means that the key must not exist.
+    pub expected: Vec<(CompactString, u64)>,
+    /// Keys to write, with a lease or none.
+    pub writes: Vec<(CompactString, Bytes, Option<Lease>)>,
+    /// Keys to remove.
+    pub removes: Vec<CompactString>,
+}
+
+/// A call to the store failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum StoreError {
+    /// It did not answer, so that the call may have been carried out or may be still.
+    #[snafu(display("the store did not answer: {reason}"))]
+    Unanswered {
+        /// What happened.
+        reason: CompactString,
+    },
+    /// It refused the call, which was not carried out.
+    #[snafu(display("the store refused the call with status {status}"))]
+    Refused {
+        /// The status.
+        status: u16,
+    },
+    /// A condition of a transaction did not hold.
+    #[snafu(display("a condition of the transaction does not hold"))]
+    Conflict,
+    /// The changes since a revision are no longer known.
+    #[snafu(display("the history since this revision is gone"))]
+    Compacted,
+    /// The lease has ended.
+    #[snafu(display("the lease has ended"))]
+    NoLease,
+    /// The answer cannot be read.
+    #[snafu(display("the answer of the store cannot be read: {reason}"))]
+    Unreadable {
+        /// What is wrong.
+        reason: CompactString,
+    },
+}
+
+/// The result of a call to the store.
+pub type Result<T> = std::result::Result<T, StoreError>;
+
+/// The store, as an adapter provides it.
+pub trait Store: Clone + Send + Sync + 'static {
+    /// Reads one key.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Item>>> + Send;
+
+    /// Reads all keys below a prefix, and a revision from which to watch them.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<(Vec<Item>, u64)>> + Send;
+
+    /// Waits for changes below a prefix since a revision, and returns the revision from which to go on.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<(Vec<Change>, u64)>> + Send;
+
+    /// Writes under conditions, all or nothing; returns the revision of the write.
+    fn commit(&self, transaction: Transaction) -> impl Future<Output = Result<u64>> + Send;
+
+    /// Creates a lease.
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<Lease>> + Send;
+
+    /// Renews a lease.
+    fn renew(&self, lease: Lease) -> impl Future<Output = Result<()>> + Send;
+
+    /// Ends a lease and removes its keys.
+    fn revoke(&self, lease: Lease) -> impl Future<Output = Result<()>> + Send;
+}
+
+/// What happened to the keys below a prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// All keys were read; others do not exist.
+    Listed(Vec<Item>),
+    /// Keys changed.
+    Changed(Vec<Change>),
+    /// The store does not answer; what was read before may be out of date.
+    Lost,
+}
+
+/// Follows the keys below a prefix until the node ends.
+pub async fn follow<S: Store>(
+    store: &S,
+    prefix: &str,
+    log: &Logger,
+    mut on_update: impl FnMut(Update),
+) {
+    let mut pause = Pause::new();
+    loop {
+        let (items, mut revision) = match store.list(prefix).await {
+            Ok(listed) => listed,
+            Err(error) => {
+                slog::warn!(log, "store-list-failed"; "prefix" => prefix, "error" => %error);
+                on_update(Update::Lost);
+                pause.wait().await;
+                continue;
+            }
+        };
+        on_update(Update::Listed(items));
+        pause = Pause::new();
+        loop {
+            match store.watch(prefix, revision, WATCH_TIME).await {
+                Ok((changes, next)) => {
+                    pause = Pause::new();
+                    revision = next;
+                    if !changes.is_empty() {
+                        on_update(Update::Changed(changes));
+                        time::sleep(GATHER_TIME).await;
+                    }
+                }
+                Err(StoreError::Compacted) => {
+                    slog::info!(log, "store-compacted"; "prefix" => prefix, "revision" => revision);
+                    break;
+                }
+                Err(error) => {
+                    slog::warn!(log, "store-watch-failed"; "prefix" => prefix, "error" => %error);
+                    on_update(Update::Lost);
+                    pause.wait().await;
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Growing pauses between attempts, with a random part so that nodes do not return together.
+pub(crate) struct Pause {
+    next: Duration,
+}
+
+impl Pause {
+    pub(crate) const fn new() -> Pause {
+        Pause { next: FIRST_PAUSE }
+    }
+
+    pub(crate) async fn wait(&mut self) {
+        let part = rand::rng().random_range(0.6..1.0);
+        time::sleep(self.next.mul_f64(part)).await;
+        self.next = (self.next * 2).min(LONGEST_PAUSE);
+    }
+}
--- /dev/null
+++ b/mesh/src/target.rs
@@ -0,0 +1,251 @@
+//! The lifetime of the target beside this node: what it says of itself, and when it takes work.
+
+use std::{net::SocketAddr, time::Duration};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::time::Time;
+
+/// The most lifetimes remembered after they ended, so that a late heartbeat does not bring one back.
+const MAX_ENDED: usize = 16;
+
+/// One start of a target. The same id may start again later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lifetime {
+    /// The id that the target gave itself.
+    pub id: CompactString,
+    /// The wall-clock time of the start in milliseconds since the Unix epoch, if the target said it.
+    pub born: Option<u64>,
+}
+
+impl Lifetime {
+    /// Returns whether this lifetime began before another one, as far as both say when.
+    fn is_before(&self, other: &Lifetime) -> bool {
+        matches!((self.born, other.born), (Some(a), Some(b)) if a < b)
+    }
+
+    /// Returns whether both may be the same start.
+    fn matches(&self, other: &Lifetime) -> bool {
+        let same_birth = match (self.born, other.born) {
+            (Some(a), Some(b)) => a == b,
+            _ => true,
+        };
+        self.id == other.id && same_birth
+    }
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Heartbeat {
+    /// The start that speaks.
+    pub life: Lifetime,
+    /// The service that it runs.
+    pub service: CompactString,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The version of its software.
+    pub version: CompactString,
+    /// The requests that it runs at the same time.
+    pub slots: u16,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// How much longer it stays in cold start.
+    pub cold: Duration,
+    /// Increases with each heartbeat of one lifetime.
+    pub sequence: u64,
+}
+
+/// What a read of the health endpoint shows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Health {
+    /// Whether the target says that it is well.
+    pub is_well: bool,
+    /// The id of the lifetime that answered.
+    pub id: Option<CompactString>,
+    /// How long work takes there at this moment, in per cent of the usual time.
+    pub pace: Option<u32>,
+    /// The number of slots that the target reports.
+    pub slots: Option<u16>,
+    /// How much longer the target stays in cold start.
+    pub cold: Duration,
+}
+
+/// The answer to a heartbeat or a farewell.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It is in force at this node.
+    Accepted,
+    /// It is of an earlier lifetime, or not of the target beside this node.
+    Refused,
+}
+
+/// What changed for the rest of the node.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Change {
+    Nothing,
+    /// Another lifetime began.
+    Started,
+    /// The target leaves, or is gone.
+    Left,
+}
+
+/// The target beside this node.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Target {
+    current: Option<Current>,
+    ended: Vec<Lifetime>,
+    is_reachable: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Current {
+    life: Lifetime,
+    version: CompactString,
+    slots: u16,
+    sequence: u64,
+    is_leaving: bool,
+    cold_until: Time,
+}
+
+impl Target {
+    /// Notes a heartbeat of the target.
+    pub(crate) fn heard(&mut self, now: Time, beat: &Heartbeat) -> (Heard, Change) {
+        if self.ended.contains(&beat.life) {
+            return (Heard::Refused, Change::Nothing);
+        }
+        let Some(current) = &mut self.current else {
+            self.current = Some(Current::new(now, beat));
+            return (Heard::Accepted, Change::Started);
+        };
+        if beat.life.is_before(&current.life) {
+            return (Heard::Refused, Change::Nothing);
+        }
+        if !current.life.matches(&beat.life) {
+            let ended = std::mem::replace(current, Current::new(now, beat));
+            self.end(ended.life);
+            return (Heard::Accepted, Change::Started);
+        }
+        current.life.born = current.life.born.or(beat.life.born);
+        if beat.sequence < current.sequence {
+            return (Heard::Accepted, Change::Nothing);
+        }
+        current.sequence = beat.sequence;
+        current.version = beat.version.clone();
+        current.slots = beat.slots;
+        current.cold_until = current.cold_until.max(now + beat.cold);
+        let leaves = beat.is_leaving && !current.is_leaving;
+        current.is_leaving |= beat.is_leaving;
+        (Heard::Accepted, if leaves { Change::Left } else { Change::Nothing })
+    }
+
+    /// Notes that a lifetime says farewell; it may go on serving for some seconds, but takes no new work.
+    pub(crate) fn left(&mut self, life: &Lifetime) -> (Heard, Change) {
+        match &mut self.current {
+            Some(current) if current.life.matches(life) => {
+                let leaves = !current.is_leaving;
+                current.is_leaving = true;
+                (Heard::Accepted, if leaves { Change::Left } else { Change::Nothing })
+            }
+            _ => {
+                // A lifetime that this node has never served takes no work here either.
+                self.end(life.clone());
+                (Heard::Accepted, Change::Nothing)
+            }
+        }
+    }
+
+    /// Notes a read of the health endpoint, which names the lifetime that answers now.
+    pub(crate) fn checked(&mut self, now: Time, health: &Health) -> Change {
+        self.is_reachable = true;
+        let Some(id) = &health.id else { return Change::Nothing };
+        let is_other = self.current.as_ref().is_none_or(|current| current.life.id != *id);
+        let was_ended = self.ended.iter().any(|ended| ended.id == *id);
+        let mut change = Change::Nothing;
+        if is_other && health.is_well && !was_ended {
+            let life = Lifetime { id: id.clone(), born: None };
+            let current = Current {
+                life,
+                version: CompactString::default(),
+                slots: health.slots.unwrap_or(1),
+                sequence: 0,
+                is_leaving: false,
+                cold_until: now + health.cold,
+            };
+            if let Some(ended) = self.current.replace(current) {
+                self.end(ended.life);
+            }
+            change = Change::Started;
+        }
+        if let Some(current) = &mut self.current
+            && current.life.id == *id
+        {
+            current.cold_until = now + health.cold;
+            if let Some(slots) = health.slots {
+                current.slots = slots;
+            }
+        }
+        change
+    }
+
+    /// Notes that the target refuses connections or answers no health check.
+    pub(crate) fn lost(&mut self) -> bool {
+        std::mem::replace(&mut self.is_reachable, false)
+    }
+
+    /// Notes that another lifetime answered at the address: the current one is gone.
+    pub(crate) fn replaced(&mut self) {
+        if let Some(current) = self.current.take() {
+            self.end(current.life);
+        }
+    }
+
+    /// Returns the lifetime that may run new work, if there is one.
+    pub(crate) fn open(&self) -> Option<&Lifetime> {
+        let current = self.current.as_ref()?;
+        (self.is_reachable && !current.is_leaving).then_some(&current.life)
+    }
+
+    pub(crate) fn version(&self) -> Option<&CompactString> {
+        self.current.as_ref().map(|current| &current.version)
+    }
+
+    pub(crate) fn life(&self) -> Option<&Lifetime> {
+        self.current.as_ref().map(|current| &current.life)
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.current.as_ref().is_some_and(|current| current.is_leaving)
+    }
+
+    pub(crate) fn slots(&self) -> u16 {
+        self.current.as_ref().map_or(1, |current| current.slots.max(1))
+    }
+
+    pub(crate) fn is_cold(&self, now: Time) -> bool {
+        self.current.as_ref().is_some_and(|current| now < current.cold_until)
+    }
+
+    fn end(&mut self, life: Lifetime) {
+        if self.ended.len() >= MAX_ENDED {
+            self.ended.remove(0);
+        }
+        self.ended.push(life);
+    }
+}
+
+impl Current {
+    fn new(now: Time, beat: &Heartbeat) -> Current {
+        Current {
+            life: beat.life.clone(),
+            version: beat.version.clone(),
+            slots: beat.slots,
+            sequence: beat.sequence,
+            is_leaving: beat.is_leaving,
+            cold_until: now + beat.cold,
+        }
+    }
+}
+
+#[cfg(any())]
+mod tests;
--- a/src/timer.rs
+++ b/mesh/src/timer.rs
@@ -11,43 +11,44 @@
     time::{Instant, sleep_until},
 };
 
-use crate::event::Timer;
-
 /// The number of timers from which those that nobody awaits any more are removed ahead of their time.
 const CLEAN_SIZE: usize = 4_096;
 
 /// Sets timers; a clone sets timers at the same service.
-#[derive(Clone)]
-pub(crate) struct Timers {
-    shared: Arc<Shared>,
+pub struct Timers<T> {
+    shared: Arc<Shared<T>>,
 }
 
-#[derive(Default)]
-struct Shared {
-    queue: Mutex<Queue>,
+struct Shared<T> {
+    queue: Mutex<Queue<T>>,
     changed: Notify,
 }
 
-#[derive(Default)]
-struct Queue {
+struct Queue<T> {
     /// By time, and in the order of setting for the same time.
-    timers: BTreeMap<(Instant, u64), Timer>,
+    timers: BTreeMap<(Instant, u64), T>,
     count: u64,
     /// The time at which the service wakes up in any case.
     wake: Option<Instant>,
 }
 
-impl Timers {
+impl<T> Clone for Timers<T> {
+    fn clone(&self) -> Timers<T> {
+        Timers { shared: self.shared.clone() }
+    }
+}
+
+impl<T: Copy + PartialEq + Send + 'static> Timers<T> {
     /// Starts the service; `fire` is called with each timer that expires.
     ///
     /// Most timers are deadlines of requests that end long before. They are not cancelled, which would cost more
     /// than setting them, and a timer wakes up the service only if it is the earliest. Timers that `is_awaited`
     /// denies are dropped instead of waited for.
-    pub(crate) fn start(
-        fire: impl Fn(Timer) + Send + 'static,
-        is_awaited: impl Fn(Timer) -> bool + Send + 'static,
-    ) -> Timers {
-        let shared = Arc::<Shared>::default();
+    pub fn start(
+        fire: impl Fn(T) + Send + 'static,
+        is_awaited: impl Fn(T) -> bool + Send + 'static,
+    ) -> Timers<T> {
+        let shared = Arc::new(Shared::new());
         let service = shared.clone();
         tokio::spawn(async move {
             let mut clean_at = CLEAN_SIZE;
@@ -74,7 +75,7 @@
     }
 
     /// Lets `timer` expire after a delay, rounded up to whole milliseconds.
-    pub(crate) fn arm(&self, timer: Timer, after: Duration) {
+    pub fn arm(&self, timer: T, after: Duration) {
         let at = Instant::now() + after;
         let mut queue = self.shared.lock();
         let number = queue.count;
@@ -87,15 +88,20 @@
     }
 }
 
-impl Shared {
+impl<T: Copy + PartialEq> Shared<T> {
+    fn new() -> Shared<T> {
+        let queue = Queue { timers: BTreeMap::new(), count: 0, wake: None };
+        Shared { queue: Mutex::new(queue), changed: Notify::new() }
+    }
+
     /// Removes the first timer if the condition holds for it.
-    fn take(&self, condition: impl Fn(Instant, Timer) -> bool) -> Option<Timer> {
+    fn take(&self, condition: impl Fn(Instant, T) -> bool) -> Option<T> {
         let mut queue = self.lock();
         let first = queue.timers.first_entry()?;
         condition(first.key().0, *first.get()).then(|| first.remove())
     }
 
-    fn first(&self) -> Option<Timer> {
+    fn first(&self) -> Option<T> {
         self.lock().timers.first_key_value().map(|(_, timer)| *timer)
     }
 
@@ -109,7 +115,7 @@
     /// Removes the timers that nobody awaits, and returns the number of those left.
     ///
     /// The queue is not locked meanwhile, because timers are set while the state that decides is locked.
-    fn clean(&self, is_awaited: &impl Fn(Timer) -> bool) -> usize {
+    fn clean(&self, is_awaited: &impl Fn(T) -> bool) -> usize {
         let mut timers = std::mem::take(&mut self.lock().timers);
         timers.retain(|_, timer| is_awaited(*timer));
         let mut queue = self.lock();
@@ -117,7 +123,7 @@
         queue.timers.len()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Queue> {
+    fn lock(&self) -> MutexGuard<'_, Queue<T>> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/timer/tests.rs
+++ b/mesh/src/timer/tests.rs
@@ -13,7 +13,7 @@
 struct Fired(Arc<Mutex<Vec<(Timer, Duration)>>>);
 
 impl Fired {
-    fn start(&self, gone: &[CallKey]) -> Timers {
+    fn start(&self, gone: &[CallKey]) -> Timers<Timer> {
         let (begin, fired, gone) = (Instant::now(), self.0.clone(), gone.to_vec());
         let fire = move |timer| fired.lock().unwrap().push((timer, begin.elapsed()));
         Timers::start(fire, move |timer| match timer {
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -10,6 +10,7 @@
     task::{Context, Poll, Waker},
 };
 
+use poplarbarrow_mesh::timer::Timers;
 use slog::Logger;
 use slotmap::SlotMap;
 use tokio::{
@@ -19,7 +20,7 @@
 
 use crate::{
     effect::{CallStep, ClaimIo, Effect, WorkStep},
-    event::{CallEvent, Event, WorkEvent},
+    event::{CallEvent, Event, Timer, WorkEvent},
     gossip,
     identity::{Handover, Identity},
     keys::{CallKey, MemberId, WorkKey},
@@ -31,7 +32,6 @@
     reducer::Reducer,
     tell::Tell,
     time::Time,
-    timer::Timers,
     verdicts::Task,
 };
 
@@ -59,7 +59,7 @@
     pub(crate) verdicts: mpsc::UnboundedSender<Task>,
     pub(crate) tell: mpsc::UnboundedSender<Tell>,
     pub(crate) peers: Peers,
-    pub(crate) timers: Timers,
+    pub(crate) timers: Timers<Timer>,
 }
 
 /// A pull of the document from another member.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,8 @@
 //! assert!(choice.is_ok_and(|choice| choice.key == first || choice.key == second));
 //! ```
 
+pub use poplarbarrow_mesh::{keys, time};
+
 mod admission;
 mod auth;
 pub mod bench;
@@ -53,7 +55,6 @@
 mod health;
 pub mod identity;
 mod ingress;
-pub mod keys;
 pub mod load;
 pub mod logging;
 pub mod membership;
@@ -81,8 +82,6 @@
 pub mod status;
 pub mod store;
 mod tell;
-pub mod time;
-mod timer;
 pub mod transports;
 mod usage;
 mod verdicts;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -10,16 +10,12 @@
 
 use slog::{Drain, Level, Logger, info, o, warn};
 use slog_logfmt::Logfmt;
+use poplarbarrow_mesh::lines::Lines;
 use slotmap::{Key, KeyData};
 
 use crate::{crash_guard::Judged, effect::Record, rollout::Finding, settings::LogLevel};
 
-use self::lines::Lines;
-
-mod lines;
-
-/// The name of the thread that writes log lines.
-pub(crate) const THREAD: &str = "log";
+pub(crate) use poplarbarrow_mesh::lines::THREAD;
 
 /// Creates a logger that writes to standard error from a thread of its own.
 ///
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,7 @@
 
 use axum::body::Body;
 use http::Request;
+use poplarbarrow_mesh::timer::Timers;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
@@ -47,7 +48,6 @@
     settings::Settings,
     tell,
     time::Wall,
-    timer::Timers,
     verdicts::Verdicts,
     work::Worker,
 };
