Judge rollouts by an exact test on evidence that outlives restarts

A fixed excess of 12 points was also not reached, because calls that fail count at both versions. Ruled out: a lost record of the state; it was written within 90 ms. Change: nodes add up what members report, tell each other the age and the stage of a rollout, compare the whole time and the last 2.5 s with Fisher's exact test (moved into mesh), and do not complete a rollout that is in doubt. Recorded states are kept until the order is read.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -88,6 +88,31 @@
     pub sent: u32,
 }
 
+impl Tally {
+    /// Adds the counts of another tally.
+    pub(crate) fn add(&mut self, other: &Tally) {
+        self.good = self.good.saturating_add(other.good);
+        self.bad = self.bad.saturating_add(other.bad);
+        self.slowness = self.slowness.saturating_add(other.slowness);
+        self.timed = self.timed.saturating_add(other.timed);
+        self.sent = self.sent.saturating_add(other.sent);
+    }
+
+    /// Returns what was counted since an earlier tally, or all of it if counting began anew.
+    pub(crate) fn since(&self, earlier: &Tally) -> Tally {
+        if self.sent < earlier.sent || self.good < earlier.good || self.bad < earlier.bad {
+            return *self;
+        }
+        Tally {
+            good: self.good - earlier.good,
+            bad: self.bad - earlier.bad,
+            slowness: self.slowness.saturating_sub(earlier.slowness),
+            timed: self.timed.saturating_sub(earlier.timed),
+            sent: self.sent - earlier.sent,
+        }
+    }
+}
+
 impl Member {
     /// Returns whether nothing was heard of the member for long.
     pub(crate) fn is_silent(&self, now: Time) -> bool {
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod pool;
 pub mod serve;
 pub mod settings;
+pub mod statistics;
 pub mod store;
 pub mod time;
 pub mod timer;
--- a/mesh/src/note.rs
+++ b/mesh/src/note.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{directory::Tally, keys::MemberId, report::LoadReport};
+use crate::{directory::Tally, keys::MemberId, report::LoadReport, rollout::RolloutNote};
 
 /// The longest datagram that is read.
 pub(crate) const MAX_BYTES: usize = 512;
@@ -13,7 +13,7 @@
 const FORMAT: u8 = 1;
 
 /// What a node tells about itself.
-#[derive(Copy, Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Note {
     pub(crate) from: MemberId,
     /// The version of its configuration.
@@ -21,8 +21,8 @@
     pub(crate) load: LoadReport,
     /// What its target has answered in this lifetime.
     pub(crate) tally: Tally,
-    /// A request that has crashed targets, and how many crashes are known.
-    pub(crate) suspect: Option<(u64, u8)>,
+    /// Rollouts in progress.
+    pub(crate) rollouts: Vec<RolloutNote>,
 }
 
 impl Note {
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -28,7 +28,7 @@
     gate::Gate,
     keys::{CallKey, MemberId, WorkKey},
     report::LoadReport,
-    rollout::Rollout,
+    rollout::{Rollout, RolloutRecord},
     target::{Heard, Heartbeat, Lifetime, Target},
     time::Time,
 };
@@ -78,6 +78,8 @@
     has_store: bool,
     evacuated: BTreeSet<CompactString>,
     rollouts: HashMap<CompactString, Rollout>,
+    /// The last recorded state of each service's rollouts; it may be read before the order itself.
+    recorded: HashMap<CompactString, RolloutRecord>,
     target: Target,
     gate: Gate,
     tally: Tally,
@@ -109,6 +111,7 @@
             has_store: false,
             evacuated: BTreeSet::new(),
             rollouts: HashMap::new(),
+            recorded: HashMap::new(),
             target: Target::default(),
             gate: Gate::new(),
             tally: Tally::default(),
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -21,6 +21,9 @@
 /// The longest time between two notes of a node, a third of the silence after which others doubt it.
 const MAX_GAP: Duration = Duration::from_millis(500);
 
+/// The longest time between two notes while a version of the own service is judged.
+const ROLLOUT_GAP: Duration = Duration::from_millis(150);
+
 /// The most datagrams of a node in a second; with more members, notes are sent less often.
 const MAX_NOTES: f64 = 150.0;
 
@@ -85,6 +88,9 @@
         member.reported(now, note.load);
         member.tally = note.tally;
         member.config = note.config;
+        for rollout in &note.rollouts {
+            self.rollout_noted(now, rollout);
+        }
     }
 
     /// Tells other nodes of this one, if something changed or nothing was told for long.
@@ -93,7 +99,8 @@
         let gap = MIN_GAP.max(Duration::from_secs_f64(self.directory.len() as f64 / MAX_NOTES));
         if let Some((at, told)) = self.told {
             let since = now.since(at);
-            let is_due = since >= MAX_GAP.max(gap) || (since >= gap && is_news(&told, &load));
+            let longest = if self.has_rollout() { ROLLOUT_GAP } else { MAX_GAP };
+            let is_due = since >= longest.max(gap) || (since >= gap && is_news(&told, &load));
             if !is_due {
                 return;
             }
@@ -104,7 +111,7 @@
             config: self.config.as_ref().map_or(0, |config| config.config.version),
             load,
             tally: self.tally,
-            suspect: None,
+            rollouts: self.rollout_notes(now),
         };
         let others = self.directory.iter().filter(|(_, member)| member.record.id != self.me.id);
         let to: Vec<_> = others.map(|(_, member)| member.record.address).collect();
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -8,7 +8,10 @@
 use crate::{
     directory::Member,
     effect::{Effect, Record},
-    rollout::{Rollout, RolloutOrder, RolloutRecord, RolloutState, Side, Verdict},
+    rollout::{
+        Part, Rollout, RolloutNote, RolloutOrder, RolloutRecord, RolloutState, Tallies,
+        Verdict,
+    },
     time::Time,
 };
 
@@ -20,6 +23,9 @@
 /// The most nodes that take turns at recording.
 const MAX_RANK: usize = 5;
 
+/// The most rollouts told in one note.
+const MAX_NOTED: usize = 4;
+
 /// The time between attempts to record the same outcome.
 const RECORD_GAP: Duration = Duration::from_millis(500);
 
@@ -63,8 +69,11 @@
                     known.order.version == order.version && known.order.duration == order.duration
                 });
                 if !is_known {
-                    let rollout = Rollout::new(now, order);
-                    self.log_rollout(&rollout, "ordered", &Side::default(), &Side::default(), out);
+                    let mut rollout = Rollout::new(now, order);
+                    if let Some(record) = self.recorded.get(&service) {
+                        rollout.recorded(record);
+                    }
+                    self.log_rollout(&rollout, "ordered", out);
                     self.rollouts.insert(service, rollout);
                 }
             }
@@ -78,18 +87,18 @@
         record: &RolloutRecord,
         out: &mut Vec<Effect>,
     ) {
+        self.recorded.insert(record.service.clone(), record.clone());
         let Some(rollout) = self.rollouts.get_mut(&record.service) else { return };
         let before = rollout.state;
         rollout.recorded(record);
         if before != rollout.state {
             let rollout = rollout.clone();
-            let (new, old) = self.sides(&rollout.order);
             let stage = match record.state {
                 RolloutState::Running => "running",
                 RolloutState::Completed => "completed",
                 RolloutState::RolledBack => "rolled-back",
             };
-            self.log_rollout(&rollout, stage, &new, &old, out);
+            self.log_rollout(&rollout, stage, out);
         }
         self.reopen(now, out);
     }
@@ -100,12 +109,12 @@
             self.rollouts.iter().filter(|(_, r)| !r.is_over()).map(|(s, _)| s.clone()).collect();
         for service in services {
             let Some(mut rollout) = self.rollouts.get(&service).cloned() else { continue };
-            let (new, old) = self.sides(&rollout.order);
+            let parts = self.parts(&rollout.order);
             let was_stopped = rollout.is_stopped;
-            let verdict = rollout.judge(now, &new, &old);
+            let verdict = rollout.judge(now, &parts);
             if rollout.is_stopped && !was_stopped {
                 let stage = if verdict == Verdict::Slow { "slow" } else { "failing" };
-                self.log_rollout(&rollout, stage, &new, &old, out);
+                self.log_rollout(&rollout, stage, out);
             }
             if let Some((since, state)) = rollout.due()
                 && self.is_turn(now, since)
@@ -139,18 +148,36 @@
         }
     }
 
-    fn sides(&self, order: &RolloutOrder) -> (Side, Side) {
-        let (mut new, mut old) = (Side::default(), Side::default());
-        for (_, member) in self.directory.of(&order.service) {
-            let is_me = self.is_me(member.record.id);
-            let tally = if is_me { &self.tally } else { &member.tally };
-            let running = member.load.map_or(0, |(_, load)| load.running + load.queued);
-            let running = if is_me { self.gate.busy() as u16 } else { running };
-            let is_new = member.version() == Some(&order.version);
-            let side = if is_new { &mut new } else { &mut old };
-            side.add(tally, running, member.is_open());
+    pub(super) fn rollout_notes(&self, now: Time) -> Vec<RolloutNote> {
+        let active = self.rollouts.values().filter(|rollout| !rollout.is_over());
+        active.take(MAX_NOTED).map(|rollout| rollout.note(now)).collect()
+    }
+
+    pub(super) fn rollout_noted(&mut self, now: Time, note: &RolloutNote) {
+        for rollout in self.rollouts.values_mut().filter(|rollout| !rollout.is_over()) {
+            rollout.noted(now, note);
         }
-        (new, old)
+    }
+
+    /// Returns whether a version of the own service is being judged.
+    pub(super) fn has_rollout(&self) -> bool {
+        self.rollouts.get(&self.me.service).is_some_and(|rollout| !rollout.is_over())
+    }
+
+    fn parts(&self, order: &RolloutOrder) -> Vec<Part> {
+        let part = |member: &Member| {
+            let is_me = self.is_me(member.record.id);
+            let load = member.load.map(|(_, load)| load);
+            let running = load.map_or(0, |load| u32::from(load.running) + u32::from(load.queued));
+            Part {
+                member: member.record.id,
+                is_new: member.version() == Some(&order.version),
+                tally: if is_me { self.tally } else { member.tally },
+                running: if is_me { self.gate.busy() as u32 } else { running },
+                is_open: member.is_open(),
+            }
+        };
+        self.directory.of(&order.service).map(|(_, member)| part(member)).collect()
     }
 
     /// Returns whether it is this node's turn to record something that is due since a time. The member with the
@@ -170,18 +197,17 @@
         &self,
         rollout: &Rollout,
         stage: &'static str,
-        new: &Side,
-        old: &Side,
         out: &mut Vec<Effect>,
     ) {
+        let Tallies { new, old } = rollout.tallies();
         out.push(Effect::Log(Record::Rollout {
             service: rollout.order.service.clone(),
             version: rollout.order.version.clone(),
             stage,
-            new_good: new.tally.good,
-            new_bad: new.tally.bad,
-            old_good: old.tally.good,
-            old_bad: old.tally.bad,
+            new_good: new.good,
+            new_bad: new.bad,
+            old_good: old.good,
+            old_bad: old.bad,
         }));
     }
 }
--- a/mesh/src/rollout.rs
+++ b/mesh/src/rollout.rs
@@ -3,12 +3,21 @@
 //! Every node counts what its own target answers and tells the others, so all nodes judge the same counts. A bad
 //! version stops receiving requests at each node that sees the evidence; one node records the outcome.
 
-use std::time::Duration;
+use std::{
+    collections::{HashMap, VecDeque},
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{directory::Tally, time::Time};
+use crate::{
+    directory::Tally,
+    keys::MemberId,
+    statistics::{Share, chance},
+    time::Time,
+};
 
 /// The part of the exposure bound that the trial of a new version uses.
 const TRIAL_PART: f64 = 0.6;
@@ -24,20 +33,33 @@
 
 /// The time over which the share rises from the trial's to all requests. Faults that show only under load must show
 /// before many requests have met them.
-const SHIFT_TIME: Duration = Duration::from_millis(1_500);
+const SHIFT_TIME: Duration = Duration::from_millis(2_000);
 
 /// The shortest time after the shift in which the new version carries all requests before the rollout is completed,
 /// because completing it ends the old targets at once.
-const SETTLE_TIME: Duration = Duration::from_millis(800);
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// The part of the time after which a rollout is completed although old targets still run requests.
 const LATEST_COMPLETION: f64 = 0.85;
 
+/// The time over which recent answers are compared.
+const RECENT_TIME: Duration = Duration::from_millis(2_500);
+
+/// The difference of two nodes' ages of an order that is not corrected.
+const AGE_SLACK: Duration = Duration::from_millis(200);
+
 /// The fewest failures that count as evidence.
 const MIN_FAILURES: u32 = 4;
 
-/// The excess of the new version's share of failures over that of the old one.
-const FAILURE_EXCESS: f64 = 0.12;
+/// The smallest excess of the new version's share of failures over that of the old one that matters.
+const FAILURE_EXCESS: f64 = 0.05;
+
+/// The probability by chance below which a difference counts. A false alarm costs one rollout, a missed fault
+/// exposes callers to it.
+const CHANCE: f64 = 1e-3;
+
+/// The probability by chance below which a rollout is not completed yet.
+const DOUBT: f64 = 0.05;
 
 /// The fewest answers of each version whose service times are compared.
 const MIN_ANSWERS: u32 = 12;
@@ -93,39 +115,122 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Rollout {
     pub(crate) order: RolloutOrder,
-    since: Time,
-    /// When the trial ended, if it has.
-    shift: Option<Time>,
+    seen: Time,
+    /// How old the order was when this node saw it, as other nodes tell.
+    age: Duration,
+    /// The age of the order at which the trial ended, if it has.
+    shift: Option<Duration>,
     pub(crate) state: Option<RolloutState>,
-    /// Whether this node has seen enough to stop using the version.
+    /// Whether enough was seen to stop using the version.
     pub(crate) is_stopped: bool,
     /// When the outcome was found, which orders the nodes that may record it.
     pub(crate) decided: Option<(Time, RolloutState)>,
+    evidence: Evidence,
+}
+
+/// What nodes tell each other about a rollout, so that one that starts in its midst goes on where the others are.
+#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RolloutNote {
+    /// Stands for the service and the version.
+    pub(crate) order: u32,
+    /// The age of the order in milliseconds.
+    pub(crate) age: u32,
+    /// The age in milliseconds at which the trial ended, if it has.
+    pub(crate) shift: Option<u32>,
+    pub(crate) is_stopped: bool,
 }
 
-/// What all members of a service with one kind of version report.
+/// What all members of a service with one kind of version report at this moment.
 #[derive(Copy, Clone, Debug, Default, PartialEq)]
 pub(crate) struct Side {
-    pub(crate) tally: Tally,
     pub(crate) running: u32,
     pub(crate) open: u32,
 }
 
-impl Side {
-    pub(crate) fn add(&mut self, tally: &Tally, running: u16, is_open: bool) {
-        self.tally.good += tally.good;
-        self.tally.bad += tally.bad;
-        self.tally.slowness = self.tally.slowness.saturating_add(tally.slowness);
-        self.tally.timed += tally.timed;
-        self.tally.sent += tally.sent;
-        self.running += u32::from(running);
-        self.open += u32::from(is_open);
+/// One member's part in a rollout.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Part {
+    pub(crate) member: MemberId,
+    pub(crate) is_new: bool,
+    pub(crate) tally: Tally,
+    pub(crate) running: u32,
+    pub(crate) is_open: bool,
+}
+
+/// Answers of both versions. Counts of members that restart or leave stay in it.
+#[derive(Clone, Debug, Default)]
+struct Evidence {
+    known: HashMap<MemberId, Tally>,
+    total: Tallies,
+    /// What was added lately, the oldest first.
+    recent: VecDeque<(Time, Tallies)>,
+}
+
+/// Answers of the new version and of the old ones.
+#[derive(Copy, Clone, Debug, Default, PartialEq)]
+pub(crate) struct Tallies {
+    pub(crate) new: Tally,
+    pub(crate) old: Tally,
+}
+
+impl Tallies {
+    fn add(&mut self, other: &Tallies) {
+        self.new.add(&other.new);
+        self.old.add(&other.old);
+    }
+}
+
+impl Evidence {
+    /// Adds what members have answered since the last time.
+    fn gather(&mut self, now: Time, parts: &[Part]) {
+        let mut added = Tallies::default();
+        for part in parts {
+            let known = self.known.insert(part.member, part.tally).unwrap_or_default();
+            let side = if part.is_new { &mut added.new } else { &mut added.old };
+            side.add(&part.tally.since(&known));
+        }
+        self.total.add(&added);
+        self.recent.push_back((now, added));
+        while self.recent.front().is_some_and(|(at, _)| now.since(*at) > RECENT_TIME) {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Compares the versions over the whole time and over the last seconds, because some faults show only under load.
+    fn judge(&self) -> Verdict {
+        match compare(&self.total) {
+            Verdict::NoFault => compare(&self.lately()),
+            verdict => verdict,
+        }
+    }
+
+    /// Returns whether the new version may be failing, though too little is known for a verdict.
+    fn is_doubtful(&self) -> bool {
+        let Tallies { new, old } = self.lately();
+        new.bad > 1 && chance(failed(&new), failed(&old)) < DOUBT
+    }
+
+    fn lately(&self) -> Tallies {
+        let mut recent = Tallies::default();
+        for (_, added) in &self.recent {
+            recent.add(added);
+        }
+        recent
     }
 }
 
 impl Rollout {
     pub(crate) fn new(now: Time, order: RolloutOrder) -> Rollout {
-        Rollout { order, since: now, shift: None, state: None, is_stopped: false, decided: None }
+        Rollout {
+            order,
+            seen: now,
+            age: Duration::ZERO,
+            shift: None,
+            state: None,
+            is_stopped: false,
+            decided: None,
+            evidence: Evidence::default(),
+        }
     }
 
     /// Takes the recorded state of the rollout.
@@ -136,25 +241,59 @@
         }
     }
 
+    /// Returns what other nodes are told.
+    pub(crate) fn note(&self, now: Time) -> RolloutNote {
+        let ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        RolloutNote {
+            order: self.hash(),
+            age: ms(self.elapsed(now)),
+            shift: self.shift.map(ms),
+            is_stopped: self.is_stopped,
+        }
+    }
+
+    /// Takes what another node tells.
+    pub(crate) fn noted(&mut self, now: Time, note: &RolloutNote) {
+        if note.order != self.hash() {
+            return;
+        }
+        let age = Duration::from_millis(note.age.into());
+        if let Some(more) = age.checked_sub(self.elapsed(now)).filter(|more| *more > AGE_SLACK) {
+            self.age += more;
+        }
+        let shift = note.shift.map(|ms| Duration::from_millis(ms.into()));
+        self.shift = match (self.shift, shift) {
+            (Some(own), Some(other)) => Some(own.min(other)),
+            (own, other) => own.or(other),
+        };
+        if note.is_stopped && !self.is_stopped {
+            self.is_stopped = true;
+            self.decide(now, RolloutState::RolledBack);
+        }
+    }
+
     /// Looks at the evidence; the outcome, if there is one, is to be recorded.
-    pub(crate) fn judge(&mut self, now: Time, new: &Side, old: &Side) -> Verdict {
+    pub(crate) fn judge(&mut self, now: Time, parts: &[Part]) -> Verdict {
         if self.is_over() {
             return Verdict::NoFault;
         }
-        let verdict = compare(&new.tally, &old.tally);
+        self.evidence.gather(now, parts);
+        let verdict = self.evidence.judge();
         if verdict != Verdict::NoFault {
             self.is_stopped = true;
             self.decide(now, RolloutState::RolledBack);
             return verdict;
         }
-        let part = now.since(self.since).as_secs_f64() / self.order.duration.as_secs_f64().max(0.1);
-        let is_known = new.tally.good >= TRIAL_ANSWERS && part >= TRIAL_TIME;
+        let (new, old) = sides(parts);
+        let elapsed = self.elapsed(now);
+        let part = elapsed.as_secs_f64() / self.order.duration.as_secs_f64().max(0.1);
+        let is_known = self.evidence.total.new.good >= TRIAL_ANSWERS && part >= TRIAL_TIME;
         if self.shift.is_none() && new.open > 0 && (is_known || part >= LONGEST_TRIAL) {
-            self.shift = Some(now);
+            self.shift = Some(elapsed);
         }
         if let Some(shift) = self.shift {
-            let is_settled = now.since(shift) >= SHIFT_TIME + SETTLE_TIME;
-            let is_empty = old.running == 0;
+            let is_settled = elapsed >= shift + SHIFT_TIME + SETTLE_TIME;
+            let is_empty = old.running == 0 && !self.evidence.is_doubtful();
             if new.open > 0 && is_settled && (is_empty || part >= LATEST_COMPLETION) {
                 self.decide(now, RolloutState::Completed);
             }
@@ -172,8 +311,9 @@
         }
         let trial = exposure * TRIAL_PART;
         let Some(shift) = self.shift else { return trial };
-        let part = now.since(shift).as_secs_f64() / SHIFT_TIME.as_secs_f64();
-        (trial + (1.0 - trial) * part * part).min(1.0)
+        let since = self.elapsed(now).saturating_sub(shift);
+        let part = (since.as_secs_f64() / SHIFT_TIME.as_secs_f64()).min(1.0);
+        trial + (1.0 - trial) * part * part
     }
 
     /// Returns whether nothing remains to be decided.
@@ -188,11 +328,26 @@
         }
         match self.decided {
             Some(decided) => Some(decided),
-            None if self.state.is_none() => Some((self.since, RolloutState::Running)),
+            None if self.state.is_none() => Some((self.seen, RolloutState::Running)),
             None => None,
         }
     }
 
+    /// Returns all answers counted so far.
+    pub(crate) fn tallies(&self) -> &Tallies {
+        &self.evidence.total
+    }
+
+    fn elapsed(&self, now: Time) -> Duration {
+        self.age + now.since(self.seen)
+    }
+
+    fn hash(&self) -> u32 {
+        let mut hasher = DefaultHasher::new();
+        (&self.order.service, &self.order.version).hash(&mut hasher);
+        hasher.finish() as u32
+    }
+
     fn decide(&mut self, now: Time, state: RolloutState) {
         // A fault found later outweighs a completion that is not recorded yet.
         match self.decided {
@@ -202,11 +357,22 @@
     }
 }
 
+fn sides(parts: &[Part]) -> (Side, Side) {
+    let (mut new, mut old) = (Side::default(), Side::default());
+    for part in parts {
+        let side = if part.is_new { &mut new } else { &mut old };
+        side.running += part.running;
+        side.open += u32::from(part.is_open);
+    }
+    (new, old)
+}
+
 /// Compares the answers of the new version with those of the old one over the same time.
-pub(crate) fn compare(new: &Tally, old: &Tally) -> Verdict {
+pub(crate) fn compare(tallies: &Tallies) -> Verdict {
+    let Tallies { new, old } = tallies;
     let share = |tally: &Tally| f64::from(tally.bad) / f64::from((tally.good + tally.bad).max(1));
-    let excess = share(new) - share(old);
-    if new.bad >= MIN_FAILURES && excess >= FAILURE_EXCESS && share(new) >= 2.0 * share(old) {
+    let is_excess = share(new) - share(old) >= FAILURE_EXCESS;
+    if new.bad >= MIN_FAILURES && is_excess && chance(failed(new), failed(old)) < CHANCE {
         return Verdict::Failing;
     }
     let mean = |tally: &Tally| f64::from(tally.slowness) / f64::from(tally.timed.max(1));
@@ -217,5 +383,9 @@
     Verdict::NoFault
 }
 
+fn failed(tally: &Tally) -> Share {
+    Share { hits: tally.bad.into(), of: (tally.good + tally.bad).into() }
+}
+
 #[cfg(any())]
 mod tests;
--- a/src/rollout/judge.rs
+++ b/src/rollout/judge.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 
+use poplarbarrow_mesh::statistics::{self, Share};
 use serde::{Deserialize, Serialize};
 
 use super::evidence::{CLASSES, Counts, Stratum, Tally};
@@ -176,32 +177,6 @@
 
 /// Returns the probability that the new version has at least as many of all hits by chance.
 pub fn chance(new: Part, old: Part) -> f64 {
-    let [k, n] = [new.hits, new.of].map(u64::from);
-    let hits = k + u64::from(old.hits);
-    let all = n + u64::from(old.of);
-    let first = ln_choose(hits, k) + ln_choose(all - hits, n - k) - ln_choose(all, n);
-    let (mut term, mut sum) = (1.0, 1.0);
-    for i in k..n.min(hits) {
-        let rest = (all - hits + i + 1) as f64 - n as f64;
-        term *= (hits - i) as f64 * (n - i) as f64 / ((i + 1) as f64 * rest);
-        sum += term;
-        if term < sum * 1e-12 {
-            break;
-        }
-    }
-    (first.exp() * sum).min(1.0)
-}
-
-fn ln_choose(n: u64, k: u64) -> f64 {
-    ln_factorial(n) - ln_factorial(k) - ln_factorial(n - k)
-}
-
-/// Returns the logarithm of n!, by Stirling's series with an error below 1e-9.
-fn ln_factorial(n: u64) -> f64 {
-    if n < 16 {
-        return (2..=n).map(|i| (i as f64).ln()).sum();
-    }
-    let x = n as f64;
-    let series = 1.0 / (12.0 * x) - 1.0 / (360.0 * x.powi(3));
-    x * x.ln() - x + 0.5 * (2.0 * std::f64::consts::PI * x).ln() + series
+    let share = |part: Part| Share { hits: part.hits.into(), of: part.of.into() };
+    statistics::chance(share(new), share(old))
 }
