Bound saved retries, refuse what a stop would cut, and concentrate a version's trial

Change: a node's savings are its part of the bound; while it stops, a node refuses what may take longer than what is left; the old version's answers of 6 s count, a rollout in doubt at its end is rolled back, and the requests of a trial go to one target until that is nearly full, which shows faults under load with fewer requests.

--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -37,15 +37,15 @@
     }
 
     /// Notes a caller's request for the service.
-    pub(crate) fn earn(&mut self, bound: &RetryBound) {
-        // What was earned long ago must not be spent within one window.
-        let most = bound.slack * USED_PART;
-        self.earned = (self.earned + bound.ratio * USED_PART).min(most.max(1.0));
+    pub(crate) fn earn(&mut self, bound: &RetryBound, nodes: usize) {
+        // What all nodes have saved may be spent within one window, besides what they earn in it.
+        let most = part(bound, nodes).max(1.0);
+        self.earned = (self.earned + bound.ratio * USED_PART).min(most);
     }
 
     /// Takes one repeat, or returns `false` if none is left.
     pub(crate) fn take(&mut self, now: Time, bound: &RetryBound, nodes: usize) -> bool {
-        let part = bound.slack * USED_PART / 2.0 / nodes.max(1) as f64;
+        let part = part(bound, nodes);
         let refill = part * now.since(self.refilled).as_secs_f64() / bound.window.as_secs_f64();
         self.refilled = now;
         self.spare = (self.spare + refill).min(part.max(1.0));
@@ -59,5 +59,10 @@
     }
 }
 
+/// Returns this node's part of the fixed number of repeats. It is held twice: as savings and as a refill.
+fn part(bound: &RetryBound, nodes: usize) -> f64 {
+    bound.slack * USED_PART / 2.0 / nodes.max(1) as f64
+}
+
 #[cfg(any())]
 mod tests;
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -48,7 +48,7 @@
 };
 
 /// The time that connections get to close at the end of a graceful stop.
-const CLOSE_TIME: Duration = Duration::from_millis(400);
+const CLOSE_TIME: Duration = Duration::from_millis(150);
 
 /// A node cannot start.
 #[derive(Debug, Snafu)]
--- a/mesh/src/placement.rs
+++ b/mesh/src/placement.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng as _, rngs::SmallRng};
 
-use crate::{keys::MemberKey, report::LoadReport, time::Time};
+use crate::{keys::{MemberId, MemberKey}, report::LoadReport, time::Time};
 
 /// The advantage of the own data centre. Traffic between data centres costs money and a few milliseconds, so it
 /// goes there only if it gains more than that.
@@ -45,6 +45,8 @@
 #[derive(Copy, Clone, Debug)]
 pub(crate) struct Candidate {
     pub(crate) key: MemberKey,
+    /// Orders candidates the same way at every node.
+    pub(crate) id: MemberId,
     /// The last load report and its age.
     pub(crate) load: Option<(Duration, LoadReport)>,
     /// Requests that this node has sent there since that report.
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -43,7 +43,11 @@
 const STOP_NOTICE: Duration = Duration::from_millis(2_500);
 
 /// The part of the time for a graceful stop that is left for closing connections.
-const CLOSE_TIME: Duration = Duration::from_millis(700);
+const CLOSE_TIME: Duration = Duration::from_millis(300);
+
+/// The longest time that a request is given at a node that is stopping; one that might take longer than what is left
+/// is refused at once.
+const LAST_CALL_TIME: Duration = Duration::from_secs(2);
 
 /// What a node knows about itself.
 #[derive(Clone, Debug)]
@@ -279,13 +283,25 @@
         }
         self.stopping = Some(now);
         self.log_stop("begin", out);
-        let after = self.me.limits.grace.saturating_sub(CLOSE_TIME);
+        let after = self.stop_time();
         out.push(Effect::Arm { timer: Timer::StopDeadline, after });
         self.reopen(now, out);
         self.publish(now, out);
         self.update_ready(out);
     }
 
+    /// Returns the time from the begin of a graceful stop to its end.
+    fn stop_time(&self) -> Duration {
+        self.me.limits.grace.saturating_sub(CLOSE_TIME)
+    }
+
+    /// Returns whether a request that may take `time` would be cut off by the end of a graceful stop.
+    fn is_last_call_over(&self, now: Time, time: Duration) -> bool {
+        self.stopping.is_some_and(|since| {
+            now.since(since) + time.min(LAST_CALL_TIME) > self.stop_time()
+        })
+    }
+
     fn exit(&mut self, out: &mut Vec<Effect>) {
         if !self.has_exited {
             self.has_exited = true;
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -9,6 +9,7 @@
 use rand::Rng as _;
 
 use crate::{
+    budget::RetryBudget,
     config::Route,
     effect::{Attempt, CallStep, Effect, Hop, Order},
     event::{CallEvent, CallHead, Timer},
@@ -25,6 +26,9 @@
 /// The weight of a caller in that part.
 const USUAL_WEIGHT: f64 = 0.05;
 
+/// The time after which callers of a node that ends are asked to return: by then its successor may have started.
+const RESTART_TIME: Duration = Duration::from_millis(800);
+
 /// The difference below which two stated times count as equal.
 const SAME_PATIENCE: f64 = 0.02;
 
@@ -155,6 +159,12 @@
         let Some(route) = table.find(&head.host, &head.path) else {
             return self.refuse_head(key, &head, refuse(Reason::NoRoute), out);
         };
+        let time = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+        if self.is_last_call_over(now, time) {
+            let retry_after = Some(RESTART_TIME);
+            let refusal = Refusal { retry_after, ..refuse(Reason::Stopping) };
+            return self.refuse_head(key, &head, refusal, out);
+        }
         let call = self.open_call(now, route, head);
         let time = call.deadline.since(now);
         self.calls.insert(key, call);
@@ -170,8 +180,9 @@
         });
         let service = self.draw_share(route);
         let bound = self.me.limits.retries;
+        let nodes = self.directory.len();
         let budget = self.budgets.entry(service.clone());
-        budget.or_insert_with(|| crate::budget::RetryBudget::new(now)).earn(&bound);
+        budget.or_insert_with(|| RetryBudget::new(now)).earn(&bound, nodes);
         Call {
             id: head.id,
             route: route.name.clone(),
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -18,6 +18,9 @@
 /// nodes, and after a few the reports here are fresh.
 const MAX_BOUNCES: u8 = 3;
 
+/// The part of its limit up to which one target of a version on trial is filled before the next one.
+const TRIAL_FILL: f64 = 0.85;
+
 /// The part of the time to the objective after which an idempotent request is also sent to another target.
 const HEDGE_PART: f64 = 0.45;
 
@@ -43,9 +46,10 @@
         let service = call.service.clone();
         let versions = self.draw_versions(now, &service);
         let mut candidates = self.candidates(now, key, &versions);
-        if candidates.is_empty() && matches!(versions, Versions::Only(_)) {
-            let Versions::Only(version) = versions else { return false };
-            candidates = self.candidates(now, key, &Versions::Except(version));
+        if let (true, Versions::Only(version)) = (candidates.is_empty(), &versions) {
+            candidates = self.candidates(now, key, &Versions::Except(version.clone()));
+        } else if matches!(versions, Versions::Only(_)) && self.is_version_on_trial(now, &service) {
+            concentrate(&mut candidates);
         }
         let Some(call) = self.calls.get_mut(key) else { return false };
         let usual = self.usual.get(&(service.clone(), call.route.clone())).copied();
@@ -105,6 +109,7 @@
             let own = (Duration::ZERO, self.gate.report(now));
             Candidate {
                 key,
+                id: member.record.id,
                 load: if is_me { Some(own) } else { placement::aged(now, member.load) },
                 sent: if is_me { 0 } else { member.sent },
                 distance,
@@ -183,3 +188,19 @@
         }
     }
 }
+
+/// Leaves the first candidate that has room. A version on trial gets few requests; sent to one target, they show
+/// faults that depend on its load.
+fn concentrate(candidates: &mut Vec<Candidate>) {
+    candidates.sort_by_key(|candidate| candidate.id);
+    let has_room = |candidate: &&Candidate| {
+        let load = candidate.load.map(|(_, load)| load);
+        let busy = load.map_or(0, |load| load.running + load.queued);
+        let limit = load.map_or(1.0, |load| f64::from(load.limit));
+        let is_warm = load.is_none_or(|load| !load.is_cold);
+        is_warm && !candidate.is_doubtful && f64::from(busy) + f64::from(candidate.sent) < limit * TRIAL_FILL
+    };
+    if let Some(first) = candidates.iter().find(has_room).copied() {
+        *candidates = vec![first];
+    }
+}
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// Returns whether a version of a service has not shown yet that it bears all requests.
+    pub(super) fn is_version_on_trial(&self, now: Time, service: &str) -> bool {
+        let exposure = self.me.limits.exposure;
+        self.rollouts.get(service).is_some_and(|rollout| rollout.share(now, exposure) < 1.0)
+    }
+
     /// Returns whether a version of the own service is being judged.
     pub(super) fn has_rollout(&self) -> bool {
         self.rollouts.get(&self.me.service).is_some_and(|rollout| !rollout.is_over())
--- a/mesh/src/rollout.rs
+++ b/mesh/src/rollout.rs
@@ -45,6 +45,9 @@
 /// The time over which recent answers are compared.
 const RECENT_TIME: Duration = Duration::from_millis(2_500);
 
+/// The time over which answers of the old version are compared with recent ones of the new version.
+const OLD_TIME: Duration = Duration::from_secs(6);
+
 /// The difference of two nodes' ages of an order that is not corrected.
 const AGE_SLACK: Duration = Duration::from_millis(200);
 
@@ -162,6 +165,7 @@
 struct Evidence {
     known: HashMap<MemberId, Tally>,
     total: Tallies,
+    gathered: Time,
     /// What was added lately, the oldest first.
     recent: VecDeque<(Time, Tallies)>,
 }
@@ -190,30 +194,38 @@
             side.add(&part.tally.since(&known));
         }
         self.total.add(&added);
+        self.gathered = now;
         self.recent.push_back((now, added));
-        while self.recent.front().is_some_and(|(at, _)| now.since(*at) > RECENT_TIME) {
+        while self.recent.front().is_some_and(|(at, _)| now.since(*at) > OLD_TIME) {
             self.recent.pop_front();
         }
     }
 
     /// Compares the versions over the whole time and over the last seconds, because some faults show only under load.
     fn judge(&self) -> Verdict {
-        match compare(&self.total) {
-            Verdict::NoFault => compare(&self.lately()),
-            verdict => verdict,
-        }
+        let shown = [self.total, self.lately(RECENT_TIME), self.lately(OLD_TIME)];
+        let verdicts = shown.iter().map(compare);
+        verdicts.into_iter().find(|verdict| *verdict != Verdict::NoFault).unwrap_or(Verdict::NoFault)
     }
 
     /// Returns whether the new version may be failing, though too little is known for a verdict.
     fn is_doubtful(&self) -> bool {
-        let Tallies { new, old } = self.lately();
+        let Tallies { new, old } = self.lately(OLD_TIME);
         new.bad > 1 && chance(failed(&new), failed(&old)) < DOUBT
     }
 
-    fn lately(&self) -> Tallies {
+    /// Returns recent answers of the new version, and those of the old one within `old`. The old one has few once
+    /// traffic has moved.
+    fn lately(&self, old: Duration) -> Tallies {
         let mut recent = Tallies::default();
-        for (_, added) in &self.recent {
-            recent.add(added);
+        for (at, added) in &self.recent {
+            let age = self.gathered.since(*at);
+            if age <= RECENT_TIME {
+                recent.new.add(&added.new);
+            }
+            if age <= old {
+                recent.old.add(&added.old);
+            }
         }
         recent
     }
@@ -293,9 +305,14 @@
         }
         if let Some(shift) = self.shift {
             let is_settled = elapsed >= shift + SHIFT_TIME + SETTLE_TIME;
-            let is_empty = old.running == 0 && !self.evidence.is_doubtful();
-            if new.open > 0 && is_settled && (is_empty || part >= LATEST_COMPLETION) {
+            let is_doubtful = self.evidence.is_doubtful();
+            let is_latest = part >= LATEST_COMPLETION;
+            if new.open > 0 && is_settled && !is_doubtful && (old.running == 0 || is_latest) {
                 self.decide(now, RolloutState::Completed);
+            } else if is_latest && is_doubtful {
+                self.is_stopped = true;
+                self.decide(now, RolloutState::RolledBack);
+                return Verdict::Failing;
             }
         }
         verdict
