Let one node in each data centre watch the store, and prefer targets that are near and good enough

Change: nodes hold a copy of the store by topic with revisions; one node in each data centre, three at least, watches (seats.rs), and the others pull what changed from a node of their own data centre. A node writes one record at its start and reads with stale reads; what its target does goes by notes. Notes to other data centres are rarer, the order of an attempt is compact, and a target of the own data centre within 0.6 of the time to the objective is taken. Ruled out: one watch without a prefix; the number of calls at a change is the same, and it depends on what else is in the store.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -16,15 +16,11 @@
 };
 
 /// The time without any sign of a member after which it receives requests only if no other can.
-const SILENCE: Duration = Duration::from_millis(1_600);
+const SILENCE: Duration = Duration::from_millis(2_000);
 
 /// The pause after a connection to a member could not be opened or broke.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
 
-/// The time for which a member stays listed although its record is gone from the store, because records that
-/// lapsed while the store was away return only some time after it.
-const LAPSE_GRACE: Duration = Duration::from_secs(3);
-
 /// What a node keeps about itself in the store, under a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -36,19 +32,6 @@
     pub centre: CompactString,
     /// The service of the target.
     pub service: CompactString,
-    /// The lifetime of the target that takes work.
-    pub target: Option<TargetRecord>,
-}
-
-/// The target beside a member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetRecord {
-    /// The id of the lifetime.
-    pub id: CompactString,
-    /// The version of its software.
-    pub version: CompactString,
-    /// Whether it is leaving.
-    pub is_leaving: bool,
 }
 
 /// A member as this node sees it.
@@ -69,8 +52,10 @@
     lapsed: Option<Time>,
     /// What its target answered, by its own count.
     pub(crate) tally: Tally,
-    /// The version of the configuration that it has.
-    pub(crate) config: u64,
+    /// The version of its target's software, if it is known.
+    pub(crate) version: CompactString,
+    /// Whether it reaches the store, as it says itself.
+    pub(crate) has_store: bool,
 }
 
 /// Answers of one lifetime of a target, as its node counts them.
@@ -123,15 +108,10 @@
         self.paused.is_some_and(|until| now < until)
     }
 
-    /// Returns the version of the target.
-    pub(crate) fn version(&self) -> Option<&CompactString> {
-        self.record.target.as_ref().map(|target| &target.version)
-    }
-
-    /// Returns whether the target may take new work, as far as this node knows.
+    /// Returns whether the target may take new work, as far as this node knows. A member that has never spoken may be
+    /// gone for long.
     pub(crate) fn is_open(&self) -> bool {
-        let is_listed = self.record.target.as_ref().is_some_and(|target| !target.is_leaving);
-        is_listed && self.load.is_none_or(|(_, load)| load.is_open)
+        self.load.is_some_and(|(_, load)| load.is_open)
     }
 
     /// Notes a load report; requests that were sent before are part of it.
@@ -156,14 +136,7 @@
         if let Some(&key) = self.ids.get(&record.id) {
             let member = &mut self.members[key];
             member.lapsed = None;
-            // A lifetime that is leaving does not return, whatever an older record says.
-            let was_leaving = member.record.target.as_ref().filter(|target| target.is_leaving);
-            let is_same = |target: &TargetRecord| was_leaving.is_some_and(|old| old.id == target.id);
-            let stays = record.target.as_ref().is_some_and(is_same);
             member.record = record;
-            if let Some(target) = member.record.target.as_mut().filter(|_| stays) {
-                target.is_leaving = true;
-            }
             return false;
         }
         // A new process at an address replaces the earlier one there.
@@ -181,7 +154,8 @@
             paused: None,
             lapsed: None,
             tally: Tally::default(),
-            config: 0,
+            version: CompactString::default(),
+            has_store: true,
         };
         let key = self.members.insert(member);
         self.ids.insert(id, key);
@@ -219,21 +193,11 @@
         }
     }
 
-    /// Removes members whose records are gone for long, and returns them. A member that still speaks stays as long
-    /// as the store cannot be reached, because its record may have lapsed with the store.
-    pub(crate) fn expire(&mut self, now: Time, has_store: bool, me: MemberId) -> Vec<Member> {
-        if !has_store {
-            for member in self.members.values_mut() {
-                if member.lapsed.is_some() {
-                    member.lapsed = Some(now);
-                }
-            }
-            return Vec::new();
-        }
+    /// Removes members whose records are gone and that are silent, and returns them. A member that still speaks
+    /// stays, because its record may have lapsed while the store was away.
+    pub(crate) fn expire(&mut self, now: Time, me: MemberId) -> Vec<Member> {
         let is_gone = |member: &&Member| {
-            let is_silent = member.is_silent(now);
-            member.record.id != me
-                && member.lapsed.is_some_and(|at| is_silent || now.since(at) > LAPSE_GRACE)
+            member.record.id != me && member.lapsed.is_some() && member.is_silent(now)
         };
         let gone: Vec<MemberId> =
             self.members.values().filter(is_gone).map(|member| member.record.id).collect();
--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, Waker},
 };
@@ -16,7 +17,6 @@
 };
 
 use crate::{
-    directory::MemberRecord,
     effect::{CallStep, Effect, Record, WorkStep},
     event::{CallEvent, Event, Timer, WorkEvent},
     keys::{CallKey, WorkKey},
@@ -46,7 +46,8 @@
 /// What the parts of a process do for the reducer besides serving requests.
 pub(crate) struct Outlets {
     pub(crate) notes: Arc<UdpSocket>,
-    pub(crate) record: watch::Sender<Option<MemberRecord>>,
+    pub(crate) seat: watch::Sender<bool>,
+    pub(crate) pulls: mpsc::UnboundedSender<SocketAddr>,
     pub(crate) rollouts: mpsc::UnboundedSender<RolloutRecord>,
     pub(crate) health: watch::Sender<Option<CompactString>>,
     pub(crate) peers: Peers,
@@ -263,8 +264,11 @@
                     let _ = self.notes.try_send_to(&bytes, address);
                 }
             }
-            Effect::Publish(record) => {
-                self.record.send_replace(Some(*record));
+            Effect::Seat(is_seated) => {
+                self.seat.send_replace(is_seated);
+            }
+            Effect::Pull(address) => {
+                let _ = self.pulls.send(address);
             }
             Effect::Record(record) => {
                 // The receiver ends with the node.
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -6,7 +6,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    directory::MemberRecord,
     event::Timer,
     keys::{CallKey, MemberId, WorkKey},
     note::Note,
@@ -23,8 +22,10 @@
     Work(WorkKey, WorkStep),
     /// Tells other nodes the state of this one.
     Tell { to: Vec<SocketAddr>, note: Note },
-    /// Keeps this node's record in the store up to date.
-    Publish(Box<MemberRecord>),
+    /// Watches the store for the other nodes, or no longer does.
+    Seat(bool),
+    /// Takes from another node what it knows beyond this one.
+    Pull(SocketAddr),
     /// Records the state of a rollout in the store, unless an outcome is there.
     Record(RolloutRecord),
     /// The path of the target's health endpoint.
@@ -130,6 +131,8 @@
     Member { id: MemberId, service: CompactString, change: &'static str },
     /// The target beside this node changed.
     Target { life: CompactString, change: &'static str },
+    /// This node watches the store for the others, or no longer does.
+    Seat { is_seated: bool },
     /// The store became reachable or unreachable.
     Store { is_reachable: bool },
     /// A configuration came into force.
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -10,6 +10,7 @@
     keys::{CallKey, MemberId, WorkKey},
     note::Note,
     refusal::Reason,
+    replica::Revisions,
     report::LoadReport,
     rollout::{RolloutOrder, RolloutRecord},
     target::Health,
@@ -32,6 +33,12 @@
     MemberPut(MemberRecord),
     /// A record of a member was removed or lapsed.
     MemberGone(MemberId),
+    /// The members that started with this node were listed.
+    Synced,
+    /// The revisions up to which the store is known here.
+    Revisions(Revisions),
+    /// A pull from another node ended, with or without success.
+    PullEnded,
     /// The store became reachable or unreachable for this node.
     Store { is_reachable: bool },
     /// A configuration was read.
--- a/mesh/src/inbound.rs
+++ b/mesh/src/inbound.rs
@@ -2,6 +2,7 @@
 
 use std::{str::FromStr, sync::Arc, time::Duration};
 
+use base64::{Engine as _, engine::general_purpose::URL_SAFE_NO_PAD};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header, request::Parts};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -16,6 +17,7 @@
     pool::{Pool, SendError},
     refusal::Reason,
     report::LoadReport,
+    sync::{self, Copies},
     worker::{Ending, Worker},
 };
 
@@ -27,6 +29,18 @@
     order: Order,
 }
 
+impl Envelope {
+    /// Returns the text for a header: a compact binary form in base64, since headers go between data centres with
+    /// every request.
+    fn encode(&self) -> Option<String> {
+        postcard::to_stdvec(self).ok().map(|bytes| URL_SAFE_NO_PAD.encode(bytes))
+    }
+
+    fn decode(text: &str) -> Option<Envelope> {
+        postcard::from_bytes(&URL_SAFE_NO_PAD.decode(text).ok()?).ok()
+    }
+}
+
 /// How an attempt ended, and what the target's node says besides.
 pub(crate) struct Reply {
     pub(crate) ending: Ending,
@@ -49,7 +63,7 @@
     mut payload: Payload,
 ) -> Reply {
     let envelope = Envelope { to, order: order.clone() };
-    let Ok(text) = serde_json::to_string(&envelope) else { return Reply::failed(Failure::NotSent) };
+    let Some(text) = envelope.encode() else { return Reply::failed(Failure::NotSent) };
     names::set(&mut parts.headers, &names::ORDER, &text);
     // A request that names its host in the request line would be sent on in that form.
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -92,10 +106,14 @@
     pub(crate) me: MemberId,
     pub(crate) driver: Arc<Driver>,
     pub(crate) worker: Worker,
+    pub(crate) copies: Copies,
 }
 
 impl Inbound {
     pub(crate) async fn serve(&self, req: Request<Incoming>) -> Response<Body> {
+        if req.uri().path() == sync::PATH {
+            return self.copies.answer(req.uri().query());
+        }
         let (parts, body) = req.into_parts();
         let envelope = read_envelope(&parts.headers);
         let Ok(payload) = Payload::read(body).await else {
@@ -140,7 +158,7 @@
 }
 
 fn read_envelope(headers: &HeaderMap) -> Option<Envelope> {
-    serde_json::from_str(names::text(headers, &names::ORDER)?).ok()
+    Envelope::decode(names::text(headers, &names::ORDER)?)
 }
 
 fn write_ending(ending: &Ending) -> Option<String> {
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -38,14 +38,19 @@
 mod reducer;
 mod refusal;
 mod registry;
+mod replica;
 mod report;
 mod rollout;
+mod seats;
+mod sync;
 mod target;
 mod worker;
 
 pub use crate::{
     budget::RetryBound,
     reducer::Limits,
+    replica::Topic,
     rollout::{RolloutOrder, RolloutRecord, RolloutState},
+    sync::{Operator, Prefixes},
     target::{Heard, Heartbeat, Lifetime},
 };
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -28,6 +28,8 @@
             Record::Ran { outcome, .. } => ("target_requests", *outcome),
             Record::Member { change, .. } => ("members", *change),
             Record::Target { change, .. } => ("target_changes", *change),
+            Record::Seat { is_seated: true } => ("seats", "taken"),
+            Record::Seat { .. } => ("seats", "given_up"),
             Record::Store { is_reachable: true } => ("store", "regained"),
             Record::Store { .. } => ("store", "lost"),
             Record::Config { .. } => ("configurations", "applied"),
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -31,10 +31,12 @@
     pool::{Policy, Pool},
     reducer::{Me, Reducer},
     registry,
+    replica::Topic,
     rollout::{RolloutOrder, RolloutRecord},
     serve,
     settings::Settings,
     store::Store,
+    sync::{self, Copies, Operator},
     target::{Heard, Heartbeat, Lifetime},
     timer::Timers,
     worker::Worker,
@@ -95,6 +97,7 @@
     pub async fn start<S: Store>(
         settings: Settings,
         store: S,
+        operator: impl Operator,
         log: Logger,
     ) -> Result<Node, NodeError> {
         let id = MemberId(rand::rng().random());
@@ -115,10 +118,12 @@
             limits: settings.limits,
         };
         let metrics = Arc::new(Metrics::default());
+        let record = me.record();
         let reducer = Reducer::new(me, rand::rng().random());
         let driver = Arc::new(Driver::new(reducer, log.clone(), metrics.clone()));
         let stop = watch::Sender::new(false);
-        let (record, wanted) = watch::channel(None);
+        let (seat, seated) = watch::channel(false);
+        let (pulls, wanted) = mpsc::unbounded_channel();
         let (path, health_path) = watch::channel(None);
         let (rollouts, decided) = mpsc::unbounded_channel();
 
@@ -132,11 +137,17 @@
             health_path,
             driver.clone(),
         ));
-        tasks.spawn(registry::follow(store.clone(), driver.clone()));
-        tasks.spawn(registry::publish(store, wanted, driver.clone()));
+        let control = Control { driver: driver.clone() };
+        let copies = Copies::new(driver.clone(), control, operator);
+        for topic in Topic::ALL {
+            let (prefixes, copies) = (settings.prefixes.clone(), copies.clone());
+            tasks.spawn(sync::follow(store.clone(), topic, prefixes, copies, seated.clone()));
+        }
+        tasks.spawn(registry::publish(store, record, driver.clone()));
         tasks.spawn(receive(notes.clone(), driver.clone()));
 
         let connections = Peers::default();
+        tasks.spawn(pull(wanted, connections.clone(), copies.clone()));
         let worker = Worker { driver: driver.clone(), names: names.clone(), pool };
         let entry = Entry {
             driver: driver.clone(),
@@ -150,7 +161,7 @@
             async move { entry.serve(req).await }
         };
         tasks.spawn(serve::serve(callers, stop.subscribe(), log.clone(), handle));
-        let inbound = Inbound { me: id, driver: driver.clone(), worker };
+        let inbound = Inbound { me: id, driver: driver.clone(), worker, copies };
         let handle = move |req: Request<Incoming>| {
             let inbound = inbound.clone();
             async move { inbound.serve(req).await }
@@ -177,7 +188,7 @@
             move |timer| ask.inspect(|_, reducer| reducer.awaits(timer)),
         );
         let peers = connections;
-        driver.start(Outlets { notes, record, rollouts, health: path, peers, timers });
+        driver.start(Outlets { notes, seat, pulls, rollouts, health: path, peers, timers });
         Ok(Node { driver, id, stop, tasks, rollouts: Some(decided) })
     }
 
@@ -261,6 +272,16 @@
     TcpListener::bind(address).await.context(ListenSnafu { purpose, address })
 }
 
+async fn pull(
+    mut wanted: mpsc::UnboundedReceiver<SocketAddr>,
+    peers: Peers,
+    copies: Copies,
+) {
+    while let Some(address) = wanted.recv().await {
+        copies.pull(peers.to(address)).await;
+    }
+}
+
 async fn receive(notes: Arc<UdpSocket>, driver: Arc<Driver>) {
     let mut bytes = [0; note::MAX_BYTES];
     loop {
--- a/mesh/src/note.rs
+++ b/mesh/src/note.rs
@@ -2,9 +2,10 @@
 //!
 //! A lost note is replaced by the next one; nothing depends on a single note.
 
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{directory::Tally, keys::MemberId, report::LoadReport, rollout::RolloutNote};
+use crate::{directory::Tally, keys::MemberId, replica::Revisions, report::LoadReport, rollout::RolloutNote};
 
 /// The longest datagram that is read.
 pub(crate) const MAX_BYTES: usize = 512;
@@ -16,8 +17,14 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Note {
     pub(crate) from: MemberId,
-    /// The version of its configuration.
-    pub(crate) config: u64,
+    /// The revisions up to which it knows the store.
+    pub(crate) revisions: Revisions,
+    /// Whether it reaches the store.
+    pub(crate) has_store: bool,
+    /// Whether it ends, so that nothing is to be sent to it.
+    pub(crate) is_stopping: bool,
+    /// The version of its target's software.
+    pub(crate) version: CompactString,
     pub(crate) load: LoadReport,
     /// What its target has answered in this lifetime.
     pub(crate) tally: Tally,
--- a/mesh/src/placement.rs
+++ b/mesh/src/placement.rs
@@ -13,6 +13,10 @@
 /// The advantage of the target beside this node, which needs no other node.
 const HOP_COST: Duration = Duration::from_millis(3);
 
+/// The part of the time to its objective within which a target of the own data centre is good enough, so that others
+/// are not considered.
+const NEAR_PART: f64 = 0.6;
+
 /// The cost of a certain failure. A target that fails everything at once has no queue and would otherwise attract
 /// all requests.
 const FAILURE_COST: Duration = Duration::from_secs(3);
@@ -67,14 +71,20 @@
 }
 
 /// Chooses the target with the lowest expected time to an answer; `usual` is the service time of the request at
-/// the usual pace, if known.
+/// the usual pace, if known, and `left` the time until its objective.
 pub(crate) fn choose(
     candidates: &[Candidate],
     usual: Option<Duration>,
+    left: Duration,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
     let sound = candidates.iter().any(|candidate| !candidate.is_doubtful);
-    let eligible = candidates.iter().filter(|candidate| !sound || !candidate.is_doubtful);
+    let bound = left.mul_f64(NEAR_PART);
+    let is_near = |c: &Candidate| c.distance != Distance::Other && cost(c, usual) <= bound;
+    let near = candidates.iter().any(|c| !c.is_doubtful && is_near(c));
+    let eligible = candidates.iter().filter(|c| {
+        if near { !c.is_doubtful && is_near(c) } else { !sound || !c.is_doubtful }
+    });
     let count = eligible.clone().count();
     let first = if count > MAX_CANDIDATES { rng.random_range(0..count) } else { 0 };
     let costs = eligible.cycle().skip(first).take(count.min(MAX_CANDIDATES));
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -27,6 +27,7 @@
     event::{Event, Timer},
     gate::Gate,
     keys::{CallKey, MemberId, WorkKey},
+    replica::Revisions,
     report::LoadReport,
     rollout::{Rollout, RolloutRecord},
     target::{Heard, Heartbeat, Lifetime, Target},
@@ -60,6 +61,18 @@
     pub(crate) limits: Limits,
 }
 
+impl Me {
+    /// Returns what other nodes are told by way of the store.
+    pub(crate) fn record(&self) -> MemberRecord {
+        MemberRecord {
+            id: self.id,
+            address: self.address,
+            centre: self.centre.clone(),
+            service: self.service.clone(),
+        }
+    }
+}
+
 /// Bounds that all nodes of a deployment keep together.
 #[derive(Copy, Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -96,8 +109,14 @@
     turns: HashMap<CompactString, calls::Turns>,
     /// The longest time that callers of a route have stated.
     patience: HashMap<CompactString, calls::Patience>,
-    published: Option<MemberRecord>,
-    told: Option<(Time, LoadReport)>,
+    /// The last note to nodes of the own data centre, and to the others.
+    told: [Option<(Time, LoadReport)>; 2],
+    revisions: Revisions,
+    /// When a pull began that has not ended.
+    pulling: Option<Time>,
+    /// Since when this node has been behind one of another data centre.
+    behind: Option<Time>,
+    is_seated: bool,
     is_ready: bool,
     is_queue_timed: bool,
     stopping: Option<Time>,
@@ -125,8 +144,11 @@
             usual: HashMap::new(),
             turns: HashMap::new(),
             patience: HashMap::new(),
-            published: None,
-            told: None,
+            told: [None, None],
+            revisions: Revisions::default(),
+            pulling: None,
+            behind: None,
+            is_seated: false,
             is_ready: false,
             is_queue_timed: false,
             stopping: None,
@@ -137,7 +159,7 @@
     /// Starts periodic work.
     pub(crate) fn start(&mut self, now: Time, out: &mut Vec<Effect>) {
         out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
-        self.publish(now, out);
+        self.directory.put(now, self.me.record());
     }
 
     /// Applies one event.
@@ -150,12 +172,15 @@
             Event::Members(records) => self.members_listed(now, records, out),
             Event::MemberPut(record) => self.member_put(now, record, out),
             Event::MemberGone(id) => self.directory.lapse(now, id),
+            Event::Synced => self.synced(now, out),
+            Event::Revisions(revisions) => self.revised(now, revisions, out),
+            Event::PullEnded => self.pulling = None,
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.configure(now, table, out),
             Event::Evacuated(centres) => self.evacuate(now, centres, out),
             Event::Rollout { service, order } => self.rollout_ordered(now, service, order, out),
             Event::RolloutRecorded(record) => self.rollout_recorded(now, &record, out),
-            Event::Note(note) => self.noted(now, &note),
+            Event::Note(note) => self.noted(now, &note, out),
             Event::Timer(timer) => self.expired(now, timer, out),
             Event::Stop => self.stop(now, out),
         }
@@ -266,6 +291,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
         self.expire_members(now, out);
+        self.update_seat(now, out);
         self.judge_rollouts(now, out);
         self.reopen(now, out);
         self.tell(now, out);
@@ -286,7 +312,7 @@
         let after = self.stop_time();
         out.push(Effect::Arm { timer: Timer::StopDeadline, after });
         self.reopen(now, out);
-        self.publish(now, out);
+        self.tell_all(now, out);
         self.update_ready(out);
     }
 
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -53,7 +53,8 @@
         }
         let Some(call) = self.calls.get_mut(key) else { return false };
         let usual = self.usual.get(&(service.clone(), call.route.clone())).copied();
-        let Some(choice) = placement::choose(&candidates, usual, &mut self.rng) else {
+        let left = call.objective.since(now);
+        let Some(choice) = placement::choose(&candidates, usual, left, &mut self.rng) else {
             return false;
         };
         let chosen = candidates.iter().find(|candidate| candidate.key == choice.key);
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -1,24 +1,47 @@
 //! Members, the own target and what nodes tell each other.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::{
-    directory::{Member, MemberRecord, Tally, TargetRecord},
+    directory::{Member, MemberRecord, Tally},
     effect::{Effect, Record},
     keys::MemberId,
     note::Note,
     refusal::Reason,
+    replica::Revisions,
     report::LoadReport,
+    seats::{self, Watcher},
     target::{Change, Health},
     time::Time,
 };
 
 use super::Reducer;
 
-/// The shortest time between two notes of a node.
+/// How far other nodes are that are told something.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Reach {
+    /// In the own data centre.
+    Near,
+    /// In other data centres, to which traffic costs money.
+    Far,
+}
+
+/// The time for which this node waits for one of its own data centre before it asks one of another.
+const FAR_DELAY: Duration = Duration::from_millis(250);
+
+/// The time after which a pull that has not ended is forgotten.
+const PULL_TIME: Duration = Duration::from_secs(1);
+
+/// The shortest time between two notes to other data centres.
+const FAR_GAP: Duration = Duration::from_millis(120);
+
+/// The longest time between two notes to other data centres, a third of the silence after which others doubt it.
+const FAR_MAX_GAP: Duration = Duration::from_millis(600);
+
+/// The shortest time between two notes in the own data centre.
 const MIN_GAP: Duration = Duration::from_millis(40);
 
-/// The longest time between two notes of a node, a third of the silence after which others doubt it.
+/// The longest time between two notes in the own data centre.
 const MAX_GAP: Duration = Duration::from_millis(500);
 
 /// The longest time between two notes while a version of the own service is judged.
@@ -41,8 +64,6 @@
             self.log_new(record, out);
         }
         self.directory.replace(now, records);
-        self.is_synced = true;
-        self.update_ready(out);
     }
 
     pub(super) fn member_put(&mut self, now: Time, record: MemberRecord, out: &mut Vec<Effect>) {
@@ -74,7 +95,7 @@
             me.heard = now;
         }
         let me = self.me.id;
-        for Member { record, .. } in self.directory.expire(now, self.has_store, me) {
+        for Member { record, .. } in self.directory.expire(now, me) {
             out.push(Effect::Forget(record.address));
             let (id, service) = (record.id, record.service);
             out.push(Effect::Log(Record::Member { id, service, change: "gone" }));
@@ -82,42 +103,144 @@
     }
 
     /// Takes a datagram of another node.
-    pub(super) fn noted(&mut self, now: Time, note: &Note) {
+    pub(super) fn noted(&mut self, now: Time, note: &Note, out: &mut Vec<Effect>) {
         let Some(key) = self.directory.key(note.from) else { return };
         let Some(member) = self.directory.get_mut(key) else { return };
         member.reported(now, note.load);
         member.tally = note.tally;
-        member.config = note.config;
+        member.version = note.version.clone();
+        member.has_store = note.has_store;
+        let (address, centre) = (member.record.address, member.record.centre.clone());
+        if note.is_stopping {
+            self.directory.lapse(now, note.from);
+        }
         for rollout in &note.rollouts {
             self.rollout_noted(now, rollout);
         }
+        self.catch_up(now, &note.revisions, centre == self.me.centre, address, out);
+    }
+
+    /// Takes what another node knows of the store beyond this one. A node of another data centre is asked only if
+    /// those of the own one stay behind it.
+    fn catch_up(
+        &mut self,
+        now: Time,
+        revisions: &Revisions,
+        is_near: bool,
+        address: SocketAddr,
+        out: &mut Vec<Effect>,
+    ) {
+        let is_behind = revisions.iter().zip(&self.revisions).any(|(theirs, own)| theirs > own);
+        let is_pulling = self.pulling.is_some_and(|since| now.since(since) < PULL_TIME);
+        if !is_behind || is_pulling {
+            return;
+        }
+        let behind = *self.behind.get_or_insert(now);
+        if is_near || now.since(behind) >= FAR_DELAY {
+            self.pulling = Some(now);
+            self.behind = None;
+            out.push(Effect::Pull(address));
+        }
+    }
+
+    pub(super) fn revised(&mut self, now: Time, revisions: Revisions, out: &mut Vec<Effect>) {
+        if self.revisions != revisions {
+            self.revisions = revisions;
+            self.behind = None;
+            self.tell_all(now, out);
+        }
+    }
+
+    pub(super) fn synced(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.is_synced = true;
+        self.update_ready(out);
+        self.update_seat(now, out);
+        self.tell_all(now, out);
+    }
+
+    /// Decides whether this node watches the store for the others.
+    pub(super) fn update_seat(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !self.is_synced {
+            return;
+        }
+        let me = Watcher {
+            id: self.me.id,
+            centre: self.me.centre.clone(),
+            has_store: self.has_store,
+        };
+        let alive = self.directory.iter().filter(|(_, member)| !member.is_silent(now));
+        let watcher = |member: &Member| Watcher {
+            id: member.record.id,
+            centre: member.record.centre.clone(),
+            has_store: member.has_store,
+        };
+        let nodes: Vec<Watcher> = alive.map(|(_, member)| watcher(member)).collect();
+        let is_seated = self.stopping.is_none() && seats::is_seated(&me, &nodes);
+        if is_seated != self.is_seated {
+            self.is_seated = is_seated;
+            out.push(Effect::Seat(is_seated));
+            out.push(Effect::Log(Record::Seat { is_seated }));
+        }
+    }
+
+    /// Returns whether this node knows no other one.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.directory.len() < 2
     }
 
     /// Tells other nodes of this one, if something changed or nothing was told for long.
     pub(super) fn tell(&mut self, now: Time, out: &mut Vec<Effect>) {
         let load = self.gate.report(now);
-        let gap = MIN_GAP.max(Duration::from_secs_f64(self.directory.len() as f64 / MAX_NOTES));
-        if let Some((at, told)) = self.told {
-            let since = now.since(at);
-            let longest = if self.has_rollout() { ROLLOUT_GAP } else { MAX_GAP };
-            let is_due = since >= longest.max(gap) || (since >= gap && is_news(&told, &load));
-            if !is_due {
-                return;
+        for distance in [Reach::Near, Reach::Far] {
+            if self.is_due(now, distance, &load) {
+                self.tell_at(now, distance, load, out);
             }
         }
-        self.told = Some((now, load));
+    }
+
+    /// Tells all other nodes at once.
+    pub(super) fn tell_all(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let load = self.gate.report(now);
+        self.tell_at(now, Reach::Near, load, out);
+        self.tell_at(now, Reach::Far, load, out);
+    }
+
+    fn is_due(&self, now: Time, reach: Reach, load: &LoadReport) -> bool {
+        let Some((at, told)) = self.told[reach as usize] else { return true };
+        let others = Duration::from_secs_f64(self.directory.len() as f64 / MAX_NOTES);
+        let (shortest, longest) = match reach {
+            Reach::Near => (MIN_GAP.max(others / 3), MAX_GAP),
+            Reach::Far => (FAR_GAP.max(others), FAR_MAX_GAP),
+        };
+        let longest = if self.has_rollout() { ROLLOUT_GAP } else { longest };
+        let since = now.since(at);
+        let is_open_changed = load.is_open != told.is_open;
+        let is_news = is_open_changed || (reach == Reach::Near && is_news(&told, load));
+        since >= longest.max(shortest) || (is_news && since >= shortest)
+    }
+
+    fn tell_at(&mut self, now: Time, reach: Reach, load: LoadReport, out: &mut Vec<Effect>) {
+        self.told[reach as usize] = Some((now, load));
+        let is_wanted = |member: &Member| {
+            let is_near = member.record.centre == self.me.centre;
+            member.record.id != self.me.id && is_near == (reach == Reach::Near)
+        };
+        let others = self.directory.iter().filter(|(_, member)| is_wanted(member));
+        let to: Vec<_> = others.map(|(_, member)| member.record.address).collect();
+        if to.is_empty() {
+            return;
+        }
         let note = Note {
             from: self.me.id,
-            config: self.config.as_ref().map_or(0, |config| config.config.version),
+            revisions: self.revisions,
+            has_store: self.has_store,
+            is_stopping: self.stopping.is_some(),
+            version: self.target.version().cloned().unwrap_or_default(),
             load,
             tally: self.tally,
             rollouts: self.rollout_notes(now),
         };
-        let others = self.directory.iter().filter(|(_, member)| member.record.id != self.me.id);
-        let to: Vec<_> = others.map(|(_, member)| member.record.address).collect();
-        if !to.is_empty() {
-            out.push(Effect::Tell { to, note });
-        }
+        out.push(Effect::Tell { to, note });
     }
 
     pub(super) fn health(&mut self, now: Time, health: Option<Health>, out: &mut Vec<Effect>) {
@@ -152,7 +275,6 @@
             Change::Left => self.log_target("leaving", out),
         }
         self.reopen(now, out);
-        self.publish(now, out);
     }
 
     fn log_target(&self, change: &'static str, out: &mut Vec<Effect>) {
@@ -193,29 +315,6 @@
         (service.cold_rate > 0.0).then_some(service.cold_rate)
     }
 
-    /// Keeps the record of this node in the store and in its own directory.
-    pub(super) fn publish(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let target = self.target.life().filter(|_| self.stopping.is_none());
-        let target = target.map(|life| TargetRecord {
-            id: life.id.clone(),
-            version: self.target.version().cloned().unwrap_or_default(),
-            is_leaving: self.target.is_leaving(),
-        });
-        let record = MemberRecord {
-            id: self.me.id,
-            address: self.me.address,
-            centre: self.me.centre.clone(),
-            service: self.me.service.clone(),
-            target,
-        };
-        if self.published.as_ref() == Some(&record) {
-            return;
-        }
-        self.directory.put(now, record.clone());
-        self.published = Some(record.clone());
-        out.push(Effect::Publish(Box::new(record)));
-    }
-
     pub(super) fn is_me(&self, id: MemberId) -> bool {
         self.me.id == id
     }
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -42,12 +42,12 @@
 
 impl Versions {
     pub(super) fn allow(&self, member: &Member) -> bool {
-        let version = member.version();
+        let version = &member.version;
         match self {
             Versions::Any => true,
-            Versions::Only(only) => version == Some(only),
+            Versions::Only(only) => version == only,
             // A target whose version is not known yet may be of the new one.
-            Versions::Except(except) => version.is_some_and(|v| !v.is_empty() && v != except),
+            Versions::Except(except) => !version.is_empty() && version != except,
         }
     }
 }
@@ -177,7 +177,7 @@
             let running = load.map_or(0, |load| u32::from(load.running) + u32::from(load.queued));
             Part {
                 member: member.record.id,
-                is_new: member.version() == Some(&order.version),
+                is_new: member.version == order.version,
                 tally: if is_me { self.tally } else { member.tally },
                 running: if is_me { self.gate.busy() as u32 } else { running },
                 is_open: member.is_open(),
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -45,7 +45,6 @@
                 self.target.replaced();
                 self.work_ended(now, key, Finish::Cancelled, ("misdirected", 0), out);
                 self.reopen(now, out);
-                self.publish(now, out);
             }
             WorkEvent::Failed(failure) => {
                 let finish = match failure {
--- a/mesh/src/registry.rs
+++ b/mesh/src/registry.rs
@@ -4,30 +4,33 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use tokio::{sync::watch, time};
+use tokio::time;
 
 use crate::{
     directory::MemberRecord,
     driver::Driver,
     event::Event,
-    store::{self, Change, Item, Lease, Pause, Result, Store, StoreError, Transaction, Update},
+    keys::MemberId,
+    store::{Change, Item, Lease, Pause, Result, Store, StoreError, Transaction, Update},
 };
 
 /// The start of the keys of all members.
 pub(crate) const PREFIX: &str = "poplarbarrow/members/";
 
-/// The time after which the record of a node that does not renew its lease ends.
-const TTL: Duration = Duration::from_secs(6);
+/// The time after which the record of a node that does not renew its lease ends. Members notice within two seconds
+/// that a node is gone; the record only tells nodes that start later.
+const TTL: Duration = Duration::from_secs(20);
 
-/// The interval at which the lease is renewed: one call may fail without consequence.
-const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+/// The interval at which the lease is renewed: two calls may fail without consequence.
+const RENEW_INTERVAL: Duration = Duration::from_secs(6);
 
-/// Follows the records of all members.
-pub(crate) async fn follow<S: Store>(store: S, driver: Arc<Driver>) {
-    let log = driver.log().clone();
-    let on_update = |update| match update {
+/// The interval at which the lease is renewed after a failure.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Passes a change of the members on.
+pub(crate) fn update(driver: &Driver, update: Update) {
+    match update {
         Update::Listed(items) => {
-            driver.dispatch(Event::Store { is_reachable: true });
             driver.dispatch(Event::Members(items.iter().filter_map(read).collect()));
         }
         Update::Changed(changes) => {
@@ -38,7 +41,7 @@
                             driver.dispatch(Event::MemberPut(record));
                         }
                     }
-                    Change::Removed(key) => {
+                    Change::Removed { key, .. } => {
                         if let Some(id) = member_id(&key) {
                             driver.dispatch(Event::MemberGone(id));
                         }
@@ -46,83 +49,65 @@
                 }
             }
         }
-        Update::Lost => driver.dispatch(Event::Store { is_reachable: false }),
-    };
-    store::follow(&store, PREFIX, &log, on_update).await;
+    }
 }
 
 /// Keeps this node's record in the store under a lease until the node ends.
-pub(crate) async fn publish<S: Store>(
-    store: S,
-    mut wanted: watch::Receiver<Option<MemberRecord>>,
-    driver: Arc<Driver>,
-) {
+pub(crate) async fn publish<S: Store>(store: S, record: MemberRecord, driver: Arc<Driver>) {
     let mut pause = Pause::new();
-    let mut held: Option<Lease> = None;
     loop {
-        let Ok(record) = wanted.wait_for(Option::is_some).await.map(|record| record.clone()) else {
-            return;
-        };
-        wanted.mark_unchanged();
-        let Some(record) = record else { continue };
-        let written = write(&store, &record, &mut held).await;
-        if let Err(error) = written {
-            slog::warn!(driver.log(), "record-unwritten"; "error" => %error);
-            held = None;
-            pause.wait().await;
-            wanted.mark_changed();
-            continue;
+        match write(&store, &record).await {
+            Ok(lease) => {
+                pause = Pause::new();
+                driver.dispatch(Event::Store { is_reachable: true });
+                keep(&store, lease, &driver).await;
+            }
+            Err(error) => {
+                slog::warn!(driver.log(), "record-unwritten"; "error" => %error);
+                driver.dispatch(Event::Store { is_reachable: false });
+                pause.wait().await;
+            }
         }
-        pause = Pause::new();
-        keep(&store, &mut held, &mut wanted, &driver).await;
     }
 }
 
-/// Renews the lease until the record changes or the lease has ended.
-async fn keep<S: Store>(
-    store: &S,
-    held: &mut Option<Lease>,
-    wanted: &mut watch::Receiver<Option<MemberRecord>>,
-    driver: &Driver,
-) {
-    while let Some(lease) = *held {
-        let changed = time::timeout(RENEW_INTERVAL, wanted.changed()).await;
-        if changed.is_ok() {
-            return;
-        }
-        match store.renew(lease).await {
-            Ok(()) => {}
+/// Renews the lease until it has ended.
+async fn keep<S: Store>(store: &S, lease: Lease, driver: &Driver) {
+    let mut interval = RENEW_INTERVAL;
+    loop {
+        time::sleep(interval).await;
+        interval = match store.renew(lease).await {
+            Ok(()) => {
+                driver.dispatch(Event::Store { is_reachable: true });
+                RENEW_INTERVAL
+            }
             Err(StoreError::NoLease) => {
                 slog::warn!(driver.log(), "lease-lost"; "lease" => lease.id);
-                *held = None;
+                return;
             }
-            Err(error) => slog::warn!(driver.log(), "lease-unrenewed"; "error" => %error),
-        }
+            Err(error) => {
+                slog::warn!(driver.log(), "lease-unrenewed"; "error" => %error);
+                driver.dispatch(Event::Store { is_reachable: false });
+                RETRY_INTERVAL
+            }
+        };
     }
 }
 
-async fn write<S: Store>(
-    store: &S,
-    record: &MemberRecord,
-    held: &mut Option<Lease>,
-) -> Result<()> {
-    let lease = match *held {
-        Some(lease) => lease,
-        None => store.grant(TTL).await?,
-    };
-    *held = Some(lease);
-    let value = serde_json::to_vec(record).map(Bytes::from);
-    let value = value.map_err(|error| StoreError::Unreadable { reason: format_compact!("{error}") })?;
+async fn write<S: Store>(store: &S, record: &MemberRecord) -> Result<Lease> {
+    let unreadable = |error| StoreError::Unreadable { reason: format_compact!("{error}") };
+    let value = serde_json::to_vec(record).map(Bytes::from).map_err(unreadable)?;
+    let lease = store.grant(TTL).await?;
     let writes = vec![(key(record), value, Some(lease))];
     store.commit(Transaction { writes, ..Transaction::default() }).await?;
-    Ok(())
+    Ok(lease)
 }
 
 fn key(record: &MemberRecord) -> CompactString {
     format_compact!("{PREFIX}{}/{}", record.service, record.id)
 }
 
-fn member_id(key: &str) -> Option<crate::keys::MemberId> {
+fn member_id(key: &str) -> Option<MemberId> {
     key.rsplit('/').next()?.parse().ok()
 }
 
--- a/mesh/src/settings.rs
+++ b/mesh/src/settings.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::{names::Names, reducer::Limits};
+use crate::{names::Names, reducer::Limits, sync::Prefixes};
 
 /// The settings of a node; an adapter reads them from the form that its deployment uses.
 #[derive(Clone, Debug)]
@@ -25,6 +25,8 @@
     pub target: SocketAddr,
     /// The names of the headers of callers and targets.
     pub names: Names,
+    /// Where the operators write to the store.
+    pub prefixes: Prefixes,
     /// Bounds that all nodes keep together.
     pub limits: Limits,
 }
--- a/mesh/src/store.rs
+++ b/mesh/src/store.rs
@@ -6,16 +6,9 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use rand::Rng as _;
-use slog::Logger;
 use snafu::Snafu;
 use tokio::time;
 
-/// The time for which one watch waits for a change. Each watch is a call, and each call is paid for.
-const WATCH_TIME: Duration = Duration::from_secs(20);
-
-/// The pause behind the changes of one watch, so that changes in quick succession arrive together.
-const GATHER_TIME: Duration = Duration::from_millis(40);
-
 /// The first pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -39,7 +32,21 @@
     /// It was written.
     Put(Item),
     /// It was removed, or its lease ended.
-    Removed(CompactString),
+    Removed {
+        /// The key.
+        key: CompactString,
+        /// The revision of the removal.
+        revision: u64,
+    },
+}
+
+/// How recent a read must be.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It shows all that was written before.
+    Latest,
+    /// It may be seconds old, and costs less.
+    MayLag,
 }
 
 /// Identifies a lease.
@@ -104,7 +111,11 @@
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Item>>> + Send;
 
     /// Reads all keys below a prefix, and a revision from which to watch them.
-    fn list(&self, prefix: &str) -> impl Future<Output = Result<(Vec<Item>, u64)>> + Send;
+    fn list(
+        &self,
+        prefix: &str,
+        freshness: Freshness,
+    ) -> impl Future<Output = Result<(Vec<Item>, u64)>> + Send;
 
     /// Waits for changes below a prefix since a revision, and returns the revision from which to go on.
     fn watch(
@@ -134,53 +145,6 @@
     Listed(Vec<Item>),
     /// Keys changed.
     Changed(Vec<Change>),
-    /// The store does not answer; what was read before may be out of date.
-    Lost,
-}
-
-/// Follows the keys below a prefix until the node ends.
-pub async fn follow<S: Store>(
-    store: &S,
-    prefix: &str,
-    log: &Logger,
-    mut on_update: impl FnMut(Update),
-) {
-    let mut pause = Pause::new();
-    loop {
-        let (items, mut revision) = match store.list(prefix).await {
-            Ok(listed) => listed,
-            Err(error) => {
-                slog::warn!(log, "store-list-failed"; "prefix" => prefix, "error" => %error);
-                on_update(Update::Lost);
-                pause.wait().await;
-                continue;
-            }
-        };
-        on_update(Update::Listed(items));
-        pause = Pause::new();
-        loop {
-            match store.watch(prefix, revision, WATCH_TIME).await {
-                Ok((changes, next)) => {
-                    pause = Pause::new();
-                    revision = next;
-                    if !changes.is_empty() {
-                        on_update(Update::Changed(changes));
-                        time::sleep(GATHER_TIME).await;
-                    }
-                }
-                Err(StoreError::Compacted) => {
-                    slog::info!(log, "store-compacted"; "prefix" => prefix, "revision" => revision);
-                    break;
-                }
-                Err(error) => {
-                    slog::warn!(log, "store-watch-failed"; "prefix" => prefix, "error" => %error);
-                    on_update(Update::Lost);
-                    pause.wait().await;
-                    break;
-                }
-            }
-        }
-    }
 }
 
 /// Growing pauses between attempts, with a random part so that nodes do not return together.
