Expect slowdowns to end, and spread the return of refused callers

Cause: the pace that a target names (2 in cold start, 4 under noise, 7.5 with both) was taken to last for the whole request, so requests were refused that would have met their objective; refused callers, who return once or twice, were asked back after 40 ms and met the same slowdown. After a start of all nodes, notes of unknown members were ignored and dead records ranked first for the duty to watch. Change: the time for which a pace lasts is measured, and the rest of the work is expected at the mean pace; a service time is assumed from the objective until one is measured; Retry-After lies between the expected wait and the last moment that still meets the objective. A note of an unknown member leads to a pull; members that never spoke count as silent.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -44,8 +44,8 @@
     pub(crate) sent: u32,
     /// Requests sent and not answered at all.
     pub(crate) in_flight: u32,
-    /// The last sign of life.
-    pub(crate) heard: Time,
+    /// The last sign of life, if there was any.
+    pub(crate) heard: Option<Time>,
     /// The end of a pause after a failed connection.
     pub(crate) paused: Option<Time>,
     /// When its record disappeared from the store.
@@ -99,9 +99,9 @@
 }
 
 impl Member {
-    /// Returns whether nothing was heard of the member for long.
+    /// Returns whether nothing was heard of the member for long, or ever.
     pub(crate) fn is_silent(&self, now: Time) -> bool {
-        now.since(self.heard) > SILENCE
+        self.heard.is_none_or(|heard| now.since(heard) > SILENCE)
     }
 
     pub(crate) fn is_paused(&self, now: Time) -> bool {
@@ -118,7 +118,7 @@
     pub(crate) fn reported(&mut self, now: Time, load: LoadReport) {
         self.load = Some((now, load));
         self.sent = 0;
-        self.heard = now;
+        self.heard = Some(now);
     }
 }
 
@@ -150,7 +150,7 @@
             load: None,
             sent: 0,
             in_flight: 0,
-            heard: now,
+            heard: None,
             paused: None,
             lapsed: None,
             tally: Tally::default(),
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -79,6 +79,7 @@
     pub(crate) is_idempotent: bool,
     pub(crate) objective: Duration,
     pub(crate) timeout: Duration,
+    pub(crate) usual: Duration,
     pub(crate) is_late: bool,
     pub(crate) print: u64,
 }
--- a/mesh/src/entry.rs
+++ b/mesh/src/entry.rs
@@ -158,7 +158,7 @@
                     let (load, usual) = this.driver.inspect(|now, reducer| {
                         (reducer.load(now), reducer.usual_service(&order.route))
                     });
-                    Reply { ending, load: Some(load), usual: Some(usual) }
+                    Reply { ending, load: Some(load), usual }
                 }
                 Hop::Peer { member, address } => {
                     inbound::send(&this.peers.to(address), member, &order, parts, payload).await
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that the reducer reacts to, as plain data.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use compact_str::CompactString;
 
@@ -49,8 +49,8 @@
     Rollout { service: CompactString, order: Option<RolloutOrder> },
     /// The recorded state of a rollout was read.
     RolloutRecorded(RolloutRecord),
-    /// Another node sent a datagram about its target.
-    Note(Note),
+    /// Another node sent a datagram about its target, from the address at which it takes requests too.
+    Note { note: Note, source: SocketAddr },
     /// A timer that the reducer set has expired.
     Timer(Timer),
     /// The process was asked to stop.
@@ -143,6 +143,8 @@
     pub(crate) objective: Duration,
     /// The time that the caller still waits.
     pub(crate) timeout: Duration,
+    /// The service time at the usual pace that the entry node expects.
+    pub(crate) usual: Duration,
     /// Whether no target can meet the objective.
     pub(crate) is_late: bool,
     /// Identifies the request when it comes again under another id.
--- a/mesh/src/gate.rs
+++ b/mesh/src/gate.rs
@@ -50,6 +50,8 @@
     pub(crate) deadline: Time,
     /// Whether the entry node knows that no target can meet the objective.
     pub(crate) is_late: bool,
+    /// The service time at the usual pace that is assumed until one is measured.
+    pub(crate) usual: Duration,
 }
 
 /// The answer to a request that arrives.
@@ -199,7 +201,7 @@
         }
         let position = self.position(ask);
         let wait = self.wait(now, position);
-        let finish = now + wait + self.service(now, &ask.route);
+        let finish = now + wait + self.service(ask);
         if ask.is_late {
             if self.running.len() >= self.late_limit() || !self.queue.is_empty() {
                 return Decision::Refuse { reason: Reason::Overloaded, wait };
@@ -231,7 +233,7 @@
         match finish {
             Finish::Answer => {
                 // The pace may have changed while the work ran; the mean of both ends is the best guess.
-                let pace = (running.pace + self.pace.get(now)) / 2.0;
+                let pace = (running.pace + self.pace.get()) / 2.0;
                 self.times.measured(&running.route, now.since(running.since), pace);
                 self.count(now, 0.0);
             }
@@ -249,7 +251,7 @@
             let ask = &self.queue[position].ask;
             let wait = self.wait(now, position);
             let bound = if ask.is_late { ask.deadline } else { ask.objective };
-            if now + wait + self.service(now, &ask.route) > bound {
+            if now + wait + self.service(ask) > bound {
                 let work = self.queue.remove(position).work;
                 next.push(Next::Refuse { work, reason: Reason::Overloaded, wait });
             } else if position == 0 && self.has_room(now) {
@@ -280,7 +282,7 @@
             running: small(self.running.len()),
             queued: small(self.queue.len()),
             limit: small(self.limit()),
-            pace: (self.pace.get(now) * 100.0) as u16,
+            pace: self.stretched(),
             service_us: self.times.mean().as_micros() as u32,
             failing: (self.failing(now) * 1_000.0) as u16,
             is_open: self.closed.is_none(),
@@ -288,11 +290,22 @@
         }
     }
 
-    /// Returns the expected service time of a route at the usual pace.
-    pub(crate) fn usual_service(&self, route: &str) -> Duration {
+    /// Returns the pace at this moment.
+    pub(crate) fn pace(&self) -> f64 {
+        self.pace.get()
+    }
+
+    /// Returns the measured service time of a route at the usual pace.
+    pub(crate) fn usual_service(&self, route: &str) -> Option<Duration> {
         self.times.get(route)
     }
 
+    /// Returns how long the mean request takes, as a percentage of its usual time.
+    fn stretched(&self) -> u16 {
+        let mean = self.times.mean();
+        (self.pace.stretch(mean).as_secs_f64() / mean.as_secs_f64().max(1e-4) * 100.0) as u16
+    }
+
     fn limit(&self) -> usize {
         ((f64::from(self.slots) * FULL_SPEED_PART) as usize).max(1)
     }
@@ -305,7 +318,7 @@
     /// service time alone exceeds the objective would otherwise never correct that measurement.
     fn is_unmeasurable(&self, now: Time, ask: &Ask) -> bool {
         let is_idle = self.running.is_empty() && self.queue.is_empty() && self.cold.is_none();
-        is_idle && now + self.times.get(&ask.route) > ask.objective
+        is_idle && now + self.usual(ask) > ask.objective
     }
 
     fn has_room(&mut self, now: Time) -> bool {
@@ -317,7 +330,7 @@
         if let Some(cold) = &mut self.cold {
             cold.tokens -= 1.0;
         }
-        let pace = self.pace.get(now);
+        let pace = self.pace.get();
         self.running.push(Running { work, route, since: now, pace });
     }
 
@@ -331,7 +344,7 @@
     fn wait(&self, now: Time, position: usize) -> Duration {
         let limit = self.limit();
         let ahead = (self.running.len() + position + 1).saturating_sub(limit);
-        let mut wait = self.mean_service(now).mul_f64(ahead as f64 / limit as f64);
+        let mut wait = self.mean_service().mul_f64(ahead as f64 / limit as f64);
         if let Some(mut cold) = self.cold {
             let turns = Duration::from_secs_f64(position as f64 / cold.rate.max(0.1));
             wait = wait.max(cold.wait(now) + turns);
@@ -339,12 +352,17 @@
         wait
     }
 
-    fn service(&self, now: Time, route: &str) -> Duration {
-        self.times.get(route).mul_f64(self.pace.get(now))
+    /// Returns the expected time from the start of a request at the target to its end.
+    fn service(&self, ask: &Ask) -> Duration {
+        self.pace.stretch(self.usual(ask))
+    }
+
+    fn usual(&self, ask: &Ask) -> Duration {
+        self.times.get(&ask.route).unwrap_or(ask.usual)
     }
 
-    fn mean_service(&self, now: Time) -> Duration {
-        self.times.mean().mul_f64(self.pace.get(now))
+    fn mean_service(&self) -> Duration {
+        self.pace.stretch(self.times.mean())
     }
 
     fn failing(&self, now: Time) -> f64 {
--- a/mesh/src/inbound.rs
+++ b/mesh/src/inbound.rs
@@ -145,7 +145,9 @@
         };
         let headers = answer.headers_mut();
         names::set(headers, &names::REPORT, &load.encode());
-        names::set(headers, &names::USUAL, &usual.as_micros().to_string());
+        if let Some(usual) = usual {
+            names::set(headers, &names::USUAL, &usual.as_micros().to_string());
+        }
         if let Some(text) = text {
             names::set(headers, &names::ENDING, &text);
         }
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -286,9 +286,9 @@
     let mut bytes = [0; note::MAX_BYTES];
     loop {
         // An error concerns one datagram, such as one that the other end refused.
-        let Ok((len, _)) = notes.recv_from(&mut bytes).await else { continue };
+        let Ok((len, source)) = notes.recv_from(&mut bytes).await else { continue };
         if let Some(note) = Note::decode(&bytes[..len]) {
-            driver.dispatch(Event::Note(note));
+            driver.dispatch(Event::Note { note, source });
         }
     }
 }
--- a/mesh/src/pace.rs
+++ b/mesh/src/pace.rs
@@ -9,12 +9,21 @@
 
 use crate::time::Time;
 
-/// The age at which a reading of the pace counts half against the long-term mean.
-const HALF_AGE: f64 = 0.4;
-
 /// The weight of a reading in the long-term mean of the pace.
 const MEAN_WEIGHT: f64 = 0.02;
 
+/// The ratio of two readings in a row that shows the begin or the end of a slowdown.
+const SWITCH_RATIO: f64 = 1.5;
+
+/// The time for which a pace lasts, assumed before any change of it was seen.
+const ASSUMED_LASTING: f64 = 0.3;
+
+/// The longest time for which a pace is expected to last, in seconds.
+const MAX_LASTING: f64 = 2.0;
+
+/// The weight of a new observation in the time for which a pace lasts.
+const LASTING_WEIGHT: f64 = 0.1;
+
 /// The weight of a new service time.
 const SERVICE_WEIGHT: f64 = 0.1;
 
@@ -25,31 +34,52 @@
 const MAX_ROUTES: usize = 256;
 
 /// The pace of a target: 1 is usual, 4 means that work takes four times as long.
+///
+/// A slowdown by neighbours ends after some hundred milliseconds, so work that takes longer meets another pace.
 #[derive(Copy, Clone, Debug)]
 pub(crate) struct Pace {
     last: f64,
-    at: Time,
     mean: f64,
+    /// When the present pace began.
+    since: Time,
+    /// How long a pace lasts, in seconds.
+    lasting: f64,
 }
 
 impl Pace {
     pub(crate) const fn new() -> Pace {
-        Pace { last: 1.0, at: Time::ZERO, mean: 1.0 }
+        Pace { last: 1.0, mean: 1.0, since: Time::ZERO, lasting: ASSUMED_LASTING }
     }
 
     /// Notes a reading in per cent of the usual time.
     pub(crate) fn read(&mut self, now: Time, percent: u32) {
         let pace = f64::from(percent.clamp(10, 10_000)) / 100.0;
+        let ratio = pace / self.last;
+        if !(1.0 / SWITCH_RATIO..=SWITCH_RATIO).contains(&ratio) {
+            let lasted = now.since(self.since).as_secs_f64().min(MAX_LASTING);
+            self.lasting += (lasted - self.lasting) * LASTING_WEIGHT;
+            self.since = now;
+        }
         self.last = pace;
-        self.at = now;
         self.mean += (pace - self.mean) * MEAN_WEIGHT;
     }
 
-    /// Returns the expected pace, which returns to the long-term mean as the last reading ages.
-    pub(crate) fn get(&self, now: Time) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        let trust = 0.5_f64.powf(age / HALF_AGE);
-        self.last * trust + self.mean * (1.0 - trust)
+    /// Returns the pace at this moment.
+    pub(crate) fn get(&self) -> f64 {
+        self.last
+    }
+
+    /// Returns how long work takes that would take `usual` at the usual pace: it runs at the present pace while that
+    /// lasts, and at the mean pace afterwards.
+    pub(crate) fn stretch(&self, usual: Duration) -> Duration {
+        let usual = usual.as_secs_f64();
+        let now = usual * self.last;
+        let taken = if now <= self.lasting {
+            now
+        } else {
+            self.lasting + (usual - self.lasting / self.last) * self.mean
+        };
+        Duration::from_secs_f64(taken)
     }
 }
 
@@ -73,10 +103,9 @@
         }
     }
 
-    /// Returns the expected service time of a route at the usual pace.
-    pub(crate) fn get(&self, route: &str) -> Duration {
-        let known = self.routes.get(route).copied().or(self.mean);
-        Duration::from_secs_f64(known.unwrap_or(ASSUMED_SERVICE))
+    /// Returns the expected service time of a route at the usual pace, if any of its requests was measured.
+    pub(crate) fn get(&self, route: &str) -> Option<Duration> {
+        self.routes.get(route).copied().map(Duration::from_secs_f64)
     }
 
     /// Returns the mean over all requests at the usual pace.
--- a/mesh/src/placement.rs
+++ b/mesh/src/placement.rs
@@ -21,9 +21,6 @@
 /// all requests.
 const FAILURE_COST: Duration = Duration::from_secs(3);
 
-/// The service time assumed for a target that has reported nothing.
-const ASSUMED_SERVICE: Duration = Duration::from_millis(100);
-
 /// The age from which a report counts less, and the pace it names is taken for the usual one.
 const REPORT_AGE: Duration = Duration::from_millis(1_500);
 
@@ -71,10 +68,10 @@
 }
 
 /// Chooses the target with the lowest expected time to an answer; `usual` is the service time of the request at
-/// the usual pace, if known, and `left` the time until its objective.
+/// the usual pace, and `left` the time until its objective.
 pub(crate) fn choose(
     candidates: &[Candidate],
-    usual: Option<Duration>,
+    usual: Duration,
     left: Duration,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
@@ -98,19 +95,19 @@
 }
 
 /// Returns the expected time to the answer of a candidate.
-pub(crate) fn cost(candidate: &Candidate, usual: Option<Duration>) -> Duration {
+pub(crate) fn cost(candidate: &Candidate, usual: Duration) -> Duration {
     let away = match candidate.distance {
         Distance::Own => Duration::ZERO,
         Distance::Centre => HOP_COST,
         Distance::Other => HOP_COST + CENTRE_COST,
     };
     let Some((age, load)) = candidate.load else {
-        return away + usual.unwrap_or(ASSUMED_SERVICE) * (1 + candidate.sent);
+        return away + usual * (1 + candidate.sent);
     };
     let is_old = age > REPORT_AGE;
     let pace = if is_old { 1.0 } else { f64::from(load.pace.max(10)) / 100.0 };
     let mean = Duration::from_micros(load.service_us.into()).mul_f64(pace);
-    let service = usual.map_or(mean, |usual| usual.mul_f64(pace));
+    let service = usual.mul_f64(pace);
     let limit = u32::from(load.limit.max(1));
     let busy = u32::from(load.running) + u32::from(load.queued) + candidate.sent;
     let ahead = (busy + 1).saturating_sub(limit);
@@ -118,8 +115,7 @@
     let wait = mean.mul_f64(f64::from(ahead) / f64::from(limit));
     let fill = mean.mul_f64(0.1 * f64::from(busy.min(limit)) / f64::from(limit));
     let failures = FAILURE_COST.mul_f64(f64::from(load.failing) / 1_000.0);
-    let cold = if load.is_cold { service } else { Duration::ZERO };
-    away + wait + fill + service + failures + cold
+    away + wait + fill + service + failures
 }
 
 /// Returns the age of a report.
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -91,6 +91,8 @@
     config: Option<Arc<RouteTable>>,
     directory: Directory,
     /// Whether the members were listed since the start.
+    is_listed: bool,
+    /// Whether those that started at the same time had time to write their records.
     is_synced: bool,
     has_store: bool,
     evacuated: BTreeSet<CompactString>,
@@ -130,6 +132,7 @@
             rng: SmallRng::seed_from_u64(seed),
             config: None,
             directory: Directory::default(),
+            is_listed: false,
             is_synced: false,
             has_store: false,
             evacuated: BTreeSet::new(),
@@ -180,7 +183,7 @@
             Event::Evacuated(centres) => self.evacuate(now, centres, out),
             Event::Rollout { service, order } => self.rollout_ordered(now, service, order, out),
             Event::RolloutRecorded(record) => self.rollout_recorded(now, &record, out),
-            Event::Note(note) => self.noted(now, &note, out),
+            Event::Note { note, source } => self.noted(now, &note, source, out),
             Event::Timer(timer) => self.expired(now, timer, out),
             Event::Stop => self.stop(now, out),
         }
@@ -224,8 +227,8 @@
         self.gate.report(now)
     }
 
-    /// Returns the service time of a route at the usual pace.
-    pub(crate) fn usual_service(&self, route: &str) -> Duration {
+    /// Returns the measured service time of a route at the usual pace.
+    pub(crate) fn usual_service(&self, route: &str) -> Option<Duration> {
         self.gate.usual_service(route)
     }
 
@@ -343,7 +346,7 @@
 
     /// Callers may use this node once it knows where requests go.
     fn update_ready(&mut self, out: &mut Vec<Effect>) {
-        let is_ready = self.config.is_some() && self.is_synced && self.stopping.is_none();
+        let is_ready = self.config.is_some() && self.is_listed && self.stopping.is_none();
         if is_ready != self.is_ready {
             self.is_ready = is_ready;
             out.push(Effect::Ready(is_ready));
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -29,6 +29,9 @@
 /// The time after which callers of a node that ends are asked to return: by then its successor may have started.
 const RESTART_TIME: Duration = Duration::from_millis(800);
 
+/// The part of its objective that a request is assumed to take before any was measured.
+const ASSUMED_PART: f64 = 0.35;
+
 /// The difference below which two stated times count as equal.
 const SAME_PATIENCE: f64 = 0.02;
 
@@ -49,6 +52,8 @@
     objective: Time,
     /// The end of the caller's time or of the route's, whichever is first.
     deadline: Time,
+    /// The service time assumed until one is measured.
+    assumed: Duration,
     can_resend: bool,
     print: u64,
     /// Members that refused it, failed it or run it.
@@ -193,6 +198,7 @@
             arrived: now,
             objective: now + route.objective.saturating_sub(earlier),
             deadline: now + time,
+            assumed: route.objective.mul_f64(ASSUMED_PART),
             can_resend: head.can_resend,
             print: head.print,
             tried: Vec::new(),
@@ -241,6 +247,12 @@
         }
     }
 
+    /// Returns the service time at the usual pace that a request is expected to have.
+    fn usual_for(&self, call: &Call) -> Duration {
+        let pair = (call.service.clone(), call.route.clone());
+        self.usual.get(&pair).copied().unwrap_or(call.assumed)
+    }
+
     fn attempt_for(&self, now: Time, call: &Call, member: MemberKey) -> Option<Attempt> {
         let member = self.directory.get(member)?;
         let (id, address) = (member.record.id, member.record.address);
@@ -252,6 +264,7 @@
             is_idempotent: call.is_idempotent,
             objective: call.objective.since(now),
             timeout: call.deadline.since(now),
+            usual: self.usual_for(call),
             is_late: call.is_late,
             print: call.print,
         };
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -51,14 +51,14 @@
         } else if matches!(versions, Versions::Only(_)) && self.is_version_on_trial(now, &service) {
             concentrate(&mut candidates);
         }
-        let Some(call) = self.calls.get_mut(key) else { return false };
-        let usual = self.usual.get(&(service.clone(), call.route.clone())).copied();
-        let left = call.objective.since(now);
+        let Some(call) = self.calls.get(key) else { return false };
+        let (left, usual) = (call.objective.since(now), self.usual_for(call));
         let Some(choice) = placement::choose(&candidates, usual, left, &mut self.rng) else {
             return false;
         };
         let chosen = candidates.iter().find(|candidate| candidate.key == choice.key);
         let age = chosen.and_then(|candidate| candidate.load).map(|(age, _)| age);
+        let Some(call) = self.calls.get_mut(key) else { return false };
         call.sent += 1;
         call.tried.push(choice.key);
         call.open.push(Open { number: call.sent, member: choice.key });
@@ -174,9 +174,9 @@
             return;
         }
         let left = call.objective.since(now);
-        let usual = self.usual.get(&(call.service.clone(), call.route.clone())).copied();
+        let usual = self.usual_for(call);
         let service = call.service.clone();
-        if usual.is_none_or(|usual| usual.mul_f64(1.2) > left) {
+        if usual.mul_f64(1.2) > left {
             return;
         }
         let versions = self.draw_versions(now, &service);
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::Rng as _;
+
 use crate::{
     effect::{CallStep, Effect, Record},
     event::{CallHead, Failure},
@@ -22,6 +24,9 @@
 /// The shortest time after which a refused caller is asked to return.
 const MIN_RETURN: Duration = Duration::from_millis(40);
 
+/// The multiple of its service time that a caller needs after its return.
+const SERVICE_MARGIN: f64 = 1.5;
+
 /// The longest such time.
 const MAX_RETURN: Duration = Duration::from_secs(2);
 
@@ -219,8 +224,11 @@
         }
         let Some(call) = self.calls.remove(key) else { return };
         let may_have_run = call.may_have_run || !call.open.is_empty();
-        let left = call.deadline.since(now);
-        let retry_after = (!may_have_run).then(|| return_time(reason, call.wait, left));
+        let usual = self.usual_for(&call);
+        let spread = self.rng.random_range(0.0..1.0);
+        let left = Left { objective: call.objective.since(now), deadline: call.deadline.since(now) };
+        let retry_after =
+            (!may_have_run).then(|| return_time(reason, call.wait, left, usual, spread));
         let refusal = Refusal { reason, may_have_run, retry_after };
         out.push(Effect::Log(Record::Refuse {
             id: call.id,
@@ -280,13 +288,35 @@
     }
 }
 
-/// Returns when a refused caller should send its request again: as soon as a target may have room, and early enough
-/// for another try within its time.
-pub(super) fn return_time(reason: Reason, wait: Option<Duration>, left: Duration) -> Duration {
-    let time = match (reason, wait) {
-        (Reason::Overloaded, Some(wait)) => wait,
-        (Reason::Stopping, _) => MIN_RETURN,
-        _ => USUAL_RETURN,
+/// The time that a caller has left.
+#[derive(Copy, Clone, Debug)]
+pub(super) struct Left {
+    /// Until its answer loses its value.
+    pub(super) objective: Duration,
+    /// Until it stops waiting.
+    pub(super) deadline: Duration,
+}
+
+/// Returns when a refused caller should send its request again.
+///
+/// A caller returns only once or twice, so it should come when a target is likely to have room, and early enough for
+/// an answer within its objective. Callers that are refused together return spread over that time; `spread` is drawn
+/// evenly between 0 and 1.
+pub(super) fn return_time(
+    reason: Reason,
+    wait: Option<Duration>,
+    left: Left,
+    usual: Duration,
+    spread: f64,
+) -> Duration {
+    let time = match reason {
+        Reason::Stopping => MIN_RETURN,
+        Reason::Overloaded => {
+            let wait = wait.unwrap_or(MIN_RETURN).max(MIN_RETURN);
+            let latest = left.objective.saturating_sub(usual.mul_f64(SERVICE_MARGIN));
+            if latest > wait { wait + (latest - wait).mul_f64(spread) } else { wait }
+        }
+        _ => USUAL_RETURN.mul_f64(0.5 + spread),
     };
-    time.clamp(MIN_RETURN, MAX_RETURN.min(left / 3).max(MIN_RETURN))
+    time.clamp(MIN_RETURN, MAX_RETURN.min(left.deadline / 3).max(MIN_RETURN))
 }
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -64,6 +64,10 @@
             self.log_new(record, out);
         }
         self.directory.replace(now, records);
+        if !std::mem::replace(&mut self.is_listed, true) {
+            self.tell_all(now, out);
+        }
+        self.update_ready(out);
     }
 
     pub(super) fn member_put(&mut self, now: Time, record: MemberRecord, out: &mut Vec<Effect>) {
@@ -92,7 +96,7 @@
         if let Some(key) = self.directory.key(self.me.id)
             && let Some(me) = self.directory.get_mut(key)
         {
-            me.heard = now;
+            me.heard = Some(now);
         }
         let me = self.me.id;
         for Member { record, .. } in self.directory.expire(now, me) {
@@ -103,9 +107,18 @@
     }
 
     /// Takes a datagram of another node.
-    pub(super) fn noted(&mut self, now: Time, note: &Note, out: &mut Vec<Effect>) {
-        let Some(key) = self.directory.key(note.from) else { return };
-        let Some(member) = self.directory.get_mut(key) else { return };
+    pub(super) fn noted(
+        &mut self,
+        now: Time,
+        note: &Note,
+        source: SocketAddr,
+        out: &mut Vec<Effect>,
+    ) {
+        let key = self.directory.key(note.from);
+        let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else {
+            // Its record is newer than this node's copy of the store.
+            return self.catch_up(now, &note.revisions, true, source, out);
+        };
         member.reported(now, note.load);
         member.tally = note.tally;
         member.version = note.version.clone();
@@ -153,7 +166,6 @@
 
     pub(super) fn synced(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.is_synced = true;
-        self.update_ready(out);
         self.update_seat(now, out);
         self.tell_all(now, out);
     }
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -66,6 +66,7 @@
             objective: now + head.objective,
             deadline: now + head.timeout,
             is_late: head.is_late,
+            usual: head.usual,
         };
         let decision = if head.service == self.me.service {
             self.gate.arrive(now, key, &ask)
@@ -141,8 +142,7 @@
             Finish::Answer => {
                 self.tally.good += 1;
                 if !self.target.is_cold(now) {
-                    let pace = f64::from(self.gate.report(now).pace.max(10)) / 100.0;
-                    let usual = took.mul_f64(1.0 / pace).as_millis();
+                    let usual = took.mul_f64(1.0 / self.gate.pace()).as_millis();
                     self.tally.slowness = self.tally.slowness.saturating_add(usual as u32);
                     self.tally.timed += 1;
                 }
--- a/mesh/src/worker.rs
+++ b/mesh/src/worker.rs
@@ -57,6 +57,7 @@
             priority: order.priority,
             objective: order.objective,
             timeout: order.timeout,
+            usual: order.usual,
             is_late: order.is_late,
             print: order.print,
         };
