Test the modules of the mesh node, and fill a version's targets until its rollout is over

Change: requests for the new version fill one target after the other until the rollout is over; members with an unknown version are left out; doubt also looks at all answers. A node starts with its part of the spare repeats.

--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -32,8 +32,8 @@
 }
 
 impl RetryBudget {
-    pub(crate) fn new(now: Time) -> RetryBudget {
-        RetryBudget { earned: 0.0, spare: 0.0, refilled: now }
+    pub(crate) fn new(now: Time, bound: &RetryBound, nodes: usize) -> RetryBudget {
+        RetryBudget { earned: 0.0, spare: part(bound, nodes), refilled: now }
     }
 
     /// Notes a caller's request for the service.
@@ -64,5 +64,5 @@
     bound.slack * USED_PART / 2.0 / nodes.max(1) as f64
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- /dev/null
+++ b/mesh/src/budget/tests.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+use super::{RetryBound, RetryBudget};
+use crate::time::Time;
+
+const BOUND: RetryBound =
+    RetryBound { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
+
+/// Guards against nodes that spend their savings together: on one day 12 nodes each saved half of the whole bound.
+#[test]
+fn all_nodes_together_stay_below_the_bound() {
+    const NODES: usize = 12;
+    let mut sent = 0;
+    let mut requests = 0;
+    for _ in 0..NODES {
+        let mut budget = RetryBudget::new(Time::ZERO, &BOUND, NODES);
+        // A long calm time, in which the node saves.
+        for _ in 0..2_000 {
+            budget.earn(&BOUND, NODES);
+        }
+        // One window in which every request fails.
+        for step in 0..100 {
+            let now = Time::from_micros(60_000_000 + step * 100_000);
+            budget.earn(&BOUND, NODES);
+            requests += 1;
+            while budget.take(now, &BOUND, NODES) {
+                sent += 1;
+            }
+        }
+    }
+    let allowed = 0.2 * f64::from(requests) + 60.0;
+    assert!(f64::from(sent) <= allowed, "{sent} repeats, allowed {allowed}");
+    assert!(f64::from(sent) >= allowed / 3.0, "{sent} repeats use too little of {allowed}");
+}
+
+/// Guards against a node with few requests that can never repeat one.
+#[test]
+fn a_node_with_few_requests_has_a_part_of_the_slack() {
+    let mut budget = RetryBudget::new(Time::ZERO, &BOUND, 10);
+    assert!(budget.take(Time::ZERO, &BOUND, 10));
+    assert!(!budget.take(Time::ZERO, &BOUND, 10));
+    assert!(budget.take(Time::from_micros(20_000_000), &BOUND, 10));
+}
--- a/mesh/src/config.rs
+++ b/mesh/src/config.rs
@@ -126,5 +126,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- /dev/null
+++ b/mesh/src/config/tests.rs
@@ -0,0 +1,41 @@
+use std::time::Duration;
+
+use test_case::test_case;
+
+use super::{Config, Route, RouteTable, Share};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        is_idempotent: true,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        priority: 0,
+        attempts: 2,
+        shares: vec![Share { service: "stock".into(), weight: 1 }],
+    }
+}
+
+fn table() -> RouteTable {
+    let routes = vec![
+        route("short", "shop.example", "/a/"),
+        route("long", "shop.example", "/a/b/"),
+        route("other", "pay.example", "/a/"),
+    ];
+    RouteTable::new(Config { version: 1, routes, ..Config::default() })
+}
+
+/// Guards against a request that goes to a route of another host, or to a shorter prefix than the longest.
+#[test_case("shop.example", "/a/x", Some("short"); "prefix")]
+#[test_case("shop.example", "/a/b/x", Some("long"); "longest prefix")]
+#[test_case("shop.example", "/a/b", Some("short"); "prefix ends with a slash")]
+#[test_case("SHOP.example:8080", "/a/x", Some("short"); "port and capitals")]
+#[test_case("pay.example", "/a/b/x", Some("other"); "other host")]
+#[test_case("shop.example", "/ab/", None; "no prefix of a segment")]
+#[test_case("unknown.example", "/a/x", None; "unknown host")]
+fn finds_the_route(host: &str, path: &str, expected: Option<&str>) {
+    let table = table();
+    assert_eq!(table.find(host, path).map(|route| route.name.as_str()), expected);
+}
--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -238,5 +238,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/gate.rs
+++ b/mesh/src/gate.rs
@@ -377,5 +377,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- /dev/null
+++ b/mesh/src/gate/tests.rs
@@ -0,0 +1,183 @@
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use super::{Ask, Decision, Finish, Gate, Next};
+use crate::{keys::WorkKey, refusal::Reason, time::Time};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_micros(ms * 1_000)
+}
+
+struct Works {
+    keys: SlotMap<WorkKey, ()>,
+    gate: Gate,
+}
+
+impl Works {
+    /// A gate before a target with 10 slots, at which a request takes 100 ms.
+    fn new() -> Works {
+        let mut gate = Gate::new();
+        gate.set_slots(10);
+        gate.set_closed(None);
+        let mut works = Works { keys: SlotMap::with_key(), gate };
+        let work = works.arrive(at(0), &ask(0, 10_000)).0;
+        works.gate.finish(at(100), work, Finish::Answer);
+        works
+    }
+
+    fn arrive(&mut self, now: Time, ask: &Ask) -> (WorkKey, Decision) {
+        let key = self.keys.insert(());
+        (key, self.gate.arrive(now, key, ask))
+    }
+
+    /// Fills all places at which requests run.
+    fn fill(&mut self, now: Time) -> Vec<WorkKey> {
+        let ask = ask(0, 60_000);
+        let works = (0..8).map(|_| self.arrive(now, &ask));
+        works.map(|(key, decision)| (decision == Decision::Run).then_some(key)).map(|k| k.expect("room")).collect()
+    }
+}
+
+fn ask(priority: u8, objective: u64) -> Ask {
+    Ask {
+        route: "stock".into(),
+        priority,
+        objective: at(objective),
+        deadline: at(objective + 1_000),
+        is_late: false,
+        usual: ms(100),
+    }
+}
+
+fn is_refused(decision: Decision, expected: Reason) -> bool {
+    matches!(decision, Decision::Refuse { reason, .. } if reason == expected)
+}
+
+/// Guards against filling a target to the last slot, at which all of its work slows down.
+#[test]
+fn some_slots_stay_free() {
+    let mut works = Works::new();
+    works.fill(at(200));
+    assert_eq!(works.arrive(at(200), &ask(0, 60_000)).1, Decision::Queue);
+    assert_eq!(works.gate.report(at(200)).limit, 8);
+}
+
+/// Guards against a request that waits although its objective cannot be met any more.
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once() {
+    let mut works = Works::new();
+    works.fill(at(200));
+    let (_, decision) = works.arrive(at(200), &ask(0, 290));
+    assert!(is_refused(decision, Reason::Overloaded), "{decision:?}");
+    let Decision::Refuse { wait, .. } = decision else { unreachable!() };
+    assert!(wait > Duration::ZERO);
+}
+
+/// Guards against serving a less urgent request before one with a higher rank.
+#[test]
+fn a_higher_rank_starts_first() {
+    let mut works = Works::new();
+    let running = works.fill(at(200));
+    let low = works.arrive(at(200), &ask(2, 60_000)).0;
+    let high = works.arrive(at(201), &ask(0, 60_000)).0;
+    assert_eq!(works.gate.finish(at(300), running[0], Finish::Answer), [Next::Run(high)]);
+    assert_eq!(works.gate.finish(at(301), running[1], Finish::Answer), [Next::Run(low)]);
+}
+
+/// Guards against a queue that holds a request until its objective has passed.
+#[test]
+fn a_request_in_the_queue_is_refused_when_it_becomes_late() {
+    let mut works = Works::new();
+    works.fill(at(200));
+    let (waiting, decision) = works.arrive(at(200), &ask(0, 350));
+    assert_eq!(decision, Decision::Queue);
+    assert!(works.gate.advance(at(210)).is_empty());
+    let next = works.gate.advance(at(300));
+    assert!(matches!(next[..], [Next::Refuse { work, reason: Reason::Overloaded, .. }] if work == waiting));
+}
+
+/// Guards against late requests that take the place of those that are in time.
+#[test]
+fn a_late_request_runs_only_in_spare_room() {
+    let mut works = Works::new();
+    let late = Ask { is_late: true, ..ask(0, 0) };
+    let late = Ask { deadline: at(60_000), ..late };
+    for _ in 0..4 {
+        assert_eq!(works.arrive(at(200), &late).1, Decision::Run);
+    }
+    assert!(is_refused(works.arrive(at(200), &late).1, Reason::Overloaded));
+    assert_eq!(works.arrive(at(200), &ask(0, 60_000)).1, Decision::Run);
+}
+
+/// Guards against more work than a target in cold start bears.
+#[test]
+fn a_cold_target_gets_its_rate() {
+    let mut works = Works::new();
+    works.gate.set_cold(at(200), Some(20.0));
+    let mut started = 0;
+    for now in 0..1_000 {
+        let key = works.keys.insert(());
+        if works.gate.arrive(at(200 + now), key, &ask(0, 60_000)) == Decision::Run {
+            started += 1;
+        }
+        let next = works.gate.advance(at(200 + now));
+        started += next.iter().filter(|next| matches!(next, Next::Run(_))).count();
+        for running in works.gate.running.clone() {
+            let next = works.gate.finish(at(200 + now), running.work, Finish::Answer);
+            started += next.iter().filter(|next| matches!(next, Next::Run(_))).count();
+        }
+    }
+    assert!(started <= 20, "{started} requests in one second");
+    assert!(started >= 15, "{started} requests in one second use too little");
+}
+
+/// Guards against new work for a target that takes none, and against works that wait there for ever.
+#[test]
+fn a_closed_gate_refuses_also_what_waits() {
+    let mut works = Works::new();
+    works.fill(at(200));
+    let (waiting, _) = works.arrive(at(200), &ask(0, 60_000));
+    let next = works.gate.set_closed(Some(Reason::OutOfService));
+    let expected = Next::Refuse { work: waiting, reason: Reason::OutOfService, wait: Duration::ZERO };
+    assert_eq!(next, [expected]);
+    assert!(is_refused(works.arrive(at(200), &ask(0, 60_000)).1, Reason::OutOfService));
+}
+
+/// Guards against requests that start at a target whose slowdown makes them late, though another may be quick.
+#[test]
+fn a_slowdown_sends_requests_elsewhere() {
+    let mut works = Works::new();
+    for now in 0..200 {
+        works.gate.read_pace(at(200 + now * 10), if now < 150 { 100 } else { 1_000 });
+    }
+    assert!(is_refused(works.arrive(at(2_200), &ask(0, 2_500)).1, Reason::Overloaded));
+    works.gate.read_pace(at(2_210), 100);
+    assert_eq!(works.arrive(at(2_210), &ask(0, 2_500)).1, Decision::Run);
+}
+
+/// Guards against an estimate that nothing corrects: an idle target never gets a request whose usual time alone is
+/// longer than the objective.
+#[test]
+fn an_idle_target_measures_a_request_that_seems_too_slow() {
+    let mut works = Works::new();
+    assert_eq!(works.arrive(at(200), &ask(0, 250)).1, Decision::Run);
+    assert!(is_refused(works.arrive(at(200), &ask(0, 250)).1, Reason::Overloaded));
+}
+
+/// Guards against a target that fails without anyone being told.
+#[test]
+fn failures_show_in_the_report_and_fade() {
+    let mut works = Works::new();
+    for _ in 0..20 {
+        let (key, _) = works.arrive(at(200), &ask(0, 60_000));
+        works.gate.finish(at(200), key, Finish::Failure);
+    }
+    let failing = works.gate.report(at(200)).failing;
+    assert!(failing > 600, "{failing}");
+    assert!(works.gate.report(at(4_200)).failing <= failing / 4 + 1);
+}
--- a/mesh/src/inbound.rs
+++ b/mesh/src/inbound.rs
@@ -189,5 +189,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/names.rs
+++ b/mesh/src/names.rs
@@ -82,5 +82,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/note.rs
+++ b/mesh/src/note.rs
@@ -48,5 +48,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- /dev/null
+++ b/mesh/src/note/tests.rs
@@ -0,0 +1,36 @@
+use test_case::test_case;
+
+use super::{MAX_BYTES, Note};
+use crate::{directory::Tally, keys::MemberId, report::LoadReport, rollout::RolloutNote};
+
+fn note() -> Note {
+    Note {
+        from: MemberId(u64::MAX),
+        revisions: [u64::MAX; 3],
+        has_store: true,
+        is_stopping: false,
+        version: "release-2026-12-04".into(),
+        load: LoadReport { running: 9, limit: 9, service_us: u32::MAX, ..LoadReport::default() },
+        tally: Tally { good: u32::MAX, bad: u32::MAX, slowness: u32::MAX, timed: 1, sent: 1 },
+        rollouts: vec![
+            RolloutNote { order: u32::MAX, age: u32::MAX, shift: Some(u32::MAX), is_stopped: true };
+            4
+        ],
+    }
+}
+
+/// Guards against a note that is too long to be read, or read as something else.
+#[test]
+fn a_note_survives_its_datagram() {
+    let bytes = note().encode();
+    assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
+    assert_eq!(Note::decode(&bytes), Some(note()));
+}
+
+/// Guards against a datagram of another program that changes what a node believes.
+#[test_case(&[]; "empty")]
+#[test_case(&[9, 1, 2, 3]; "another format")]
+#[test_case(&[1, 255]; "cut short")]
+fn other_datagrams_are_ignored(bytes: &[u8]) {
+    assert_eq!(Note::decode(bytes), None);
+}
--- a/mesh/src/pace.rs
+++ b/mesh/src/pace.rs
@@ -114,5 +114,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/placement.rs
+++ b/mesh/src/placement.rs
@@ -123,5 +123,5 @@
     load.map(|(at, load)| (now.since(at), load))
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- /dev/null
+++ b/mesh/src/placement/tests.rs
@@ -0,0 +1,84 @@
+use std::time::Duration;
+
+use rand::{SeedableRng, rngs::SmallRng};
+use slotmap::SlotMap;
+
+use super::{Candidate, Distance, choose, cost};
+use crate::{
+    keys::{MemberId, MemberKey},
+    report::LoadReport,
+};
+
+const USUAL: Duration = Duration::from_millis(100);
+const LEFT: Duration = Duration::from_millis(400);
+
+fn idle() -> LoadReport {
+    LoadReport { limit: 9, pace: 100, service_us: 100_000, is_open: true, ..LoadReport::default() }
+}
+
+fn candidate(key: MemberKey, load: LoadReport, distance: Distance) -> Candidate {
+    let load = Some((Duration::from_millis(50), load));
+    Candidate { key, id: MemberId(0), load, sent: 0, distance, is_doubtful: false }
+}
+
+fn keys() -> [MemberKey; 2] {
+    let mut map = SlotMap::with_key();
+    [map.insert(()), map.insert(())]
+}
+
+fn chosen(candidates: &[Candidate]) -> Option<MemberKey> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    choose(candidates, USUAL, LEFT, &mut rng).map(|choice| choice.key)
+}
+
+/// Guards against traffic between data centres that gains nothing.
+#[test]
+fn a_near_target_that_is_good_enough_is_taken() {
+    let [near, far] = keys();
+    let busy = LoadReport { running: 9, ..idle() };
+    let candidates =
+        [candidate(near, busy, Distance::Centre), candidate(far, idle(), Distance::Other)];
+    assert_eq!(chosen(&candidates), Some(near));
+}
+
+/// Guards against a request that misses its objective at a slow near target while a far one is free.
+#[test]
+fn a_far_target_is_taken_if_the_near_ones_are_too_slow() {
+    let [near, far] = keys();
+    let slow = LoadReport { pace: 400, ..idle() };
+    let candidates =
+        [candidate(near, slow, Distance::Own), candidate(far, idle(), Distance::Other)];
+    assert_eq!(chosen(&candidates), Some(far));
+}
+
+/// Guards against a target that fails everything at once and so seems to be the fastest.
+#[test]
+fn a_failing_target_is_avoided() {
+    let [failing, busy] = keys();
+    let load = LoadReport { failing: 800, service_us: 1_000, ..idle() };
+    let full = LoadReport { running: 9, queued: 9, ..idle() };
+    let candidates =
+        [candidate(failing, load, Distance::Centre), candidate(busy, full, Distance::Centre)];
+    assert_eq!(chosen(&candidates), Some(busy));
+}
+
+/// Guards against members that fell silent, and against refusing when only such members remain.
+#[test]
+fn a_doubtful_member_is_the_last_resort() {
+    let [silent, speaking] = keys();
+    let doubtful = Candidate { is_doubtful: true, ..candidate(silent, idle(), Distance::Own) };
+    let full = LoadReport { running: 9, queued: 20, ..idle() };
+    let candidates = [doubtful, candidate(speaking, full, Distance::Other)];
+    assert_eq!(chosen(&candidates), Some(speaking));
+    assert_eq!(chosen(&[doubtful]), Some(silent));
+    assert_eq!(chosen(&[]), None);
+}
+
+/// Guards against a burst that goes to one target until its next report.
+#[test]
+fn requests_sent_since_the_report_count() {
+    let [key, _] = keys();
+    let before = candidate(key, idle(), Distance::Centre);
+    let after = Candidate { sent: 12, ..before };
+    assert!(cost(&after, USUAL) > cost(&before, USUAL) + Duration::from_millis(30));
+}
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -354,5 +354,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -187,7 +187,7 @@
         let bound = self.me.limits.retries;
         let nodes = self.directory.len();
         let budget = self.budgets.entry(service.clone());
-        budget.or_insert_with(|| RetryBudget::new(now)).earn(&bound, nodes);
+        budget.or_insert_with(|| RetryBudget::new(now, &bound, nodes)).earn(&bound, nodes);
         Call {
             id: head.id,
             route: route.name.clone(),
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -19,7 +19,7 @@
 const MAX_BOUNCES: u8 = 3;
 
 /// The part of its limit up to which one target of a version on trial is filled before the next one.
-const TRIAL_FILL: f64 = 0.85;
+const TRIAL_FILL: f64 = 1.0;
 
 /// The part of the time to the objective after which an idempotent request is also sent to another target.
 const HEDGE_PART: f64 = 0.45;
@@ -48,7 +48,7 @@
         let mut candidates = self.candidates(now, key, &versions);
         if let (true, Versions::Only(version)) = (candidates.is_empty(), &versions) {
             candidates = self.candidates(now, key, &Versions::Except(version.clone()));
-        } else if matches!(versions, Versions::Only(_)) && self.is_version_on_trial(now, &service) {
+        } else if matches!(versions, Versions::Only(_)) && self.is_version_on_trial(&service) {
             concentrate(&mut candidates);
         }
         let Some(call) = self.calls.get(key) else { return false };
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -160,9 +160,8 @@
     }
 
     /// Returns whether a version of a service has not shown yet that it bears all requests.
-    pub(super) fn is_version_on_trial(&self, now: Time, service: &str) -> bool {
-        let exposure = self.me.limits.exposure;
-        self.rollouts.get(service).is_some_and(|rollout| rollout.share(now, exposure) < 1.0)
+    pub(super) fn is_version_on_trial(&self, service: &str) -> bool {
+        self.rollouts.get(service).is_some_and(|rollout| !rollout.is_over())
     }
 
     /// Returns whether a version of the own service is being judged.
@@ -183,7 +182,9 @@
                 is_open: member.is_open(),
             }
         };
-        self.directory.of(&order.service).map(|(_, member)| part(member)).collect()
+        // A node that has just started does not know the version of its target yet.
+        let known = self.directory.of(&order.service).filter(|(_, member)| !member.version.is_empty());
+        known.map(|(_, member)| part(member)).collect()
     }
 
     /// Returns whether it is this node's turn to record something that is due since a time. The member with the
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -105,5 +105,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/replica.rs
+++ b/mesh/src/replica.rs
@@ -188,5 +188,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/report.rs
+++ b/mesh/src/report.rs
@@ -51,5 +51,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/rollout.rs
+++ b/mesh/src/rollout.rs
@@ -210,8 +210,10 @@
 
     /// Returns whether the new version may be failing, though too little is known for a verdict.
     fn is_doubtful(&self) -> bool {
-        let Tallies { new, old } = self.lately(OLD_TIME);
-        new.bad > 1 && chance(failed(&new), failed(&old)) < DOUBT
+        let is_odd = |Tallies { new, old }: &Tallies| {
+            new.bad > 1 && chance(failed(new), failed(old)) < DOUBT
+        };
+        is_odd(&self.total) || is_odd(&self.lately(OLD_TIME))
     }
 
     /// Returns recent answers of the new version, and those of the old one within `old`. The old one has few once
@@ -404,5 +406,5 @@
     Share { hits: tally.bad.into(), of: (tally.good + tally.bad).into() }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/seats.rs
+++ b/mesh/src/seats.rs
@@ -36,5 +36,5 @@
     in_line(&|node| node.centre == me.centre, PER_CENTRE) || in_line(&|_| true, IN_ALL)
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/statistics.rs
+++ b/mesh/src/statistics.rs
@@ -40,3 +40,6 @@
     let series = 1.0 / (12.0 * x) - 1.0 / (360.0 * x.powi(3));
     x * x.ln() - x + 0.5 * (2.0 * std::f64::consts::PI * x).ln() + series
 }
+
+#[cfg(test)]
+mod tests;
--- a/mesh/src/target.rs
+++ b/mesh/src/target.rs
@@ -247,5 +247,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
--- a/mesh/src/worker.rs
+++ b/mesh/src/worker.rs
@@ -278,5 +278,5 @@
     }
 }
 
-#[cfg(any())]
+#[cfg(test)]
 mod tests;
