--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -78,6 +78,8 @@
     pub(crate) priority: u8,
     pub(crate) is_idempotent: bool,
     pub(crate) objective: Duration,
+    /// The time from the first attempt of a caller to the objective.
+    pub(crate) whole: Duration,
     pub(crate) timeout: Duration,
     pub(crate) usual: Duration,
     pub(crate) is_late: bool,
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -141,6 +141,8 @@
     pub(crate) priority: u8,
     /// The time until which the answer has its full value.
     pub(crate) objective: Duration,
+    /// The time from the first attempt of a caller to the objective.
+    pub(crate) whole: Duration,
     /// The time that the caller still waits.
     pub(crate) timeout: Duration,
     /// The service time at the usual pace that the entry node expects.
--- a/mesh/src/gate.rs
+++ b/mesh/src/gate.rs
@@ -50,6 +50,8 @@
     pub(crate) deadline: Time,
     /// Whether the entry node knows that no target can meet the objective.
     pub(crate) is_late: bool,
+    /// The time from the first attempt of a caller to the objective.
+    pub(crate) whole: Duration,
     /// The service time at the usual pace that is assumed until one is measured.
     pub(crate) usual: Duration,
 }
@@ -203,7 +205,7 @@
         let wait = self.wait(now, position);
         let finish = now + wait + self.service(ask);
         if ask.is_late {
-            if self.running.len() >= self.late_limit() || !self.queue.is_empty() {
+            if self.running.len() >= self.late_limit(ask) || !self.queue.is_empty() {
                 return Decision::Refuse { reason: Reason::Overloaded, wait };
             }
             if finish > ask.deadline && !self.running.is_empty() {
@@ -310,7 +312,12 @@
         ((f64::from(self.slots) * FULL_SPEED_PART) as usize).max(1)
     }
 
-    fn late_limit(&self) -> usize {
+    /// Returns how many requests may run for a late one to start. No room is kept at a pace at which nothing would be
+    /// in time anyway.
+    fn late_limit(&self, ask: &Ask) -> usize {
+        if self.service(ask) > ask.whole {
+            return self.limit();
+        }
         ((self.limit() as f64 * LATE_PART) as usize).max(1)
     }
 
--- a/mesh/src/gate/tests.rs
+++ b/mesh/src/gate/tests.rs
@@ -50,6 +50,7 @@
         objective: at(objective),
         deadline: at(objective + 1_000),
         is_late: false,
+        whole: ms(300),
         usual: ms(100),
     }
 }
@@ -114,6 +115,18 @@
     assert_eq!(works.arrive(at(200), &ask(0, 60_000)).1, Decision::Run);
 }
 
+/// Guards against a slow target that keeps room for requests in time although none can be.
+#[test]
+fn late_requests_use_all_room_at_a_pace_at_which_nothing_is_in_time() {
+    let mut works = Works::new();
+    for now in 0..200 {
+        works.gate.read_pace(at(200 + now * 10), 1_000);
+    }
+    let late = Ask { is_late: true, deadline: at(60_000), ..ask(0, 0) };
+    let decisions = (0..9).map(|_| works.arrive(at(2_200), &late).1);
+    assert_eq!(decisions.filter(|decision| *decision == Decision::Run).count(), 8);
+}
+
 /// Guards against more work than a target in cold start bears.
 #[test]
 fn a_cold_target_gets_its_rate() {
--- a/mesh/src/inbound/tests.rs
+++ b/mesh/src/inbound/tests.rs
@@ -37,6 +37,7 @@
         is_idempotent: true,
         objective: Duration::from_millis(300),
         timeout: Duration::from_millis(800),
+        whole: Duration::from_millis(400),
         usual: Duration::from_millis(100),
         is_late: false,
         print: u64::MAX,
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -52,6 +52,8 @@
     objective: Time,
     /// The end of the caller's time or of the route's, whichever is first.
     deadline: Time,
+    /// The time from the first attempt of a caller to the objective.
+    whole: Duration,
     /// The service time assumed until one is measured.
     assumed: Duration,
     can_resend: bool,
@@ -198,6 +200,7 @@
             arrived: now,
             objective: now + route.objective.saturating_sub(earlier),
             deadline: now + time,
+            whole: route.objective,
             assumed: route.objective.mul_f64(ASSUMED_PART),
             can_resend: head.can_resend,
             print: head.print,
@@ -263,6 +266,7 @@
             priority: call.priority,
             is_idempotent: call.is_idempotent,
             objective: call.objective.since(now),
+            whole: call.whole,
             timeout: call.deadline.since(now),
             usual: self.usual_for(call),
             is_late: call.is_late,
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -149,6 +149,7 @@
             priority: 0,
             objective: Duration::from_millis(500),
             timeout: Duration::from_secs(1),
+            whole: Duration::from_millis(500),
             usual: Duration::from_millis(50),
             is_late: false,
             print: 0,
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -66,6 +66,7 @@
             objective: now + head.objective,
             deadline: now + head.timeout,
             is_late: head.is_late,
+            whole: head.whole,
             usual: head.usual,
         };
         let decision = if head.service == self.me.service {
--- a/mesh/src/worker.rs
+++ b/mesh/src/worker.rs
@@ -56,6 +56,7 @@
             route: order.route.clone(),
             priority: order.priority,
             objective: order.objective,
+            whole: order.whole,
             timeout: order.timeout,
             usual: order.usual,
             is_late: order.is_late,
