Give cold targets most of the bound, and more repeats to what has not run

Change: the gate uses 0.85 of the bound; a repeat of what may have run costs two units of a budget of 0.8 of the bound.

--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -8,9 +8,26 @@
 
 use crate::time::Time;
 
-/// The part of the bound that the nodes use. The rest covers repeats that nodes cannot see, such as calls made by
-/// a run that was a repeat itself, and nodes that join or return.
-const USED_PART: f64 = 0.5;
+/// The part of the bound that the nodes use. The rest covers nodes that join or return.
+const USED_PART: f64 = 0.8;
+
+/// What a repeat costs.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Repeat {
+    /// No target ran the request.
+    NotRun,
+    /// A target may have run it, so that the calls of its run are repeated too.
+    MayHaveRun,
+}
+
+impl Repeat {
+    const fn cost(self) -> f64 {
+        match self {
+            Repeat::NotRun => 1.0,
+            Repeat::MayHaveRun => 2.0,
+        }
+    }
+}
 
 /// The bound of the whole deployment.
 #[derive(Copy, Clone, Debug, PartialEq)]
@@ -44,18 +61,25 @@
     }
 
     /// Takes one repeat, or returns `false` if none is left.
-    pub(crate) fn take(&mut self, now: Time, bound: &RetryBound, nodes: usize) -> bool {
+    pub(crate) fn take(
+        &mut self,
+        now: Time,
+        bound: &RetryBound,
+        nodes: usize,
+        repeat: Repeat,
+    ) -> bool {
         let part = part(bound, nodes);
         let refill = part * now.since(self.refilled).as_secs_f64() / bound.window.as_secs_f64();
         self.refilled = now;
         self.spare = (self.spare + refill).min(part.max(1.0));
-        for balance in [&mut self.earned, &mut self.spare] {
-            if *balance >= 1.0 {
-                *balance -= 1.0;
-                return true;
-            }
+        let cost = repeat.cost();
+        if self.earned + self.spare < cost {
+            return false;
         }
-        false
+        let earned = self.earned.min(cost);
+        self.earned -= earned;
+        self.spare -= cost - earned;
+        true
     }
 }
 
--- a/mesh/src/gate.rs
+++ b/mesh/src/gate.rs
@@ -25,9 +25,9 @@
 /// Waiting requests for each slot; beyond it the lowest rank is refused.
 const QUEUE_PER_SLOT: usize = 3;
 
-/// The part of the cold rate that is used, because the bound holds for arrivals at the target, whose spacing
-/// differs from that of the sends.
-const COLD_PART: f64 = 0.9;
+/// The part of the bound on a cold target's rate that is used, because the bound holds for arrivals at the target,
+/// whose spacing differs from that of the sends.
+const COLD_PART: f64 = 0.85;
 
 /// The requests that a cold target may get at once.
 const COLD_BURST: f64 = 2.0;
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::{
+    budget::Repeat,
     effect::{CallStep, Effect, Record},
     event::Timer,
     keys::{CallKey, MemberKey},
@@ -154,8 +155,10 @@
         }
         let nodes = self.directory.len();
         let bound = self.me.limits.retries;
+        let is_hedge = !call.open.is_empty();
         let Some(budget) = self.budgets.get_mut(&call.service) else { return false };
-        budget.take(now, &bound, nodes)
+        let repeat = if call.may_have_run || is_hedge { Repeat::MayHaveRun } else { Repeat::NotRun };
+        budget.take(now, &bound, nodes, repeat)
     }
 
     /// Sets the time after which an idempotent request is also sent to another target.
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -324,7 +324,7 @@
 
     fn cold_rate(&self) -> Option<f64> {
         let service = self.config.as_ref()?.service(&self.me.service)?;
-        (service.cold_rate > 0.0).then_some(service.cold_rate)
+        (service.cold_rate > 0.0).then_some(service.cold_rate * self.me.limits.cold_over)
     }
 
     pub(super) fn is_me(&self, id: MemberId) -> bool {
