Send notes to other data centres less often in large deployments, and weigh the size of a request

Change: the interval of notes to other data centres grows with the deployment from 0.6 to 2.5 s, and so does the silence after which members there are doubted; crossing costs a fixed time and 4 ms for each kilobyte.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -15,9 +15,28 @@
     time::Time,
 };
 
-/// The time without any sign of a member after which it receives requests only if no other can.
+/// The time without any sign of a member of the own data centre after which it receives requests only if no other can.
 const SILENCE: Duration = Duration::from_millis(2_000);
 
+/// The notes to other data centres that members leave out before their silence counts.
+const MISSED_NOTES: u32 = 3;
+
+/// The shortest interval of notes to other data centres.
+const FAR_INTERVAL: Duration = Duration::from_millis(600);
+
+/// The longest such interval.
+const MAX_FAR_INTERVAL: Duration = Duration::from_millis(2_500);
+
+/// The part of the interval for each member. Notes of all members to all others grow with the square of the deployment,
+/// and those between data centres are paid for.
+const MEMBER_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Returns the interval of notes to other data centres in a deployment of some members.
+pub(crate) fn far_interval(members: usize) -> Duration {
+    let interval = MEMBER_INTERVAL.mul_f64(members as f64);
+    interval.clamp(FAR_INTERVAL, MAX_FAR_INTERVAL)
+}
+
 /// The pause after a connection to a member could not be opened or broke.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(400);
 
@@ -38,6 +57,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
     pub(crate) record: MemberRecord,
+    /// The time without any sign of it after which it is doubted.
+    silence: Duration,
     /// The last load report and when it arrived.
     pub(crate) load: Option<(Time, LoadReport)>,
     /// Requests sent since that report and not answered.
@@ -101,7 +122,8 @@
 impl Member {
     /// Returns whether nothing was heard of the member for long, or ever.
     pub(crate) fn is_silent(&self, now: Time) -> bool {
-        self.heard.is_none_or(|heard| now.since(heard) > SILENCE)
+        let longest = self.silence;
+        self.heard.is_none_or(|heard| now.since(heard) > longest)
     }
 
     pub(crate) fn is_paused(&self, now: Time) -> bool {
@@ -125,18 +147,26 @@
 /// All members, by key, id and service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Directory {
+    /// The own data centre.
+    centre: CompactString,
     members: SlotMap<MemberKey, Member>,
     ids: HashMap<MemberId, MemberKey>,
     services: HashMap<CompactString, Vec<MemberKey>>,
 }
 
 impl Directory {
+    pub(crate) fn new(centre: CompactString) -> Directory {
+        Directory { centre, ..Directory::default() }
+    }
+
     /// Adds a member or brings it up to date; returns whether it was new.
     pub(crate) fn put(&mut self, now: Time, record: MemberRecord) -> bool {
+        let silence = self.silence(&record.centre);
         if let Some(&key) = self.ids.get(&record.id) {
             let member = &mut self.members[key];
             member.lapsed = None;
             member.record = record;
+            member.silence = silence;
             return false;
         }
         // A new process at an address replaces the earlier one there.
@@ -146,6 +176,7 @@
         }
         let (id, service) = (record.id, record.service.clone());
         let member = Member {
+            silence,
             record,
             load: None,
             sent: 0,
@@ -163,6 +194,14 @@
         true
     }
 
+    /// Returns the time without any sign of a member after which it is doubted.
+    fn silence(&self, centre: &str) -> Duration {
+        if self.centre == centre {
+            return SILENCE;
+        }
+        SILENCE.max(far_interval(self.members.len()) * MISSED_NOTES)
+    }
+
     /// Removes a member at once.
     pub(crate) fn remove(&mut self, id: MemberId) -> Option<Member> {
         let key = self.ids.remove(&id)?;
--- a/mesh/src/directory/tests.rs
+++ b/mesh/src/directory/tests.rs
@@ -27,7 +27,7 @@
 /// Guards against requests to the process that had an address before the present one.
 #[test]
 fn a_new_process_replaces_the_one_at_its_address() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new("a".into());
     directory.put(at(0), record(2, 80));
     directory.put(at(1), record(3, 80));
     assert!(directory.key(MemberId(2)).is_none());
@@ -37,7 +37,7 @@
 /// Guards against records of dead processes that are taken for targets after all nodes have started again.
 #[test]
 fn a_member_that_never_spoke_takes_no_work() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new("a".into());
     directory.put(at(0), record(2, 80));
     let (_, member) = directory.of("stock").next().expect("a member");
     assert!(member.is_silent(at(0)) && !member.is_open());
@@ -49,7 +49,7 @@
 /// Guards against losing all members when the store removes their records while it is away.
 #[test]
 fn a_member_that_speaks_outlives_its_record() {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new("a".into());
     directory.put(at(0), record(2, 80));
     directory.put(at(0), record(3, 81));
     for now in [0, 1_000, 2_000, 3_000] {
@@ -73,3 +73,17 @@
     let grown = Tally { good: 101, sent: 107, ..before };
     assert_eq!(grown.since(&before), Tally { good: 1, sent: 1, ..Tally::default() });
 }
+
+/// Guards against members of another data centre that are doubted between two of their notes.
+#[test]
+fn silence_lasts_longer_than_the_interval_of_notes() {
+    let mut directory = Directory::new("b".into());
+    for id in 0..100 {
+        directory.put(at(0), record(id + 2, id as u16 + 80));
+    }
+    speak(&mut directory, at(0), 101);
+    let key = directory.key(MemberId(101)).expect("a member");
+    let between = super::far_interval(directory.len()) * 2;
+    assert!(!directory.get(key).expect("a member").is_silent(Time::ZERO + between));
+    assert!(directory.get(key).expect("a member").is_silent(Time::ZERO + between * 2));
+}
--- a/mesh/src/entry.rs
+++ b/mesh/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::{
     driver::Driver,
     effect::{Attempt, CallStep, Hop},
-    event::{CallEvent, CallHead, Event, Failure},
+    event::{AnswerHead, CallEvent, CallHead, Event, Failure},
     inbound::{self, Reply},
     keys::CallKey,
     names::{self, Names},
@@ -108,6 +108,7 @@
             return Err(Refusal { reason: Reason::Overloaded, may_have_run: false, retry_after });
         };
         call.dispatch(CallEvent::Arrived(head));
+        let sent = payload.start.len() as u64;
         let mut attempts = FuturesUnordered::new();
         let mut answers: Vec<(u32, Response<Body>)> = Vec::new();
         loop {
@@ -130,7 +131,7 @@
                     }
                 },
                 Some((attempt, reply)) = attempts.next() => {
-                    let (event, answer) = read_reply(attempt, reply);
+                    let (event, answer) = read_reply(attempt, reply, sent);
                     answers.extend(answer.map(|answer| (attempt, answer)));
                     call.dispatch(event);
                 }
@@ -180,13 +181,15 @@
     }
 }
 
-/// Turns the end of an attempt into an event and the answer, if there is one.
-fn read_reply(attempt: u32, reply: Reply) -> (CallEvent, Option<Response<Body>>) {
+/// Turns the end of an attempt into an event and the answer, if there is one; `sent` is the size of the request.
+fn read_reply(attempt: u32, reply: Reply, sent: u64) -> (CallEvent, Option<Response<Body>>) {
     let Reply { ending, load, usual } = reply;
     match ending {
         Ending::Answer(answer) => {
             let status = answer.status().as_u16();
-            (CallEvent::Answered { attempt, status, load, usual }, Some(answer))
+            let size = u32::try_from(sent + answer.body().size_hint().lower()).unwrap_or(u32::MAX);
+            let head = AnswerHead { status, usual, size };
+            (CallEvent::Answered { attempt, answer: head, load }, Some(answer))
         }
         Ending::Shed => (CallEvent::Shed { attempt, load }, None),
         Ending::Refused { reason, wait } => {
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -63,7 +63,7 @@
     /// The head and the body of the request arrived, or as much of the body as is kept.
     Arrived(CallHead),
     /// An attempt was answered by the target.
-    Answered { attempt: u32, status: u16, load: Option<LoadReport>, usual: Option<Duration> },
+    Answered { attempt: u32, answer: AnswerHead, load: Option<LoadReport> },
     /// The target said that it did not run the request.
     Shed { attempt: u32, load: Option<LoadReport> },
     /// The target's node refused an attempt, which has not run.
@@ -74,6 +74,16 @@
     Ended,
 }
 
+/// What the entry node knows about an answer.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AnswerHead {
+    pub(crate) status: u16,
+    /// The measured service time of the route at the usual pace.
+    pub(crate) usual: Option<Duration>,
+    /// The bytes of request and answer.
+    pub(crate) size: u32,
+}
+
 /// How an attempt failed.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
--- a/mesh/src/placement.rs
+++ b/mesh/src/placement.rs
@@ -6,15 +6,20 @@
 
 use crate::{keys::{MemberId, MemberKey}, report::LoadReport, time::Time};
 
-/// The advantage of the own data centre. Traffic between data centres costs money and a few milliseconds, so it
-/// goes there only if it gains more than that.
-const CENTRE_COST: Duration = Duration::from_millis(30);
+/// The time that an answer must be earlier for a request to leave its data centre, whatever its size.
+const CENTRE_COST: Duration = Duration::from_millis(20);
+
+/// The further time for each kilobyte of request and answer. Traffic between data centres is paid for by its bytes, and
+/// a small lookup may cross for a gain that a large document is not worth.
+const KILOBYTE_COST: Duration = Duration::from_millis(4);
+
+/// The most that the size adds.
+const MAX_SIZE_COST: Duration = Duration::from_millis(100);
 
 /// The advantage of the target beside this node, which needs no other node.
 const HOP_COST: Duration = Duration::from_millis(3);
 
-/// The part of the time to its objective within which a target of the own data centre is good enough, so that others
-/// are not considered.
+/// The part of the time to its objective within which a target of the own data centre is good enough.
 const NEAR_PART: f64 = 0.6;
 
 /// The cost of a certain failure. A target that fails everything at once has no queue and would otherwise attract
@@ -67,17 +72,26 @@
     pub(crate) compared: usize,
 }
 
-/// Chooses the target with the lowest expected time to an answer; `usual` is the service time of the request at
-/// the usual pace, and `left` the time until its objective.
+/// What is expected of a request.
+#[derive(Copy, Clone, Debug, PartialEq)]
+pub(crate) struct Demand {
+    /// The service time at the usual pace.
+    pub(crate) usual: Duration,
+    /// The time until its objective.
+    pub(crate) left: Duration,
+    /// The bytes of request and answer.
+    pub(crate) size: u32,
+}
+
+/// Chooses the target with the lowest expected time to an answer and costs of the way.
 pub(crate) fn choose(
     candidates: &[Candidate],
-    usual: Duration,
-    left: Duration,
+    demand: &Demand,
     rng: &mut SmallRng,
 ) -> Option<Choice> {
     let sound = candidates.iter().any(|candidate| !candidate.is_doubtful);
-    let bound = left.mul_f64(NEAR_PART);
-    let is_near = |c: &Candidate| c.distance != Distance::Other && cost(c, usual) <= bound;
+    let bound = demand.left.mul_f64(NEAR_PART);
+    let is_near = |c: &Candidate| c.distance != Distance::Other && cost(c, demand) <= bound;
     let near = candidates.iter().any(|c| !c.is_doubtful && is_near(c));
     let eligible = candidates.iter().filter(|c| {
         if near { !c.is_doubtful && is_near(c) } else { !sound || !c.is_doubtful }
@@ -86,7 +100,7 @@
     let first = if count > MAX_CANDIDATES { rng.random_range(0..count) } else { 0 };
     let costs = eligible.cycle().skip(first).take(count.min(MAX_CANDIDATES));
     let costs: Vec<(MemberKey, Duration)> =
-        costs.map(|candidate| (candidate.key, cost(candidate, usual))).collect();
+        costs.map(|candidate| (candidate.key, cost(candidate, demand))).collect();
     let best = costs.iter().map(|&(_, cost)| cost).min()?;
     let bound = best + best.mul_f64(EQUAL_PART);
     let near: Vec<_> = costs.iter().filter(|(_, cost)| *cost <= bound).collect();
@@ -95,11 +109,13 @@
 }
 
 /// Returns the expected time to the answer of a candidate.
-pub(crate) fn cost(candidate: &Candidate, usual: Duration) -> Duration {
+pub(crate) fn cost(candidate: &Candidate, demand: &Demand) -> Duration {
+    let usual = demand.usual;
+    let size = KILOBYTE_COST.mul_f64(f64::from(demand.size) / 1_000.0).min(MAX_SIZE_COST);
     let away = match candidate.distance {
         Distance::Own => Duration::ZERO,
         Distance::Centre => HOP_COST,
-        Distance::Other => HOP_COST + CENTRE_COST,
+        Distance::Other => HOP_COST + CENTRE_COST + size,
     };
     let Some((age, load)) = candidate.load else {
         return away + usual * (1 + candidate.sent);
--- a/mesh/src/placement/tests.rs
+++ b/mesh/src/placement/tests.rs
@@ -3,14 +3,17 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
-use super::{Candidate, Distance, choose, cost};
+use super::{Candidate, Demand, Distance, choose, cost};
 use crate::{
     keys::{MemberId, MemberKey},
     report::LoadReport,
 };
 
-const USUAL: Duration = Duration::from_millis(100);
-const LEFT: Duration = Duration::from_millis(400);
+const DEMAND: Demand = Demand {
+    usual: Duration::from_millis(100),
+    left: Duration::from_millis(400),
+    size: 5_000,
+};
 
 fn idle() -> LoadReport {
     LoadReport { limit: 9, pace: 100, service_us: 100_000, is_open: true, ..LoadReport::default() }
@@ -28,7 +31,7 @@
 
 fn chosen(candidates: &[Candidate]) -> Option<MemberKey> {
     let mut rng = SmallRng::seed_from_u64(1);
-    choose(candidates, USUAL, LEFT, &mut rng).map(|choice| choice.key)
+    choose(candidates, &DEMAND, &mut rng).map(|choice| choice.key)
 }
 
 /// Guards against traffic between data centres that gains nothing.
@@ -41,6 +44,18 @@
     assert_eq!(chosen(&candidates), Some(near));
 }
 
+/// Guards against treating a small lookup like a large document, whose bytes cost more than its time.
+#[test]
+fn a_small_request_leaves_its_data_centre_for_a_small_gain() {
+    let [near, far] = keys();
+    let busy = LoadReport { running: 9, queued: 1, ..idle() };
+    let near = candidate(near, busy, Distance::Centre);
+    let far = candidate(far, idle(), Distance::Other);
+    let small = Demand { size: 300, ..DEMAND };
+    assert!(cost(&far, &small) < cost(&near, &small));
+    assert!(cost(&far, &DEMAND) > cost(&near, &DEMAND));
+}
+
 /// Guards against a request that misses its objective at a slow near target while a far one is free.
 #[test]
 fn a_far_target_is_taken_if_the_near_ones_are_too_slow() {
@@ -80,5 +95,5 @@
     let [key, _] = keys();
     let before = candidate(key, idle(), Distance::Centre);
     let after = Candidate { sent: 12, ..before };
-    assert!(cost(&after, USUAL) > cost(&before, USUAL) + Duration::from_millis(30));
+    assert!(cost(&after, &DEMAND) > cost(&before, &DEMAND) + Duration::from_millis(30));
 }
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -107,8 +107,7 @@
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
     budgets: HashMap<CompactString, RetryBudget>,
-    /// The service time at the usual pace, as targets' nodes tell it with their answers.
-    usual: HashMap<calls::ServiceRoute, Duration>,
+    seen: HashMap<calls::ServiceRoute, calls::Seen>,
     /// The position of each split route in the order of its shares.
     turns: HashMap<CompactString, calls::Turns>,
     /// The longest time that callers of a route have stated.
@@ -130,10 +129,10 @@
 impl Reducer {
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
         Reducer {
+            directory: Directory::new(me.centre.clone()),
             me,
             rng: SmallRng::seed_from_u64(seed),
             config: None,
-            directory: Directory::default(),
             is_listed: false,
             is_synced: false,
             has_store: false,
@@ -146,7 +145,7 @@
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
             budgets: HashMap::new(),
-            usual: HashMap::new(),
+            seen: HashMap::new(),
             turns: HashMap::new(),
             patience: HashMap::new(),
             told: [None, None],
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -14,6 +14,7 @@
     effect::{Attempt, CallStep, Effect, Hop, Order},
     event::{CallEvent, CallHead, Timer},
     keys::{CallKey, MemberKey},
+    placement::Demand,
     refusal::{Reason, Refusal},
     time::Time,
 };
@@ -32,12 +33,24 @@
 /// The part of its objective that a request is assumed to take before any was measured.
 const ASSUMED_PART: f64 = 0.35;
 
+/// The bytes of request and answer assumed before any was measured.
+const ASSUMED_SIZE: u32 = 1_000;
+
 /// The difference below which two stated times count as equal.
 const SAME_PATIENCE: f64 = 0.02;
 
 /// A service and a route.
 pub(super) type ServiceRoute = (CompactString, CompactString);
 
+/// What was seen of the requests of a route at a service.
+#[derive(Copy, Clone, Debug)]
+pub(super) struct Seen {
+    /// The service time at the usual pace, as targets' nodes tell it with their answers.
+    usual: Duration,
+    /// The mean bytes of request and answer.
+    size: f64,
+}
+
 /// A caller's request in progress.
 pub(super) struct Call {
     id: CompactString,
@@ -142,8 +155,8 @@
     ) {
         match event {
             CallEvent::Arrived(head) => self.call_arrived(now, key, head, out),
-            CallEvent::Answered { attempt, status, load, usual } => {
-                self.call_answered(now, key, attempt, status, load, usual, out);
+            CallEvent::Answered { attempt, answer, load } => {
+                self.call_answered(now, key, attempt, answer, load, out);
             }
             CallEvent::Shed { attempt, load } => self.call_shed(now, key, attempt, load, out),
             CallEvent::Refused { attempt, reason, wait, load } => {
@@ -253,7 +266,14 @@
     /// Returns the service time at the usual pace that a request is expected to have.
     fn usual_for(&self, call: &Call) -> Duration {
         let pair = (call.service.clone(), call.route.clone());
-        self.usual.get(&pair).copied().unwrap_or(call.assumed)
+        self.seen.get(&pair).map_or(call.assumed, |seen| seen.usual)
+    }
+
+    /// Returns what is expected of a request from now on.
+    fn demand(&self, now: Time, call: &Call) -> Demand {
+        let pair = (call.service.clone(), call.route.clone());
+        let size = self.seen.get(&pair).map_or(ASSUMED_SIZE, |seen| seen.size as u32);
+        Demand { usual: self.usual_for(call), left: call.objective.since(now), size }
     }
 
     fn attempt_for(&self, now: Time, call: &Call, member: MemberKey) -> Option<Attempt> {
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -25,6 +25,9 @@
 /// The part of the time to the objective after which an idempotent request is also sent to another target.
 const HEDGE_PART: f64 = 0.45;
 
+/// The multiple of its service time that must be left for another target.
+const HEDGE_MARGIN: f64 = 1.2;
+
 impl Reducer {
     /// Starts the next attempt, or refuses the request.
     pub(super) fn place(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
@@ -53,8 +56,8 @@
             concentrate(&mut candidates);
         }
         let Some(call) = self.calls.get(key) else { return false };
-        let (left, usual) = (call.objective.since(now), self.usual_for(call));
-        let Some(choice) = placement::choose(&candidates, usual, left, &mut self.rng) else {
+        let demand = self.demand(now, call);
+        let Some(choice) = placement::choose(&candidates, &demand, &mut self.rng) else {
             return false;
         };
         let chosen = candidates.iter().find(|candidate| candidate.key == choice.key);
@@ -176,17 +179,16 @@
         if call.is_answered || call.open.len() != 1 {
             return;
         }
-        let left = call.objective.since(now);
-        let usual = self.usual_for(call);
+        let demand = self.demand(now, call);
         let service = call.service.clone();
-        if usual.mul_f64(1.2) > left {
+        if demand.usual.mul_f64(HEDGE_MARGIN) > demand.left {
             return;
         }
         let versions = self.draw_versions(now, &service);
         let candidates = self.candidates(now, key, &versions);
         let costs = candidates.iter().filter(|candidate| !candidate.is_doubtful);
-        let best = costs.map(|candidate| placement::cost(candidate, usual)).min();
-        if best.is_some_and(|best| best < left) && self.may_repeat(now, key) {
+        let best = costs.map(|candidate| placement::cost(candidate, &demand)).min();
+        if best.is_some_and(|best| best < demand.left) && self.may_repeat(now, key) {
             // Without another target the first attempt goes on alone.
             let _ = self.try_place(now, key, out);
         }
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -6,20 +6,20 @@
 
 use crate::{
     effect::{CallStep, Effect, Record},
-    event::{CallHead, Failure},
+    event::{AnswerHead, CallHead, Failure},
     keys::{CallKey, MemberKey},
     refusal::{Reason, Refusal},
     report::LoadReport,
     time::Time,
 };
 
-use super::{Reducer, deliver};
+use super::{Reducer, Seen, ServiceRoute, deliver};
 
-/// The weight of a new service time in what the entry node expects.
-const USUAL_WEIGHT: f64 = 0.2;
+/// The weight of a new answer in what the entry node expects.
+const WEIGHT: f64 = 0.2;
 
-/// The most pairs of service and route with an expected service time.
-const MAX_USUAL: usize = 1_024;
+/// The most pairs of service and route of which something is remembered.
+const MAX_SEEN: usize = 1_024;
 
 /// The shortest time after which a refused caller is asked to return.
 const MIN_RETURN: Duration = Duration::from_millis(40);
@@ -34,17 +34,16 @@
 const USUAL_RETURN: Duration = Duration::from_millis(250);
 
 impl Reducer {
-    #[allow(clippy::too_many_arguments)]
     pub(super) fn call_answered(
         &mut self,
         now: Time,
         key: CallKey,
         attempt: u32,
-        status: u16,
+        answer: AnswerHead,
         load: Option<LoadReport>,
-        usual: Option<Duration>,
         out: &mut Vec<Effect>,
     ) {
+        let status = answer.status;
         self.close(now, key, attempt, load);
         let Some(call) = self.calls.get_mut(key) else { return };
         if call.is_answered {
@@ -52,9 +51,9 @@
         }
         call.ran = call.ran.saturating_add(1);
         call.may_have_run = true;
-        if let Some(usual) = usual {
+        if let Some(usual) = answer.usual.filter(|_| status < 500) {
             let pair = (call.service.clone(), call.route.clone());
-            self.expect(pair, usual);
+            self.learn(pair, Seen { usual, size: answer.size.into() });
         }
         let Some(call) = self.calls.get_mut(key) else { return };
         if status >= 500 && call.is_idempotent {
@@ -279,11 +278,12 @@
         Some(member)
     }
 
-    fn expect(&mut self, pair: super::ServiceRoute, usual: Duration) {
-        if let Some(known) = self.usual.get_mut(&pair) {
-            *known = known.mul_f64(1.0 - USUAL_WEIGHT) + usual.mul_f64(USUAL_WEIGHT);
-        } else if self.usual.len() < MAX_USUAL {
-            self.usual.insert(pair, usual);
+    fn learn(&mut self, pair: ServiceRoute, new: Seen) {
+        if let Some(known) = self.seen.get_mut(&pair) {
+            known.usual = known.usual.mul_f64(1.0 - WEIGHT) + new.usual.mul_f64(WEIGHT);
+            known.size += (new.size - known.size) * WEIGHT;
+        } else if self.seen.len() < MAX_SEEN {
+            self.seen.insert(pair, new);
         }
     }
 }
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
-    directory::{Member, MemberRecord, Tally},
+    directory::{Member, MemberRecord, Tally, far_interval},
     effect::{Effect, Record},
     keys::MemberId,
     note::Note,
@@ -35,8 +35,6 @@
 /// The shortest time between two notes to other data centres.
 const FAR_GAP: Duration = Duration::from_millis(120);
 
-/// The longest time between two notes to other data centres, a third of the silence after which others doubt it.
-const FAR_MAX_GAP: Duration = Duration::from_millis(600);
 
 /// The shortest time between two notes in the own data centre.
 const MIN_GAP: Duration = Duration::from_millis(40);
@@ -44,8 +42,9 @@
 /// The longest time between two notes in the own data centre.
 const MAX_GAP: Duration = Duration::from_millis(500);
 
-/// The longest time between two notes while a version of the own service is judged.
-const ROLLOUT_GAP: Duration = Duration::from_millis(150);
+/// The longest time between two notes while a version of the own service is judged, in the own data centre and to
+/// others.
+const ROLLOUT_GAP: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(300)];
 
 /// The most datagrams of a node in a second; with more members, notes are sent less often.
 const MAX_NOTES: f64 = 150.0;
@@ -222,9 +221,9 @@
         let others = Duration::from_secs_f64(self.directory.len() as f64 / MAX_NOTES);
         let (shortest, longest) = match reach {
             Reach::Near => (MIN_GAP.max(others / 3), MAX_GAP),
-            Reach::Far => (FAR_GAP.max(others), FAR_MAX_GAP),
+            Reach::Far => (FAR_GAP.max(others), far_interval(self.directory.len())),
         };
-        let longest = if self.has_rollout() { ROLLOUT_GAP } else { longest };
+        let longest = if self.has_rollout() { ROLLOUT_GAP[reach as usize] } else { longest };
         let since = now.since(at);
         let is_open_changed = load.is_open != told.is_open;
         let is_news = is_open_changed || (reach == Reach::Near && is_news(&told, load));
