Let both versions carry requests once the new one has proved itself

Change: after a version has carried all requests without a fault, both versions carry them until three quarters of the time; then the old one empties and the rollout is completed.

--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -138,7 +138,7 @@
         let Some(rollout) = self.rollouts.get(service) else { return Versions::Any };
         let version = rollout.order.version.clone();
         let share = rollout.share(now, self.me.limits.exposure);
-        if rollout.state == Some(RolloutState::Completed) {
+        if rollout.state == Some(RolloutState::Completed) || rollout.is_shared(now) {
             return Versions::Any;
         }
         if self.rng.random_bool(share.clamp(0.0, 1.0)) {
--- a/mesh/src/rollout.rs
+++ b/mesh/src/rollout.rs
@@ -39,8 +39,12 @@
 /// because completing it ends the old targets at once.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// The part of the time from which the old targets receive nothing more. Before it, both versions carry requests once
+/// the new one has proved itself, because the old targets are capacity as long as they run.
+const FINAL_PART: f64 = 0.75;
+
 /// The part of the time after which a rollout is completed although old targets still run requests.
-const LATEST_COMPLETION: f64 = 0.85;
+const LATEST_COMPLETION: f64 = 0.9;
 
 /// The time over which recent answers are compared.
 const RECENT_TIME: Duration = Duration::from_millis(2_500);
@@ -62,7 +66,7 @@
 const CHANCE: f64 = 1e-3;
 
 /// The probability by chance below which a rollout is not completed yet.
-const DOUBT: f64 = 0.05;
+const DOUBT: f64 = 0.03;
 
 /// The fewest answers of each version whose service times are compared.
 const MIN_ANSWERS: u32 = 12;
@@ -124,6 +128,8 @@
     /// The age of the order at which the trial ended, if it has.
     shift: Option<Duration>,
     pub(crate) state: Option<RolloutState>,
+    /// Whether the version has carried all requests without a fault.
+    is_proven: bool,
     /// Whether enough was seen to stop using the version.
     pub(crate) is_stopped: bool,
     /// When the outcome was found, which orders the nodes that may record it.
@@ -241,6 +247,7 @@
             age: Duration::ZERO,
             shift: None,
             state: None,
+            is_proven: false,
             is_stopped: false,
             decided: None,
             evidence: Evidence::default(),
@@ -308,8 +315,10 @@
         if let Some(shift) = self.shift {
             let is_settled = elapsed >= shift + SHIFT_TIME + SETTLE_TIME;
             let is_doubtful = self.evidence.is_doubtful();
+            self.is_proven = is_settled && !is_doubtful;
             let is_latest = part >= LATEST_COMPLETION;
-            if new.open > 0 && is_settled && !is_doubtful && (old.running == 0 || is_latest) {
+            let is_empty = part >= FINAL_PART && old.running == 0;
+            if new.open > 0 && self.is_proven && (is_empty || is_latest) {
                 self.decide(now, RolloutState::Completed);
             } else if is_latest && is_doubtful {
                 self.is_stopped = true;
@@ -335,6 +344,12 @@
         trial + (1.0 - trial) * part * part
     }
 
+    /// Returns whether both versions carry requests, since the new one has shown that it bears all of them.
+    pub(crate) fn is_shared(&self, now: Time) -> bool {
+        let part = self.elapsed(now).as_secs_f64() / self.order.duration.as_secs_f64().max(0.1);
+        self.is_proven && !self.is_stopped && part < FINAL_PART
+    }
+
     /// Returns whether nothing remains to be decided.
     pub(crate) fn is_over(&self) -> bool {
         matches!(self.state, Some(RolloutState::Completed | RolloutState::RolledBack))
