Judge versions over strata of time, use a completed version whatever was found, show load with fewer requests

Lost answers, which tell of the way, counted against the version. Change: answers are compared within strata of 1 s (Mantel-Haenszel); a recorded completion outweighs what a node found; lost answers do not count; after the trial the version gets 35% for 1.8 s, enough to fill one target, before the rest.

--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -130,7 +130,7 @@
         let next = self.gate.finish(now, key, finish);
         if let Some(started) = work.started {
             let took = now.since(started);
-            self.count(now, finish, took);
+            self.count(now, finish, status, took);
             out.push(Effect::Log(Record::Ran { id: work.id, outcome, status, took }));
         }
         self.continue_works(now, next, out);
@@ -138,7 +138,7 @@
     }
 
     /// Counts an answer for the comparison of versions; a cold target is slow whatever its version.
-    fn count(&mut self, now: Time, finish: Finish, took: Duration) {
+    fn count(&mut self, now: Time, finish: Finish, status: u16, took: Duration) {
         match finish {
             Finish::Answer => {
                 self.tally.good += 1;
@@ -148,8 +148,9 @@
                     self.tally.timed += 1;
                 }
             }
-            Finish::Failure => self.tally.bad += 1,
-            Finish::Shed | Finish::Cancelled => {}
+            // A lost answer tells of the way to the target, not of its version.
+            Finish::Failure if status >= 500 => self.tally.bad += 1,
+            Finish::Failure | Finish::Shed | Finish::Cancelled => {}
         }
     }
 
--- a/mesh/src/rollout.rs
+++ b/mesh/src/rollout.rs
@@ -15,7 +15,7 @@
 use crate::{
     directory::Tally,
     keys::MemberId,
-    statistics::{Share, chance},
+    statistics::{Share, Strata, chance},
     time::Time,
 };
 
@@ -31,13 +31,19 @@
 /// The answers of the new version that are enough to end the trial.
 const TRIAL_ANSWERS: u32 = 25;
 
-/// The time over which the share rises from the trial's to all requests. Faults that show only under load must show
-/// before many requests have met them.
-const SHIFT_TIME: Duration = Duration::from_millis(2_000);
+/// The share of requests after the trial. It fills at least one target of the new version, so that faults that show
+/// only under load show before many requests have met them.
+const LOAD_SHARE: f64 = 0.35;
+
+/// The time for which the version gets that share.
+const LOAD_TIME: Duration = Duration::from_millis(1_800);
+
+/// The time over which the share rises from there to all requests.
+const SHIFT_TIME: Duration = Duration::from_millis(700);
 
 /// The shortest time after the shift in which the new version carries all requests before the rollout is completed,
 /// because completing it ends the old targets at once.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 
 /// The part of the time from which the old targets receive nothing more. Before it, both versions carry requests once
 /// the new one has proved itself, because the old targets are capacity as long as they run.
@@ -59,12 +65,21 @@
 const MIN_FAILURES: u32 = 4;
 
 /// The smallest excess of the new version's share of failures over that of the old one that matters.
-const FAILURE_EXCESS: f64 = 0.05;
+const FAILURE_EXCESS: f64 = 0.03;
 
 /// The probability by chance below which a difference counts. A false alarm costs one rollout, a missed fault
 /// exposes callers to it.
 const CHANCE: f64 = 1e-3;
 
+/// The score of all strata that corresponds to [`CHANCE`].
+const SCORE: f64 = 3.1;
+
+/// The score of all strata that corresponds to [`DOUBT`].
+const DOUBT_SCORE: f64 = 1.9;
+
+/// The length of a stratum. Trouble of all targets changes over seconds.
+const STRATUM_TIME: Duration = Duration::from_secs(1);
+
 /// The probability by chance below which a rollout is not completed yet.
 const DOUBT: f64 = 0.03;
 
@@ -171,6 +186,10 @@
 struct Evidence {
     known: HashMap<MemberId, Tally>,
     total: Tallies,
+    /// What was added since the present stratum began.
+    stratum: Tallies,
+    stratum_began: Time,
+    strata: Strata,
     gathered: Time,
     /// What was added lately, the oldest first.
     recent: VecDeque<(Time, Tallies)>,
@@ -200,6 +219,12 @@
             side.add(&part.tally.since(&known));
         }
         self.total.add(&added);
+        self.stratum.add(&added);
+        if now.since(self.stratum_began) >= STRATUM_TIME {
+            let Tallies { new, old } = std::mem::take(&mut self.stratum);
+            self.strata.add(failed(&new), failed(&old));
+            self.stratum_began = now;
+        }
         self.gathered = now;
         self.recent.push_back((now, added));
         while self.recent.front().is_some_and(|(at, _)| now.since(*at) > OLD_TIME) {
@@ -208,8 +233,18 @@
     }
 
     /// Compares the versions over the whole time and over the last seconds, because some faults show only under load.
-    fn judge(&self) -> Verdict {
-        let shown = [self.total, self.lately(RECENT_TIME), self.lately(OLD_TIME)];
+    ///
+    /// Once the version is proved, the old one gets ever less. Trouble that begins then shows at the new version alone,
+    /// so only answers of the same moments are compared.
+    fn judge(&self, is_proven: bool) -> Verdict {
+        let is_failing = self.total.new.bad >= MIN_FAILURES && self.strata.score() > SCORE;
+        if is_failing && is_excess(&self.total) {
+            return Verdict::Failing;
+        }
+        if is_proven {
+            return Verdict::NoFault;
+        }
+        let shown = [self.lately(RECENT_TIME), self.lately(OLD_TIME)];
         let verdicts = shown.iter().map(compare);
         verdicts.into_iter().find(|verdict| *verdict != Verdict::NoFault).unwrap_or(Verdict::NoFault)
     }
@@ -219,7 +254,7 @@
         let is_odd = |Tallies { new, old }: &Tallies| {
             new.bad > 1 && chance(failed(new), failed(old)) < DOUBT
         };
-        is_odd(&self.total) || is_odd(&self.lately(OLD_TIME))
+        self.strata.score() > DOUBT_SCORE || is_odd(&self.lately(OLD_TIME))
     }
 
     /// Returns recent answers of the new version, and those of the old one within `old`. The old one has few once
@@ -258,7 +293,12 @@
     pub(crate) fn recorded(&mut self, record: &RolloutRecord) {
         if record.version == self.order.version {
             self.state = Some(record.state);
-            self.is_stopped |= record.state == RolloutState::RolledBack;
+            match record.state {
+                RolloutState::Running => {}
+                // The old targets have ended, so the version is all that is left, whatever was found here.
+                RolloutState::Completed => self.is_stopped = false,
+                RolloutState::RolledBack => self.is_stopped = true,
+            }
         }
     }
 
@@ -299,7 +339,7 @@
             return Verdict::NoFault;
         }
         self.evidence.gather(now, parts);
-        let verdict = self.evidence.judge();
+        let verdict = self.evidence.judge(self.is_proven);
         if verdict != Verdict::NoFault {
             self.is_stopped = true;
             self.decide(now, RolloutState::RolledBack);
@@ -313,9 +353,9 @@
             self.shift = Some(elapsed);
         }
         if let Some(shift) = self.shift {
-            let is_settled = elapsed >= shift + SHIFT_TIME + SETTLE_TIME;
-            let is_doubtful = self.evidence.is_doubtful();
-            self.is_proven = is_settled && !is_doubtful;
+            let is_settled = elapsed >= shift + LOAD_TIME + SHIFT_TIME + SETTLE_TIME;
+            let is_doubtful = !self.is_proven && self.evidence.is_doubtful();
+            self.is_proven |= is_settled && !is_doubtful;
             let is_latest = part >= LATEST_COMPLETION;
             let is_empty = part >= FINAL_PART && old.running == 0;
             if new.open > 0 && self.is_proven && (is_empty || is_latest) {
@@ -340,8 +380,9 @@
         let trial = exposure * TRIAL_PART;
         let Some(shift) = self.shift else { return trial };
         let since = self.elapsed(now).saturating_sub(shift);
-        let part = (since.as_secs_f64() / SHIFT_TIME.as_secs_f64()).min(1.0);
-        trial + (1.0 - trial) * part * part
+        let Some(rising) = since.checked_sub(LOAD_TIME) else { return LOAD_SHARE.max(trial) };
+        let part = (rising.as_secs_f64() / SHIFT_TIME.as_secs_f64()).min(1.0);
+        LOAD_SHARE + (1.0 - LOAD_SHARE) * part
     }
 
     /// Returns whether both versions carry requests, since the new one has shown that it bears all of them.
@@ -404,9 +445,7 @@
 /// Compares the answers of the new version with those of the old one over the same time.
 pub(crate) fn compare(tallies: &Tallies) -> Verdict {
     let Tallies { new, old } = tallies;
-    let share = |tally: &Tally| f64::from(tally.bad) / f64::from((tally.good + tally.bad).max(1));
-    let is_excess = share(new) - share(old) >= FAILURE_EXCESS;
-    if new.bad >= MIN_FAILURES && is_excess && chance(failed(new), failed(old)) < CHANCE {
+    if new.bad >= MIN_FAILURES && is_excess(tallies) && chance(failed(new), failed(old)) < CHANCE {
         return Verdict::Failing;
     }
     let mean = |tally: &Tally| f64::from(tally.slowness) / f64::from(tally.timed.max(1));
@@ -417,6 +456,11 @@
     Verdict::NoFault
 }
 
+fn is_excess(Tallies { new, old }: &Tallies) -> bool {
+    let share = |tally: &Tally| f64::from(tally.bad) / f64::from((tally.good + tally.bad).max(1));
+    share(new) - share(old) >= FAILURE_EXCESS
+}
+
 fn failed(tally: &Tally) -> Share {
     Share { hits: tally.bad.into(), of: (tally.good + tally.bad).into() }
 }
--- a/mesh/src/rollout/tests.rs
+++ b/mesh/src/rollout/tests.rs
@@ -91,7 +91,7 @@
 fn a_version_that_fails_under_load_is_rolled_back_during_the_shift() {
     let mut rollout = rollout();
     let sent = play(&mut rollout, 13, SOUND, |share| {
-        Version { failing: if share > 0.4 { 0.46 } else { 0.05 }, ..SOUND }
+        Version { failing: if share > 0.3 { 0.46 } else { 0.05 }, ..SOUND }
     });
     assert_eq!(outcome(&rollout), Some(RolloutState::RolledBack));
     assert!(sent <= 112 + 50, "{sent} requests");
@@ -140,3 +140,34 @@
     assert!((rollout.share(at(0), EXPOSURE) - 1.0).abs() < 1e-9);
     assert!(rollout.due().is_none());
 }
+
+/// Guards against a service without any target: a node had found the version faulty just before another one recorded it
+/// as completed, which ends the old targets.
+#[test]
+fn a_completed_version_is_used_whatever_was_found_before() {
+    let mut rollout = rollout();
+    play(&mut rollout, 7, SOUND, |_| Version { failing: 0.9, ..SOUND });
+    assert!(rollout.is_stopped);
+    let state = RolloutState::Completed;
+    let record = RolloutRecord { service: "stock".into(), version: "v2".into(), state };
+    rollout.recorded(&record);
+    assert!(!rollout.is_stopped);
+    assert!((rollout.share(at(7_000), EXPOSURE) - 1.0).abs() < 1e-9);
+}
+
+/// Guards against a good version that is rolled back for trouble of all targets that begins when the old ones already
+/// get nothing.
+#[test]
+fn trouble_after_the_proof_does_not_count_against_the_version_alone() {
+    let mut rollout = rollout();
+    let calm = play(&mut rollout, 10, SOUND, |_| SOUND);
+    assert!(calm > 0 && rollout.is_proven);
+    let tally = |good, bad| Tally { good, bad, sent: good + bad, ..Tally::default() };
+    let part = |member, is_new, tally| Part { member: MemberId(member), is_new, tally, running: 1, is_open: true };
+    let old = part(0, false, tally(700, 35));
+    for step in 0..20 {
+        let new = part(1, true, tally(300 + step * 4, 15 + step * 2));
+        rollout.judge(at(11_000 + u64::from(step) * 100), &[old, new]);
+    }
+    assert!(!rollout.is_stopped);
+}
--- a/mesh/src/statistics.rs
+++ b/mesh/src/statistics.rs
@@ -1,4 +1,4 @@
-//! Exact tests on small counts.
+//! Tests of whether one part of a number of trials has more hits than the other.
 
 /// The hits among a number of trials.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
@@ -9,6 +9,33 @@
     pub of: u64,
 }
 
+/// Compares two parts over strata, such as periods with different trouble: the test of Mantel and Haenszel.
+#[derive(Copy, Clone, Debug, Default)]
+pub struct Strata {
+    /// The hits of the new part beyond those expected.
+    excess: f64,
+    variance: f64,
+}
+
+impl Strata {
+    /// Adds one stratum. It says nothing if one of the parts has no trials.
+    pub fn add(&mut self, new: Share, old: Share) {
+        let all = (new.of + old.of) as f64;
+        if new.of == 0 || old.of == 0 {
+            return;
+        }
+        let hits = (new.hits + old.hits) as f64;
+        let (new_of, old_of) = (new.of as f64, old.of as f64);
+        self.excess += new.hits as f64 - new_of * hits / all;
+        self.variance += new_of * old_of * hits * (all - hits) / (all * all * (all - 1.0));
+    }
+
+    /// Returns the excess in standard deviations; 0 if nothing is known.
+    pub fn score(&self) -> f64 {
+        if self.variance > 0.0 { self.excess / self.variance.sqrt() } else { 0.0 }
+    }
+}
+
 /// Returns the probability that the new part has at least as many of all hits by chance: Fisher's exact test.
 pub fn chance(new: Share, old: Share) -> f64 {
     let Share { hits: k, of: n } = new;
