--- a/mesh/src/budget/tests.rs
+++ b/mesh/src/budget/tests.rs
@@ -3,8 +3,7 @@
 use super::{Repeat, RetryBound, RetryBudget};
 use crate::time::Time;
 
-const BOUND: RetryBound =
-    RetryBound { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
+const BOUND: RetryBound = RetryBound { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
 
 /// Guards against nodes that spend their savings together: on one day 12 nodes each saved half of the whole bound.
 #[test]
--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -42,15 +42,15 @@
 
 /// What a node keeps about itself in the store, under a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberRecord {
+pub(crate) struct MemberRecord {
     /// This process lifetime.
-    pub id: MemberId,
+    pub(crate) id: MemberId,
     /// Where other nodes send requests, and notes by datagram.
-    pub address: SocketAddr,
+    pub(crate) address: SocketAddr,
     /// The data centre.
-    pub centre: CompactString,
+    pub(crate) centre: CompactString,
     /// The service of the target.
-    pub service: CompactString,
+    pub(crate) service: CompactString,
 }
 
 /// A member as this node sees it.
@@ -81,17 +81,17 @@
 
 /// Answers of one lifetime of a target, as its node counts them.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Tally {
+pub(crate) struct Tally {
     /// Answers with success.
-    pub good: u32,
+    pub(crate) good: u32,
     /// Failures and lost answers.
-    pub bad: u32,
+    pub(crate) bad: u32,
     /// The sum of the service times at the usual pace in milliseconds, of answers outside cold start.
-    pub slowness: u32,
+    pub(crate) slowness: u32,
     /// The number of those answers.
-    pub timed: u32,
+    pub(crate) timed: u32,
     /// Requests sent to the target.
-    pub sent: u32,
+    pub(crate) sent: u32,
 }
 
 impl Tally {
@@ -160,7 +160,7 @@
     }
 
     /// Adds a member or brings it up to date; returns whether it was new.
-    pub(crate) fn put(&mut self, now: Time, record: MemberRecord) -> bool {
+    pub(crate) fn put(&mut self, record: MemberRecord) -> bool {
         let silence = self.silence(&record.centre);
         if let Some(&key) = self.ids.get(&record.id) {
             let member = &mut self.members[key];
@@ -170,7 +170,8 @@
             return false;
         }
         // A new process at an address replaces the earlier one there.
-        let earlier = self.members.iter().find(|(_, member)| member.record.address == record.address);
+        let earlier =
+            self.members.iter().find(|(_, member)| member.record.address == record.address);
         if let Some(id) = earlier.map(|(_, member)| member.record.id) {
             self.remove(id);
         }
@@ -223,7 +224,7 @@
     pub(crate) fn replace(&mut self, now: Time, records: Vec<MemberRecord>) {
         let listed: Vec<MemberId> = records.iter().map(|record| record.id).collect();
         for record in records {
-            self.put(now, record);
+            self.put(record);
         }
         let missing: Vec<MemberId> =
             self.ids.keys().filter(|id| !listed.contains(id)).copied().collect();
--- a/mesh/src/directory/tests.rs
+++ b/mesh/src/directory/tests.rs
@@ -28,8 +28,8 @@
 #[test]
 fn a_new_process_replaces_the_one_at_its_address() {
     let mut directory = Directory::new("a".into());
-    directory.put(at(0), record(2, 80));
-    directory.put(at(1), record(3, 80));
+    directory.put(record(2, 80));
+    directory.put(record(3, 80));
     assert!(directory.key(MemberId(2)).is_none());
     assert_eq!(directory.of("stock").count(), 1);
 }
@@ -38,7 +38,7 @@
 #[test]
 fn a_member_that_never_spoke_takes_no_work() {
     let mut directory = Directory::new("a".into());
-    directory.put(at(0), record(2, 80));
+    directory.put(record(2, 80));
     let (_, member) = directory.of("stock").next().expect("a member");
     assert!(member.is_silent(at(0)) && !member.is_open());
     speak(&mut directory, at(5), 2);
@@ -50,8 +50,8 @@
 #[test]
 fn a_member_that_speaks_outlives_its_record() {
     let mut directory = Directory::new("a".into());
-    directory.put(at(0), record(2, 80));
-    directory.put(at(0), record(3, 81));
+    directory.put(record(2, 80));
+    directory.put(record(3, 81));
     for now in [0, 1_000, 2_000, 3_000] {
         speak(&mut directory, at(now), 2);
     }
@@ -79,7 +79,7 @@
 fn silence_lasts_longer_than_the_interval_of_notes() {
     let mut directory = Directory::new("b".into());
     for id in 0..100 {
-        directory.put(at(0), record(id + 2, id as u16 + 80));
+        directory.put(record(id + 2, id as u16 + 80));
     }
     speak(&mut directory, at(0), 101);
     let key = directory.key(MemberId(101)).expect("a member");
--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -112,11 +112,10 @@
 
     /// Connects the other parts of the process and starts the reducer.
     pub(crate) fn start(&self, outlets: Outlets) {
-        let now = self.now();
         let mut core = self.lock();
         let core = &mut *core;
         core.outlets = Some(outlets);
-        core.reducer.start(now, &mut core.effects);
+        core.reducer.start(&mut core.effects);
         self.carry_out(core);
     }
 
@@ -206,10 +205,6 @@
         &self.log
     }
 
-    pub(crate) fn metrics(&self) -> &Metrics {
-        &self.metrics
-    }
-
     fn apply(&self, core: &mut Core, event: Event) {
         core.reducer.apply(self.now(), event, &mut core.effects);
         self.carry_out(core);
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -83,7 +83,6 @@
     pub(crate) timeout: Duration,
     pub(crate) usual: Duration,
     pub(crate) is_late: bool,
-    pub(crate) print: u64,
 }
 
 /// What the target's node does next with a request.
@@ -114,7 +113,13 @@
     /// An attempt ended without an answer that is passed on.
     Retry { id: CompactString, attempt: u32, cause: &'static str, is_resent: bool },
     /// A caller's request was refused.
-    Refuse { id: CompactString, route: CompactString, refusal: Refusal, attempts: u32, waited: Duration },
+    Refuse {
+        id: CompactString,
+        route: CompactString,
+        refusal: Refusal,
+        attempts: u32,
+        waited: Duration,
+    },
     /// A caller's request was answered by a target.
     Answer { id: CompactString, status: u16, attempts: u32, took: Duration },
     /// The target's node decided about a request.
@@ -152,8 +157,6 @@
         old_good: u32,
         old_bad: u32,
     },
-    /// A request is suspected of crashing targets.
-    Suspect { print: u64, crashes: u8 },
     /// A graceful stop began or ended.
     Stop { phase: &'static str, calls: usize, works: usize },
 }
--- a/mesh/src/entry.rs
+++ b/mesh/src/entry.rs
@@ -1,11 +1,6 @@
 //! The entry of callers' requests: has the reducer choose targets and passes the answer back.
 
-use std::{
-    future::poll_fn,
-    hash::{DefaultHasher, Hash, Hasher},
-    sync::Arc,
-    time::Duration,
-};
+use std::{future::poll_fn, sync::Arc, time::Duration};
 
 use compact_str::{CompactString, ToCompactString};
 use futures_util::{
@@ -92,7 +87,6 @@
             path: parts.uri.path().to_compact_string(),
             timeout,
             can_resend: payload.is_whole(),
-            print: self.fingerprint(&parts, &payload),
         };
         self.route(head, parts, payload).await
     }
@@ -169,16 +163,6 @@
         }
         .boxed()
     }
-
-    /// Identifies a request when it comes again under another id.
-    fn fingerprint(&self, parts: &Parts, payload: &Payload) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        parts.method.as_str().hash(&mut hasher);
-        parts.uri.path_and_query().map(|path| path.as_str()).hash(&mut hasher);
-        self.caller.as_bytes().hash(&mut hasher);
-        payload.start.hash(&mut hasher);
-        hasher.finish()
-    }
 }
 
 /// Turns the end of an attempt into an event and the answer, if there is one; `sent` is the size of the request.
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -120,8 +120,6 @@
     pub(crate) timeout: Option<Duration>,
     /// Whether the whole body is kept, so that it can be sent again.
     pub(crate) can_resend: bool,
-    /// Identifies the request when it comes again under another id.
-    pub(crate) print: u64,
 }
 
 /// A step of a request at the target's node.
@@ -159,8 +157,6 @@
     pub(crate) usual: Duration,
     /// Whether no target can meet the objective.
     pub(crate) is_late: bool,
-    /// Identifies the request when it comes again under another id.
-    pub(crate) print: u64,
 }
 
 /// A timer that the reducer sets; an expired timer of a request that is gone is ignored.
--- a/mesh/src/gate.rs
+++ b/mesh/src/gate.rs
@@ -169,11 +169,8 @@
     pub(crate) fn set_closed(&mut self, closed: Option<Reason>) -> Vec<Next> {
         self.closed = closed;
         let Some(reason) = closed else { return Vec::new() };
-        let refuse = |waiting: Waiting| Next::Refuse {
-            work: waiting.work,
-            reason,
-            wait: Duration::ZERO,
-        };
+        let refuse =
+            |waiting: Waiting| Next::Refuse { work: waiting.work, reason, wait: Duration::ZERO };
         self.queue.drain(..).map(refuse).collect()
     }
 
--- a/mesh/src/gate/tests.rs
+++ b/mesh/src/gate/tests.rs
@@ -39,7 +39,10 @@
     fn fill(&mut self, now: Time) -> Vec<WorkKey> {
         let ask = ask(0, 60_000);
         let works = (0..8).map(|_| self.arrive(now, &ask));
-        works.map(|(key, decision)| (decision == Decision::Run).then_some(key)).map(|k| k.expect("room")).collect()
+        works
+            .map(|(key, decision)| (decision == Decision::Run).then_some(key))
+            .map(|k| k.expect("room"))
+            .collect()
     }
 }
 
@@ -99,7 +102,9 @@
     assert_eq!(decision, Decision::Queue);
     assert!(works.gate.advance(at(210)).is_empty());
     let next = works.gate.advance(at(300));
-    assert!(matches!(next[..], [Next::Refuse { work, reason: Reason::Overloaded, .. }] if work == waiting));
+    assert!(
+        matches!(next[..], [Next::Refuse { work, reason: Reason::Overloaded, .. }] if work == waiting)
+    );
 }
 
 /// Guards against late requests that take the place of those that are in time.
@@ -156,7 +161,8 @@
     works.fill(at(200));
     let (waiting, _) = works.arrive(at(200), &ask(0, 60_000));
     let next = works.gate.set_closed(Some(Reason::OutOfService));
-    let expected = Next::Refuse { work: waiting, reason: Reason::OutOfService, wait: Duration::ZERO };
+    let expected =
+        Next::Refuse { work: waiting, reason: Reason::OutOfService, wait: Duration::ZERO };
     assert_eq!(next, [expected]);
     assert!(is_refused(works.arrive(at(200), &ask(0, 60_000)).1, Reason::OutOfService));
 }
--- a/mesh/src/inbound/tests.rs
+++ b/mesh/src/inbound/tests.rs
@@ -8,7 +8,8 @@
 /// Guards against an ending that the entry node reads as another one, such as "not run" for a lost answer.
 #[test]
 fn an_ending_survives_its_header() {
-    let refused = Ending::Refused { reason: Reason::Overloaded, wait: Duration::from_micros(1_500) };
+    let refused =
+        Ending::Refused { reason: Reason::Overloaded, wait: Duration::from_micros(1_500) };
     let text = write_ending(&refused).expect("text");
     assert!(matches!(
         read_ending(&text),
@@ -40,7 +41,6 @@
         whole: Duration::from_millis(400),
         usual: Duration::from_millis(100),
         is_late: false,
-        print: u64::MAX,
     };
     let text = Envelope { to: MemberId(7), order: order.clone() }.encode().expect("text");
     assert!(text.is_ascii());
--- a/mesh/src/lines.rs
+++ b/mesh/src/lines.rs
@@ -46,10 +46,7 @@
     /// # Errors
     ///
     /// Fails if the thread cannot be started.
-    pub fn start(
-        out: impl Write + Send + 'static,
-        report: fn(u64) -> String,
-    ) -> io::Result<Lines> {
+    pub fn start(out: impl Write + Send + 'static, report: fn(u64) -> String) -> io::Result<Lines> {
         let shared = Arc::<Shared>::default();
         let source = shared.clone();
         let writer =
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -7,7 +7,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use slog::{Drain, Level, Logger, info, o, warn};
+use slog::{Drain, Level, Logger, info, o};
 use slog_logfmt::Logfmt;
 
 use crate::{effect::Record, lines::Lines};
@@ -88,8 +88,6 @@
                 "stage" => stage, "new_good" => new_good, "new_bad" => new_bad,
                 "old_good" => old_good, "old_bad" => old_bad);
         }
-        Record::Suspect { print, crashes } => warn!(log, "suspect";
-            "print" => format!("{print:016x}"), "crashes" => crashes),
         Record::Stop { phase, calls, works } => info!(log, "stop";
             "phase" => phase, "calls" => calls, "works" => works),
     }
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -35,7 +35,6 @@
             Record::Config { .. } => ("configurations", "applied"),
             Record::Evacuated { .. } => ("evacuations", "changed"),
             Record::Rollout { stage, .. } => ("rollouts", *stage),
-            Record::Suspect { .. } => ("suspects", "changed"),
             Record::Stop { phase, .. } => ("stops", *phase),
         };
         *self.lock().entry(series).or_insert(0) += 1;
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -43,11 +43,8 @@
 };
 
 /// How connections to the target are kept. It is on the same instance.
-const TARGET_POLICY: Policy = Policy {
-    connect: Duration::from_millis(400),
-    idle: Duration::from_secs(5),
-    spare: 32,
-};
+const TARGET_POLICY: Policy =
+    Policy { connect: Duration::from_millis(400), idle: Duration::from_secs(5), spare: 32 };
 
 /// The time that connections get to close at the end of a graceful stop.
 const CLOSE_TIME: Duration = Duration::from_millis(150);
@@ -174,12 +171,18 @@
         };
         tasks.spawn(serve::serve(ready, stop.subscribe(), log.clone(), handle));
         if let Some(address) = settings.metrics {
-            let listener = listen("metrics", address).await?;
-            let handle = move |_: Request<Incoming>| {
-                let text = metrics.text();
-                async move { Response::new(Body::from(Bytes::from(text))) }
-            };
-            tasks.spawn(serve::serve(listener, stop.subscribe(), log, handle));
+            match TcpListener::bind(address).await {
+                Ok(listener) => {
+                    let handle = move |_: Request<Incoming>| {
+                        let text = metrics.text();
+                        async move { Response::new(Body::from(Bytes::from(text))) }
+                    };
+                    tasks.spawn(serve::serve(listener, stop.subscribe(), log, handle));
+                }
+                // A node without counters still serves requests.
+                Err(error) => slog::warn!(log, "metrics-unavailable"; "address" => %address,
+                    "error" => %error),
+            }
         }
 
         let (fire, ask) = (driver.clone(), driver.clone());
@@ -218,7 +221,14 @@
         // The driver lives as long as this node, so that the channel cannot be closed.
         let _ = exit.wait_for(|exit| *exit).await;
         self.stop.send_replace(true);
-        time::sleep(CLOSE_TIME).await;
+        // A request may have arrived on an open connection just before it was closed.
+        loop {
+            time::sleep(CLOSE_TIME).await;
+            let (is_idle, left) = self.driver.inspect(|now, r| (r.is_idle(), r.stop_left(now)));
+            if is_idle || left <= CLOSE_TIME {
+                break;
+            }
+        }
         self.tasks.abort_all();
     }
 }
@@ -257,9 +267,7 @@
 
     /// Returns the version of the configuration in force, or 0 without one.
     pub fn version(&self) -> u64 {
-        self.driver.inspect(|_, reducer| {
-            reducer.config().map_or(0, |table| table.config.version)
-        })
+        self.driver.inspect(|_, reducer| reducer.config().map_or(0, |table| table.config.version))
     }
 
     /// Returns the number of members that the node knows.
@@ -272,11 +280,7 @@
     TcpListener::bind(address).await.context(ListenSnafu { purpose, address })
 }
 
-async fn pull(
-    mut wanted: mpsc::UnboundedReceiver<SocketAddr>,
-    peers: Peers,
-    copies: Copies,
-) {
+async fn pull(mut wanted: mpsc::UnboundedReceiver<SocketAddr>, peers: Peers, copies: Copies) {
     while let Some(address) = wanted.recv().await {
         copies.pull(peers.to(address)).await;
     }
--- a/mesh/src/note.rs
+++ b/mesh/src/note.rs
@@ -5,7 +5,9 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{directory::Tally, keys::MemberId, replica::Revisions, report::LoadReport, rollout::RolloutNote};
+use crate::{
+    directory::Tally, keys::MemberId, replica::Revisions, report::LoadReport, rollout::RolloutNote,
+};
 
 /// The longest datagram that is read.
 pub(crate) const MAX_BYTES: usize = 512;
--- a/mesh/src/note/tests.rs
+++ b/mesh/src/note/tests.rs
@@ -13,7 +13,12 @@
         load: LoadReport { running: 9, limit: 9, service_us: u32::MAX, ..LoadReport::default() },
         tally: Tally { good: u32::MAX, bad: u32::MAX, slowness: u32::MAX, timed: 1, sent: 1 },
         rollouts: vec![
-            RolloutNote { order: u32::MAX, age: u32::MAX, shift: Some(u32::MAX), is_stopped: true };
+            RolloutNote {
+                order: u32::MAX,
+                age: u32::MAX,
+                shift: Some(u32::MAX),
+                is_stopped: true
+            };
             4
         ],
     }
--- a/mesh/src/payload.rs
+++ b/mesh/src/payload.rs
@@ -81,7 +81,12 @@
         }
         let rest = self.rest.take()?;
         self.is_spent = true;
-        Some(Body { start: Some(self.start.clone()), rest: Some(rest), length: self.length, end: None })
+        Some(Body {
+            start: Some(self.start.clone()),
+            rest: Some(rest),
+            length: self.length,
+            end: None,
+        })
     }
 }
 
--- a/mesh/src/peers.rs
+++ b/mesh/src/peers.rs
@@ -11,11 +11,8 @@
 
 /// How connections to other nodes are kept. Opening one takes two ways between data centres; the other node closes
 /// an idle one later than this.
-const POLICY: Policy = Policy {
-    connect: Duration::from_millis(300),
-    idle: Duration::from_secs(20),
-    spare: 32,
-};
+const POLICY: Policy =
+    Policy { connect: Duration::from_millis(300), idle: Duration::from_secs(20), spare: 32 };
 
 /// Connections to all other nodes, by address.
 #[derive(Clone, Default)]
--- a/mesh/src/placement.rs
+++ b/mesh/src/placement.rs
@@ -4,7 +4,11 @@
 
 use rand::{Rng as _, rngs::SmallRng};
 
-use crate::{keys::{MemberId, MemberKey}, report::LoadReport, time::Time};
+use crate::{
+    keys::{MemberId, MemberKey},
+    report::LoadReport,
+    time::Time,
+};
 
 /// The time that an answer must be earlier for a request to leave its data centre, whatever its size.
 const CENTRE_COST: Duration = Duration::from_millis(20);
@@ -93,9 +97,9 @@
     let bound = demand.left.mul_f64(NEAR_PART);
     let is_near = |c: &Candidate| c.distance != Distance::Other && cost(c, demand) <= bound;
     let near = candidates.iter().any(|c| !c.is_doubtful && is_near(c));
-    let eligible = candidates.iter().filter(|c| {
-        if near { !c.is_doubtful && is_near(c) } else { !sound || !c.is_doubtful }
-    });
+    let eligible = candidates
+        .iter()
+        .filter(|c| if near { !c.is_doubtful && is_near(c) } else { !sound || !c.is_doubtful });
     let count = eligible.clone().count();
     let first = if count > MAX_CANDIDATES { rng.random_range(0..count) } else { 0 };
     let costs = eligible.cycle().skip(first).take(count.min(MAX_CANDIDATES));
--- a/mesh/src/placement/tests.rs
+++ b/mesh/src/placement/tests.rs
@@ -9,11 +9,8 @@
     report::LoadReport,
 };
 
-const DEMAND: Demand = Demand {
-    usual: Duration::from_millis(100),
-    left: Duration::from_millis(400),
-    size: 5_000,
-};
+const DEMAND: Demand =
+    Demand { usual: Duration::from_millis(100), left: Duration::from_millis(400), size: 5_000 };
 
 fn idle() -> LoadReport {
     LoadReport { limit: 9, pace: 100, service_us: 100_000, is_open: true, ..LoadReport::default() }
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -161,9 +161,9 @@
     }
 
     /// Starts periodic work.
-    pub(crate) fn start(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub(crate) fn start(&mut self, out: &mut Vec<Effect>) {
         out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
-        self.directory.put(now, self.me.record());
+        self.directory.put(self.me.record());
     }
 
     /// Applies one event.
@@ -174,7 +174,7 @@
             Event::Health(health) => self.health(now, health, out),
             Event::Pace(percent) => self.read_pace(now, percent, out),
             Event::Members(records) => self.members_listed(now, records, out),
-            Event::MemberPut(record) => self.member_put(now, record, out),
+            Event::MemberPut(record) => self.member_put(record, out),
             Event::MemberGone(id) => self.directory.lapse(now, id),
             Event::Synced => self.synced(now, out),
             Event::Revisions(revisions) => self.revised(now, revisions, out),
@@ -263,12 +263,7 @@
         self.update_ready(out);
     }
 
-    fn evacuate(
-        &mut self,
-        now: Time,
-        centres: BTreeSet<CompactString>,
-        out: &mut Vec<Effect>,
-    ) {
+    fn evacuate(&mut self, now: Time, centres: BTreeSet<CompactString>, out: &mut Vec<Effect>) {
         if self.evacuated == centres {
             return;
         }
@@ -299,11 +294,8 @@
         self.judge_rollouts(now, out);
         self.reopen(now, out);
         self.tell(now, out);
-        if let Some(since) = self.stopping {
-            let is_idle = self.calls.is_empty() && self.works.is_empty();
-            if is_idle && now.since(since) >= STOP_NOTICE {
-                self.exit(out);
-            }
+        if self.is_idle() && self.stopping.is_some_and(|since| now.since(since) >= STOP_NOTICE) {
+            self.exit(out);
         }
     }
 
@@ -325,11 +317,21 @@
         self.me.limits.grace.saturating_sub(CLOSE_TIME)
     }
 
+    /// Returns the time that is left until a graceful stop must have ended.
+    pub(crate) fn stop_left(&self, now: Time) -> Duration {
+        let since = self.stopping.map_or(Duration::ZERO, |since| now.since(since));
+        self.me.limits.grace.saturating_sub(since)
+    }
+
+    /// Returns whether no request is in progress here.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.calls.is_empty() && self.works.is_empty()
+    }
+
     /// Returns whether a request that may take `time` would be cut off by the end of a graceful stop.
     fn is_last_call_over(&self, now: Time, time: Duration) -> bool {
-        self.stopping.is_some_and(|since| {
-            now.since(since) + time.min(LAST_CALL_TIME) > self.stop_time()
-        })
+        self.stopping
+            .is_some_and(|since| now.since(since) + time.min(LAST_CALL_TIME) > self.stop_time())
     }
 
     fn exit(&mut self, out: &mut Vec<Effect>) {
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -70,7 +70,6 @@
     /// The service time assumed until one is measured.
     assumed: Duration,
     can_resend: bool,
-    print: u64,
     /// Members that refused it, failed it or run it.
     tried: Vec<MemberKey>,
     open: Vec<Open>,
@@ -216,7 +215,6 @@
             whole: route.objective,
             assumed: route.objective.mul_f64(ASSUMED_PART),
             can_resend: head.can_resend,
-            print: head.print,
             tried: Vec::new(),
             open: Vec::new(),
             sent: 0,
@@ -290,7 +288,6 @@
             timeout: call.deadline.since(now),
             usual: self.usual_for(call),
             is_late: call.is_late,
-            print: call.print,
         };
         Some(Attempt { number: call.sent, hop, order })
     }
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -160,7 +160,8 @@
         let bound = self.me.limits.retries;
         let is_hedge = !call.open.is_empty();
         let Some(budget) = self.budgets.get_mut(&call.service) else { return false };
-        let repeat = if call.may_have_run || is_hedge { Repeat::MayHaveRun } else { Repeat::NotRun };
+        let repeat =
+            if call.may_have_run || is_hedge { Repeat::MayHaveRun } else { Repeat::NotRun };
         budget.take(now, &bound, nodes, repeat)
     }
 
@@ -204,7 +205,9 @@
         let busy = load.map_or(0, |load| load.running + load.queued);
         let limit = load.map_or(1.0, |load| f64::from(load.limit));
         let is_warm = load.is_none_or(|load| !load.is_cold);
-        is_warm && !candidate.is_doubtful && f64::from(busy) + f64::from(candidate.sent) < limit * TRIAL_FILL
+        is_warm
+            && !candidate.is_doubtful
+            && f64::from(busy) + f64::from(candidate.sent) < limit * TRIAL_FILL
     };
     if let Some(first) = candidates.iter().find(has_room).copied() {
         *candidates = vec![first];
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -132,9 +132,6 @@
         if reason == Reason::Overloaded {
             call.wait = Some(call.wait.map_or(wait, |known| known.min(wait)));
         }
-        if reason == Reason::CrashSuspect {
-            return self.give_up_unless_open(now, key, reason, out);
-        }
         self.bounce(now, key, out);
     }
 
@@ -148,7 +145,9 @@
         out: &mut Vec<Effect>,
     ) {
         let member = self.close(now, key, attempt, None);
-        if let Some(member) = member.filter(|_| matches!(failure, Failure::NotSent | Failure::NodeLost)) {
+        if let Some(member) =
+            member.filter(|_| matches!(failure, Failure::NotSent | Failure::NodeLost))
+        {
             self.directory.pause(now, member);
         }
         let Some(call) = self.calls.get_mut(key) else { return };
@@ -167,7 +166,9 @@
                 call.may_have_run = true;
                 call.ran = call.ran.saturating_add(1);
                 call.last = Reason::AnswerLost;
-                if self.may_repeat(now, key) && self.resend(now, key, attempt, failure.as_str(), out) {
+                if self.may_repeat(now, key)
+                    && self.resend(now, key, attempt, failure.as_str(), out)
+                {
                     return;
                 }
                 self.give_up_unless_open(now, key, Reason::AnswerLost, out);
@@ -225,7 +226,8 @@
         let may_have_run = call.may_have_run || !call.open.is_empty();
         let usual = self.usual_for(&call);
         let spread = self.rng.random_range(0.0..1.0);
-        let left = Left { objective: call.objective.since(now), deadline: call.deadline.since(now) };
+        let left =
+            Left { objective: call.objective.since(now), deadline: call.deadline.since(now) };
         let retry_after =
             (!may_have_run).then(|| return_time(reason, call.wait, left, usual, spread));
         let refusal = Refusal { reason, may_have_run, retry_after };
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -35,7 +35,6 @@
 /// The shortest time between two notes to other data centres.
 const FAR_GAP: Duration = Duration::from_millis(120);
 
-
 /// The shortest time between two notes in the own data centre.
 const MIN_GAP: Duration = Duration::from_millis(40);
 
@@ -69,12 +68,12 @@
         self.update_ready(out);
     }
 
-    pub(super) fn member_put(&mut self, now: Time, record: MemberRecord, out: &mut Vec<Effect>) {
+    pub(super) fn member_put(&mut self, record: MemberRecord, out: &mut Vec<Effect>) {
         if record.id == self.me.id {
             return;
         }
         self.log_new(&record, out);
-        self.directory.put(now, record);
+        self.directory.put(record);
     }
 
     fn log_new(&self, record: &MemberRecord, out: &mut Vec<Effect>) {
@@ -174,11 +173,8 @@
         if !self.is_synced {
             return;
         }
-        let me = Watcher {
-            id: self.me.id,
-            centre: self.me.centre.clone(),
-            has_store: self.has_store,
-        };
+        let me =
+            Watcher { id: self.me.id, centre: self.me.centre.clone(), has_store: self.has_store };
         let alive = self.directory.iter().filter(|(_, member)| !member.is_silent(now));
         let watcher = |member: &Member| Watcher {
             id: member.record.id,
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -55,7 +55,10 @@
 fn config(version: u64) -> Config {
     let mut split = route("split", true);
     split.shares = ["stock", "other"]
-        .map(|service| Share { service: service.into(), weight: if service == "stock" { 75 } else { 25 } })
+        .map(|service| Share {
+            service: service.into(),
+            weight: if service == "stock" { 75 } else { 25 },
+        })
         .to_vec();
     let mut own = route("own", true);
     own.shares[0].service = "own".into();
@@ -86,7 +89,7 @@
             works: SlotMap::with_key(),
             now: at(0),
         };
-        bench.reducer.start(at(0), &mut Vec::new());
+        bench.reducer.start(&mut Vec::new());
         bench.apply(Event::Config(Arc::new(RouteTable::new(config(1)))));
         let record = |&(id, service, centre): &(u64, &str, &str)| MemberRecord {
             id: MemberId(id),
@@ -118,7 +121,6 @@
             path: path.into(),
             timeout: Some(Duration::from_secs(1)),
             can_resend: true,
-            print: 0,
         };
         let key = self.calls.insert(());
         (key, self.apply(Event::Call(key, CallEvent::Arrived(head))))
@@ -152,7 +154,6 @@
             whole: Duration::from_millis(500),
             usual: Duration::from_millis(50),
             is_late: false,
-            print: 0,
         };
         let key = self.works.insert(());
         (key, self.apply(Event::Work(key, WorkEvent::Arrived(head))))
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -9,8 +9,7 @@
     directory::Member,
     effect::{Effect, Record},
     rollout::{
-        Part, Rollout, RolloutNote, RolloutOrder, RolloutRecord, RolloutState, Tallies,
-        Verdict,
+        Part, Rollout, RolloutNote, RolloutOrder, RolloutRecord, RolloutState, Tallies, Verdict,
     },
     time::Time,
 };
@@ -120,7 +119,11 @@
                 && self.is_turn(now, since)
             {
                 let version = rollout.order.version.clone();
-                out.push(Effect::Record(RolloutRecord { service: service.clone(), version, state }));
+                out.push(Effect::Record(RolloutRecord {
+                    service: service.clone(),
+                    version,
+                    state,
+                }));
             }
             self.rollouts.insert(service, rollout);
         }
@@ -183,7 +186,8 @@
             }
         };
         // A node that has just started does not know the version of its target yet.
-        let known = self.directory.of(&order.service).filter(|(_, member)| !member.version.is_empty());
+        let known =
+            self.directory.of(&order.service).filter(|(_, member)| !member.version.is_empty());
         known.map(|(_, member)| part(member)).collect()
     }
 
@@ -200,12 +204,7 @@
             && (elapsed - wait) % RECORD_GAP.as_millis() < super::TICK.as_millis()
     }
 
-    fn log_rollout(
-        &self,
-        rollout: &Rollout,
-        stage: &'static str,
-        out: &mut Vec<Effect>,
-    ) {
+    fn log_rollout(&self, rollout: &Rollout, stage: &'static str, out: &mut Vec<Effect>) {
         let Tallies { new, old } = rollout.tallies();
         out.push(Effect::Log(Record::Rollout {
             service: rollout.order.service.clone(),
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -8,7 +8,7 @@
 /// The cause of a refusal.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Reason {
+pub(crate) enum Reason {
     /// The head of the request cannot be used.
     Malformed,
     /// The body is larger than the limit.
@@ -29,8 +29,6 @@
     Stopping,
     /// Another process answers at the node's address.
     WrongMember,
-    /// The request is known to crash targets.
-    CrashSuspect,
     /// The time of the caller or of the route has passed.
     Deadline,
     /// The request was sent, and its answer was lost or is not the target's.
@@ -39,7 +37,7 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub const ALL: [Reason; 13] = [
+    pub(crate) const ALL: [Reason; 12] = [
         Reason::Malformed,
         Reason::BodyTooLarge,
         Reason::BodyCut,
@@ -50,13 +48,12 @@
         Reason::OutOfService,
         Reason::Stopping,
         Reason::WrongMember,
-        Reason::CrashSuspect,
         Reason::Deadline,
         Reason::AnswerLost,
     ];
 
     /// Returns the name used in logs, metrics and between nodes.
-    pub const fn as_str(self) -> &'static str {
+    pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Reason::Malformed => "malformed",
             Reason::BodyTooLarge => "body-too-large",
@@ -68,32 +65,31 @@
             Reason::OutOfService => "out-of-service",
             Reason::Stopping => "stopping",
             Reason::WrongMember => "wrong-member",
-            Reason::CrashSuspect => "crash-suspect",
             Reason::Deadline => "deadline",
             Reason::AnswerLost => "answer-lost",
         }
     }
 
     /// Reads a name written by [`Reason::as_str`].
-    pub fn parse(text: &str) -> Option<Reason> {
+    pub(crate) fn parse(text: &str) -> Option<Reason> {
         Reason::ALL.into_iter().find(|reason| reason.as_str() == text)
     }
 }
 
 /// A refusal of a caller's request.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub struct Refusal {
+pub(crate) struct Refusal {
     /// The cause.
-    pub reason: Reason,
+    pub(crate) reason: Reason,
     /// Whether a target may have run the request.
-    pub may_have_run: bool,
+    pub(crate) may_have_run: bool,
     /// When the caller should send the request again.
-    pub retry_after: Option<Duration>,
+    pub(crate) retry_after: Option<Duration>,
 }
 
 impl Refusal {
     /// Returns the status, which must not promise "not run" for a request that may have run.
-    pub const fn status(&self) -> StatusCode {
+    pub(crate) const fn status(&self) -> StatusCode {
         match self.reason {
             Reason::Malformed | Reason::BodyCut => StatusCode::BAD_REQUEST,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/mesh/src/refusal/tests.rs
+++ b/mesh/src/refusal/tests.rs
@@ -17,7 +17,6 @@
 #[test_case(Reason::NoTarget, 503)]
 #[test_case(Reason::NoConfig, 503; "a node without configuration does not deny")]
 #[test_case(Reason::Deadline, 503)]
-#[test_case(Reason::CrashSuspect, 503)]
 #[test_case(Reason::NoRoute, 404)]
 #[test_case(Reason::BodyTooLarge, 413)]
 fn what_has_not_run_is_refused_truly(reason: Reason, status: u16) {
--- a/mesh/src/replica.rs
+++ b/mesh/src/replica.rs
@@ -86,11 +86,8 @@
         if self.revision > 0 && revision <= self.revision {
             return None;
         }
-        let entry = |item: Item| Entry {
-            key: item.key,
-            revision: item.revision,
-            value: Some(item.value),
-        };
+        let entry =
+            |item: Item| Entry { key: item.key, revision: item.revision, value: Some(item.value) };
         self.replace(items.into_iter().map(entry).collect(), revision);
         Some(Update::Listed(self.live()))
     }
--- a/mesh/src/report.rs
+++ b/mesh/src/report.rs
@@ -1,7 +1,5 @@
 //! What a node tells other nodes about its target's load.
 
-use std::time::Duration;
-
 use serde::{Deserialize, Serialize};
 
 /// The state of the gate at a target's node. It travels on every answer between nodes and in notes.
@@ -26,11 +24,6 @@
 }
 
 impl LoadReport {
-    /// Returns the mean service time at the present pace.
-    pub(crate) fn service(&self) -> Duration {
-        Duration::from_micros(u64::from(self.service_us) * u64::from(self.pace.max(1)) / 100)
-    }
-
     /// Returns the text for the load header between nodes.
     pub(crate) fn encode(&self) -> String {
         let flags = u8::from(self.is_open) | u8::from(self.is_cold) << 1;
--- a/mesh/src/rollout.rs
+++ b/mesh/src/rollout.rs
@@ -185,6 +185,7 @@
 #[derive(Clone, Debug, Default)]
 struct Evidence {
     known: HashMap<MemberId, Tally>,
+    has_begun: bool,
     total: Tallies,
     /// What was added since the present stratum began.
     stratum: Tallies,
@@ -219,6 +220,11 @@
             side.add(&part.tally.since(&known));
         }
         self.total.add(&added);
+        if self.is_first(now) {
+            // What members counted before this node looked is of many moments, and of old targets mostly.
+            self.gathered = now;
+            return;
+        }
         self.stratum.add(&added);
         if now.since(self.stratum_began) >= STRATUM_TIME {
             let Tallies { new, old } = std::mem::take(&mut self.stratum);
@@ -232,6 +238,16 @@
         }
     }
 
+    /// Returns whether nothing was gathered before.
+    fn is_first(&mut self, now: Time) -> bool {
+        let is_first = !self.has_begun;
+        if is_first {
+            self.has_begun = true;
+            self.stratum_began = now;
+        }
+        is_first
+    }
+
     /// Compares the versions over the whole time and over the last seconds, because some faults show only under load.
     ///
     /// Once the version is proved, the old one gets ever less. Trouble that begins then shows at the new version alone,
@@ -246,7 +262,10 @@
         }
         let shown = [self.lately(RECENT_TIME), self.lately(OLD_TIME)];
         let verdicts = shown.iter().map(compare);
-        verdicts.into_iter().find(|verdict| *verdict != Verdict::NoFault).unwrap_or(Verdict::NoFault)
+        verdicts
+            .into_iter()
+            .find(|verdict| *verdict != Verdict::NoFault)
+            .unwrap_or(Verdict::NoFault)
     }
 
     /// Returns whether the new version may be failing, though too little is known for a verdict.
--- a/mesh/src/rollout/tests.rs
+++ b/mesh/src/rollout/tests.rs
@@ -37,7 +37,8 @@
     for step in 0..seconds * 10 {
         let now = at(step * 100);
         let share = rollout.share(now, EXPOSURE);
-        for (side, (version, share)) in [(old, 1.0 - share), (new(share), share)].iter().enumerate() {
+        for (side, (version, share)) in [(old, 1.0 - share), (new(share), share)].iter().enumerate()
+        {
             let sent = version.rate * share / 10.0;
             owed[side][0] += sent * (1.0 - version.failing);
             owed[side][1] += sent * version.failing;
@@ -90,8 +91,9 @@
 #[test]
 fn a_version_that_fails_under_load_is_rolled_back_during_the_shift() {
     let mut rollout = rollout();
-    let sent = play(&mut rollout, 13, SOUND, |share| {
-        Version { failing: if share > 0.3 { 0.46 } else { 0.05 }, ..SOUND }
+    let sent = play(&mut rollout, 13, SOUND, |share| Version {
+        failing: if share > 0.3 { 0.46 } else { 0.05 },
+        ..SOUND
     });
     assert_eq!(outcome(&rollout), Some(RolloutState::RolledBack));
     assert!(sent <= 112 + 50, "{sent} requests");
@@ -102,10 +104,18 @@
 fn evidence_outlives_a_restart() {
     let mut rollout = rollout();
     let tally = |good, bad| Tally { good, bad, sent: good + bad, ..Tally::default() };
-    let part = |member, is_new, tally| Part { member: MemberId(member), is_new, tally, running: 0, is_open: true };
+    let part = |member, is_new, tally| Part {
+        member: MemberId(member),
+        is_new,
+        tally,
+        running: 0,
+        is_open: true,
+    };
+    rollout.judge(at(50), &[part(1, false, tally(0, 0)), part(2, true, tally(0, 0))]);
     rollout.judge(at(100), &[part(1, false, tally(200, 2)), part(2, true, tally(3, 3))]);
     assert_eq!(outcome(&rollout), None);
-    let verdict = rollout.judge(at(200), &[part(1, false, tally(200, 2)), part(3, true, tally(3, 3))]);
+    let verdict =
+        rollout.judge(at(200), &[part(1, false, tally(200, 2)), part(3, true, tally(3, 3))]);
     assert_eq!(verdict, Verdict::Failing);
 }
 
@@ -163,7 +173,13 @@
     let calm = play(&mut rollout, 10, SOUND, |_| SOUND);
     assert!(calm > 0 && rollout.is_proven);
     let tally = |good, bad| Tally { good, bad, sent: good + bad, ..Tally::default() };
-    let part = |member, is_new, tally| Part { member: MemberId(member), is_new, tally, running: 1, is_open: true };
+    let part = |member, is_new, tally| Part {
+        member: MemberId(member),
+        is_new,
+        tally,
+        running: 1,
+        is_open: true,
+    };
     let old = part(0, false, tally(700, 35));
     for step in 0..20 {
         let new = part(1, true, tally(300 + step * 4, 15 + step * 2));
@@ -171,3 +187,24 @@
     }
     assert!(!rollout.is_stopped);
 }
+
+/// Guards against a node that starts in the midst of a rollout and compares what both versions answered in different
+/// times.
+#[test]
+fn counts_from_before_a_node_started_are_not_compared() {
+    let tally = |good, bad| Tally { good, bad, sent: good + bad, ..Tally::default() };
+    let part = |member, is_new, tally| Part {
+        member: MemberId(member),
+        is_new,
+        tally,
+        running: 1,
+        is_open: true,
+    };
+    let mut rollout = rollout();
+    let verdict =
+        rollout.judge(at(1_000), &[part(0, false, tally(900, 20)), part(1, true, tally(200, 40))]);
+    assert_eq!(verdict, Verdict::NoFault);
+    let verdict =
+        rollout.judge(at(2_100), &[part(0, false, tally(980, 24)), part(1, true, tally(220, 41))]);
+    assert_eq!(verdict, Verdict::NoFault);
+}
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -62,7 +62,11 @@
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let mut builder = http1::Builder::new();
-    builder.auto_date_header(false).timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD);
+    builder
+        .auto_date_header(false)
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD);
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     // A connection that fails has told its requests already.
--- a/mesh/src/statistics/tests.rs
+++ b/mesh/src/statistics/tests.rs
@@ -18,7 +18,10 @@
     strata.add(share(1, 20), share(10, 200));
     strata.add(share(100, 200), share(10, 20));
     assert!(strata.score().abs() < 0.1, "{}", strata.score());
-    assert!(chance(share(101, 220), share(20, 220)) < 1e-6, "without strata the parts seem different");
+    assert!(
+        chance(share(101, 220), share(20, 220)) < 1e-6,
+        "without strata the parts seem different"
+    );
     for _ in 0..5 {
         strata.add(share(6, 20), share(4, 80));
     }
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -110,10 +110,11 @@
     pub(crate) fn answer(&self, query: Option<&str>) -> Response<Body> {
         let known = query.and_then(read_query).unwrap_or_default();
         let shared = self.lock();
-        let topics = Topic::ALL.into_iter().filter(|topic| {
-            shared.replicas[topic.index()].revision() > known[topic.index()]
-        });
-        let delta = |topic: Topic| shared.replicas[topic.index()].since(topic, known[topic.index()]);
+        let topics = Topic::ALL
+            .into_iter()
+            .filter(|topic| shared.replicas[topic.index()].revision() > known[topic.index()]);
+        let delta =
+            |topic: Topic| shared.replicas[topic.index()].since(topic, known[topic.index()]);
         let deltas: Vec<Delta> = topics.map(delta).collect();
         let bytes = postcard::to_stdvec(&deltas).unwrap_or_default();
         Response::new(Body::from(Bytes::from(bytes)))
--- a/mesh/src/target.rs
+++ b/mesh/src/target.rs
@@ -58,17 +58,17 @@
 
 /// What a read of the health endpoint shows.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Health {
+pub(crate) struct Health {
     /// Whether the target says that it is well.
-    pub is_well: bool,
+    pub(crate) is_well: bool,
     /// The id of the lifetime that answered.
-    pub id: Option<CompactString>,
+    pub(crate) id: Option<CompactString>,
     /// How long work takes there at this moment, in per cent of the usual time.
-    pub pace: Option<u32>,
+    pub(crate) pace: Option<u32>,
     /// The number of slots that the target reports.
-    pub slots: Option<u16>,
+    pub(crate) slots: Option<u16>,
     /// How much longer the target stays in cold start.
-    pub cold: Duration,
+    pub(crate) cold: Duration,
 }
 
 /// The answer to a heartbeat or a farewell.
--- a/mesh/src/worker.rs
+++ b/mesh/src/worker.rs
@@ -60,7 +60,6 @@
             timeout: order.timeout,
             usual: order.usual,
             is_late: order.is_late,
-            print: order.print,
         };
         let Some(mut work) = Handle::open(&self.driver) else {
             return Ending::Refused { reason: Reason::Overloaded, wait: Duration::ZERO };
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -8,9 +8,9 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
+use poplarbarrow_mesh::lines::Lines;
 use slog::{Drain, Level, Logger, info, o, warn};
 use slog_logfmt::Logfmt;
-use poplarbarrow_mesh::lines::Lines;
 use slotmap::{Key, KeyData};
 
 use crate::{crash_guard::Judged, effect::Record, rollout::Finding, settings::LogLevel};
