--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -118,6 +118,8 @@
         route: CompactString,
         refusal: Refusal,
         attempts: u32,
+        /// The members that were tried, separated by commas.
+        tried: CompactString,
         waited: Duration,
     },
     /// A caller's request was answered by a target.
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
 use rand::Rng as _;
 
 use crate::{
@@ -236,6 +237,7 @@
             route: call.route,
             refusal,
             attempts: call.sent,
+            tried: self.names(&call.tried),
             waited: now.since(call.arrived),
         }));
         out.push(Effect::Call(key, CallStep::Refuse(refusal)));
@@ -244,6 +246,13 @@
         }
     }
 
+    /// Lists members for a log line.
+    fn names(&self, members: &[MemberKey]) -> CompactString {
+        let ids = members.iter().filter_map(|&key| self.directory.get(key));
+        let ids: Vec<String> = ids.map(|member| member.record.id.to_string()).collect();
+        ids.join(",").into()
+    }
+
     /// Refuses a request that belongs to no route.
     pub(super) fn refuse_head(
         &self,
@@ -257,6 +266,7 @@
             route: "".into(),
             refusal,
             attempts: 0,
+            tried: "".into(),
             waited: Duration::ZERO,
         }));
         out.push(Effect::Call(key, CallStep::Refuse(refusal)));
