Let a new node introduce itself with its notes

Change: for its first ten seconds a node tells its record with its notes; who does not know it adds it and answers with a note at once.

--- a/mesh/src/note.rs
+++ b/mesh/src/note.rs
@@ -6,7 +6,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    directory::Tally, keys::MemberId, replica::Revisions, report::LoadReport, rollout::RolloutNote,
+    directory::{MemberRecord, Tally},
+    keys::MemberId,
+    replica::Revisions,
+    report::LoadReport,
+    rollout::RolloutNote,
 };
 
 /// The longest datagram that is read.
@@ -25,6 +29,8 @@
     pub(crate) has_store: bool,
     /// Whether it ends, so that nothing is to be sent to it.
     pub(crate) is_stopping: bool,
+    /// Its record, while it is new and others may not have read it from the store.
+    pub(crate) record: Option<MemberRecord>,
     /// The version of its target's software.
     pub(crate) version: CompactString,
     pub(crate) load: LoadReport,
--- a/mesh/src/note/tests.rs
+++ b/mesh/src/note/tests.rs
@@ -1,7 +1,12 @@
 use test_case::test_case;
 
 use super::{MAX_BYTES, Note};
-use crate::{directory::Tally, keys::MemberId, report::LoadReport, rollout::RolloutNote};
+use crate::{
+    directory::{MemberRecord, Tally},
+    keys::MemberId,
+    report::LoadReport,
+    rollout::RolloutNote,
+};
 
 fn note() -> Note {
     Note {
@@ -9,6 +14,12 @@
         revisions: [u64::MAX; 3],
         has_store: true,
         is_stopping: false,
+        record: Some(MemberRecord {
+            id: MemberId(u64::MAX),
+            address: ([255, 255, 255, 255], u16::MAX).into(),
+            centre: "a-long-name-of-a-data-centre".into(),
+            service: "a-long-name-of-a-service".into(),
+        }),
         version: "release-2026-12-04".into(),
         load: LoadReport { running: 9, limit: 9, service_us: u32::MAX, ..LoadReport::default() },
         tally: Tally { good: u32::MAX, bad: u32::MAX, slowness: u32::MAX, timed: 1, sent: 1 },
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -32,6 +32,10 @@
 /// The time after which a pull that has not ended is forgotten.
 const PULL_TIME: Duration = Duration::from_secs(1);
 
+/// The time after its start for which a node tells its record with its notes. By then others have it from the store,
+/// unless that is away.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(10);
+
 /// The shortest time between two notes to other data centres.
 const FAR_GAP: Duration = Duration::from_millis(120);
 
@@ -112,6 +116,9 @@
         source: SocketAddr,
         out: &mut Vec<Effect>,
     ) {
+        if let Some(record) = note.record.as_ref().filter(|record| record.id == note.from) {
+            self.introduced(now, record, out);
+        }
         let key = self.directory.key(note.from);
         let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else {
             // Its record is newer than this node's copy of the store.
@@ -131,6 +138,17 @@
         self.catch_up(now, &note.revisions, centre == self.me.centre, address, out);
     }
 
+    /// Takes the record of a new node from itself, since the store may be slow or away, and tells it of this one.
+    fn introduced(&mut self, now: Time, record: &MemberRecord, out: &mut Vec<Effect>) {
+        if self.directory.key(record.id).is_some() {
+            return;
+        }
+        self.log_new(record, out);
+        self.directory.put(record.clone());
+        let (to, note) = (vec![record.address], self.note(now));
+        out.push(Effect::Tell { to, note });
+    }
+
     /// Takes what another node knows of the store beyond this one. A node of another data centre is asked only if
     /// those of the own one stay behind it.
     fn catch_up(
@@ -237,17 +255,23 @@
         if to.is_empty() {
             return;
         }
-        let note = Note {
+        let note = self.note(now);
+        out.push(Effect::Tell { to, note });
+    }
+
+    fn note(&self, now: Time) -> Note {
+        let is_new = now.since(Time::ZERO) < INTRODUCTION_TIME;
+        Note {
             from: self.me.id,
             revisions: self.revisions,
             has_store: self.has_store,
             is_stopping: self.stopping.is_some(),
+            record: is_new.then(|| self.me.record()),
             version: self.target.version().cloned().unwrap_or_default(),
-            load,
+            load: self.gate.report(now),
             tally: self.tally,
             rollouts: self.rollout_notes(now),
-        };
-        out.push(Effect::Tell { to, note });
+        }
     }
 
     pub(super) fn health(&mut self, now: Time, health: Option<Health>, out: &mut Vec<Effect>) {
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -174,6 +174,7 @@
         revisions: [0; 3],
         has_store: true,
         is_stopping: false,
+        record: None,
         version: "v1".into(),
         load,
         tally: Tally::default(),
@@ -394,3 +395,27 @@
     let effects = bench.apply(Event::Note { note: far, source: address(4) });
     assert!(effects.contains(&Effect::Pull(address(4))));
 }
+
+/// Guards against a node that starts while the store is slow: nobody knew it, so nobody told it of the targets, and it
+/// refused everything for ten seconds.
+#[test]
+fn a_new_node_introduces_itself_and_is_told_at_once() {
+    let mut bench = Bench::new(&THREE);
+    let mut new = note(9, idle());
+    new.record = Some(MemberRecord {
+        id: MemberId(9),
+        address: address(9),
+        centre: "a".into(),
+        service: "stock".into(),
+    });
+    let effects = bench.apply(Event::Note { note: new.clone(), source: address(9) });
+    let is_told =
+        |effect: &Effect| matches!(effect, Effect::Tell { to, .. } if *to == [address(9)]);
+    assert!(effects.iter().any(is_told));
+    assert_eq!(bench.reducer.members(), 5);
+    let effects = bench.apply(Event::Note { note: new, source: address(9) });
+    assert!(!effects.iter().any(is_told), "once is enough");
+    let told = bench.apply(Event::Revisions([1, 0, 0]));
+    let is_own = |effect: &Effect| matches!(effect, Effect::Tell { note, .. } if note.record == Some(me().record()));
+    assert!(told.iter().any(is_own), "this node is new as well");
+}
