Let a node use its own target during a rollout

A node gets no notes of itself, so its own entry had no version, and once a rollout was ordered, targets of an unknown version are left out for good. Change: a node keeps version and tally in its own entry. Test: the_own_target_is_used_during_a_rollout, failed before.

--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -94,12 +94,19 @@
         }
     }
 
-    pub(super) fn expire_members(&mut self, now: Time, out: &mut Vec<Effect>) {
+    /// Keeps what this node's own entry in its directory says, since it receives no notes of itself.
+    fn update_own(&mut self, now: Time) {
         if let Some(key) = self.directory.key(self.me.id)
             && let Some(me) = self.directory.get_mut(key)
         {
             me.heard = Some(now);
+            me.version = self.target.version().cloned().unwrap_or_default();
+            me.tally = self.tally;
         }
+    }
+
+    pub(super) fn expire_members(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.update_own(now);
         let me = self.me.id;
         for Member { record, .. } in self.directory.expire(now, me) {
             out.push(Effect::Forget(record.address));
@@ -305,6 +312,7 @@
             }
             Change::Left => self.log_target("leaving", out),
         }
+        self.update_own(now);
         self.reopen(now, out);
     }
 
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -13,6 +13,7 @@
     note::Note,
     refusal::{Reason, Refusal},
     report::LoadReport,
+    rollout::RolloutOrder,
     target::{Health, Heartbeat, Lifetime},
     time::Time,
 };
@@ -419,3 +420,23 @@
     let is_own = |effect: &Effect| matches!(effect, Effect::Tell { note, .. } if note.record == Some(me().record()));
     assert!(told.iter().any(is_own), "this node is new as well");
 }
+
+/// Guards against a node that never uses the target beside it once a version of its service was ordered: no note tells a
+/// node of its own version.
+#[test]
+fn the_own_target_is_used_during_a_rollout() {
+    let mut bench = Bench::new(&[]).with_target();
+    let order = RolloutOrder {
+        service: "own".into(),
+        version: "v2".into(),
+        duration: Duration::from_secs(14),
+    };
+    bench.apply(Event::Rollout { service: "own".into(), order: Some(order) });
+    bench.now = at(200);
+    bench.apply(Event::Timer(Timer::Tick));
+    for _ in 0..10 {
+        let (key, effects) = bench.call("/own/1");
+        assert_eq!(attempt(&effects).map(|attempt| member(&attempt)), Some(ME));
+        bench.apply(Event::Call(key, CallEvent::Ended));
+    }
+}
