Ask another data centre for changes without waiting for its next note

Ruled out: a removed member; the node was known to the others all the time. Change: the node remembers who is ahead and asks it at the next tick after 250 ms. Test: a_node_of_another_data_centre_is_asked_without_another_note.

--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -117,8 +117,8 @@
     revisions: Revisions,
     /// When a pull began that has not ended.
     pulling: Option<Time>,
-    /// Since when this node has been behind one of another data centre.
-    behind: Option<Time>,
+    /// Since when this node has been behind one of another data centre, and where that is.
+    behind: Option<(Time, SocketAddr)>,
     is_seated: bool,
     is_ready: bool,
     is_queue_timed: bool,
@@ -291,6 +291,7 @@
         out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
         self.expire_members(now, out);
         self.update_seat(now, out);
+        self.catch_up_far(now, out);
         self.judge_rollouts(now, out);
         self.reopen(now, out);
         self.tell(now, out);
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -167,16 +167,32 @@
         out: &mut Vec<Effect>,
     ) {
         let is_behind = revisions.iter().zip(&self.revisions).any(|(theirs, own)| theirs > own);
-        let is_pulling = self.pulling.is_some_and(|since| now.since(since) < PULL_TIME);
-        if !is_behind || is_pulling {
+        if !is_behind {
             return;
         }
-        let behind = *self.behind.get_or_insert(now);
-        if is_near || now.since(behind) >= FAR_DELAY {
-            self.pulling = Some(now);
-            self.behind = None;
-            out.push(Effect::Pull(address));
+        if is_near {
+            return self.pull(now, address, out);
+        }
+        self.behind.get_or_insert((now, address));
+        self.catch_up_far(now, out);
+    }
+
+    /// Asks a node of another data centre if those of the own one have stayed behind it for long enough.
+    pub(super) fn catch_up_far(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let Some((since, address)) = self.behind
+            && now.since(since) >= FAR_DELAY
+        {
+            self.pull(now, address, out);
+        }
+    }
+
+    fn pull(&mut self, now: Time, address: SocketAddr, out: &mut Vec<Effect>) {
+        if self.pulling.is_some_and(|since| now.since(since) < PULL_TIME) {
+            return;
         }
+        self.pulling = Some(now);
+        self.behind = None;
+        out.push(Effect::Pull(address));
     }
 
     pub(super) fn revised(&mut self, now: Time, revisions: Revisions, out: &mut Vec<Effect>) {
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -397,6 +397,22 @@
     assert!(effects.contains(&Effect::Pull(address(4))));
 }
 
+/// Guards against a configuration that waits for the next note of another data centre, which may take seconds, while no
+/// node of the own one has it.
+#[test]
+fn a_node_of_another_data_centre_is_asked_without_another_note() {
+    let mut bench = Bench::new(&THREE);
+    let mut far = note(4, idle());
+    far.revisions = [0, 5, 0];
+    bench.apply(Event::Note { note: far, source: address(4) });
+    bench.now = at(100);
+    assert!(!bench.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
+    bench.now = at(300);
+    assert!(bench.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
+    bench.now = at(400);
+    assert!(!bench.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
+}
+
 /// Guards against a node that starts while the store is slow: nobody knew it, so nobody told it of the targets, and it
 /// refused everything for ten seconds.
 #[test]
