Refuse requests that crash the targets that run them, at nodes with a store too

Cause: the node for the users' platform had no guard, so a caller that repeats such a request took target after target down. The guard of the gossip node moves to the crate mesh and serves both; fingerprints of that path are a hash of method, path, caller and body, because each attempt there has an id of its own. Only nodes of the service are told, three times one tick apart, since every send to a target passes its own node; nothing is sent when nothing has crashed.

--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    crash_guard::Judged,
     event::Timer,
     keys::{CallKey, MemberId, WorkKey},
     note::Note,
@@ -159,6 +160,8 @@
         old_good: u32,
         old_bad: u32,
     },
+    /// The standing of a request that was in progress at a crash changed.
+    Suspect(Judged),
     /// A graceful stop began or ended.
     Stop { phase: &'static str, calls: usize, works: usize },
 }
--- a/mesh/src/entry.rs
+++ b/mesh/src/entry.rs
@@ -16,6 +16,7 @@
     driver::Driver,
     effect::{Attempt, CallStep, Hop},
     event::{AnswerHead, CallEvent, CallHead, Event, Failure},
+    fingerprint::fingerprint,
     inbound::{self, Reply},
     keys::CallKey,
     names::{self, Names},
@@ -87,6 +88,7 @@
             path: parts.uri.path().to_compact_string(),
             timeout,
             can_resend: payload.is_whole(),
+            hash: fingerprint(&parts, &payload, &self.names.caller),
         };
         self.route(head, parts, payload).await
     }
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     config::RouteTable,
+    crash_guard::RequestHash,
     directory::MemberRecord,
     keys::{CallKey, MemberId, WorkKey},
     note::Note,
@@ -120,6 +121,8 @@
     pub(crate) timeout: Option<Duration>,
     /// Whether the whole body is kept, so that it can be sent again.
     pub(crate) can_resend: bool,
+    /// What it has in common with other sends of the same request.
+    pub(crate) hash: RequestHash,
 }
 
 /// A step of a request at the target's node.
@@ -157,6 +160,8 @@
     pub(crate) usual: Duration,
     /// Whether no target can meet the objective.
     pub(crate) is_late: bool,
+    /// What it has in common with other sends of the same request.
+    pub(crate) hash: RequestHash,
 }
 
 /// A timer that the reducer sets; an expired timer of a request that is gone is ignored.
--- /dev/null
+++ b/mesh/src/fingerprint.rs
@@ -0,0 +1,20 @@
+//! The fingerprint by which a request is recognised when its caller sends it again under another id.
+
+use http::{HeaderName, request::Parts};
+
+use crate::{
+    crash_guard::RequestHash,
+    payload::{KEPT, Payload},
+};
+
+/// Hashes what all sends of a request have in common: method, path with query, caller and body.
+///
+/// Of a body that streams on, only the part that every node keeps takes part, and the length if it was stated.
+pub(crate) fn fingerprint(parts: &Parts, payload: &Payload, caller: &HeaderName) -> RequestHash {
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let caller = parts.headers.get(caller).map_or(&b""[..], |value| value.as_bytes());
+    let body = &payload.start[..payload.start.len().min(KEPT)];
+    let length = payload.length.unwrap_or(0).to_be_bytes();
+    let length = if payload.is_whole() { &b""[..] } else { &length };
+    RequestHash::of([parts.method.as_str().as_bytes(), path.as_bytes(), caller, body, length])
+}
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/platform.md` describes the design.
 
 pub mod config;
+pub mod crash_guard;
 pub mod keys;
 pub mod lines;
 pub mod logging;
@@ -27,6 +28,7 @@
 mod effect;
 mod entry;
 mod event;
+mod fingerprint;
 mod gate;
 mod health;
 mod inbound;
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -88,6 +88,8 @@
                 "stage" => stage, "new_good" => new_good, "new_bad" => new_bad,
                 "old_good" => old_good, "old_bad" => old_bad);
         }
+        Record::Suspect(judged) => info!(log, "suspect";
+            "fingerprint" => %judged.fingerprint, "standing" => judged.standing.as_str()),
         Record::Stop { phase, calls, works } => info!(log, "stop";
             "phase" => phase, "calls" => calls, "works" => works),
     }
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -35,6 +35,7 @@
             Record::Config { .. } => ("configurations", "applied"),
             Record::Evacuated { .. } => ("evacuations", "changed"),
             Record::Rollout { stage, .. } => ("rollouts", *stage),
+            Record::Suspect(judged) => ("suspects", judged.standing.as_str()),
             Record::Stop { phase, .. } => ("stops", *phase),
         };
         *self.lock().entry(series).or_insert(0) += 1;
--- a/mesh/src/note.rs
+++ b/mesh/src/note.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    crash_guard::SuspectNote,
     directory::{MemberRecord, Tally},
     keys::MemberId,
     replica::Revisions,
@@ -14,10 +15,10 @@
 };
 
 /// The longest datagram that is read.
-pub(crate) const MAX_BYTES: usize = 512;
+pub(crate) const MAX_BYTES: usize = 1_200;
 
 /// The first byte of a note; it changes with the format.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// What a node tells about itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -38,6 +39,8 @@
     pub(crate) tally: Tally,
     /// Rollouts in progress.
     pub(crate) rollouts: Vec<RolloutNote>,
+    /// Requests that were in progress at crashes, while that is news.
+    pub(crate) suspects: Vec<SuspectNote>,
 }
 
 impl Note {
--- a/mesh/src/note/tests.rs
+++ b/mesh/src/note/tests.rs
@@ -23,6 +23,7 @@
         version: "release-2026-12-04".into(),
         load: LoadReport { running: 9, limit: 9, service_us: u32::MAX, ..LoadReport::default() },
         tally: Tally { good: u32::MAX, bad: u32::MAX, slowness: u32::MAX, timed: 1, sent: 1 },
+        suspects: Vec::new(),
         rollouts: vec![
             RolloutNote {
                 order: u32::MAX,
--- a/mesh/src/payload.rs
+++ b/mesh/src/payload.rs
@@ -19,7 +19,7 @@
     /// What follows; absent if the body is whole.
     pub(crate) rest: Option<Incoming>,
     /// The length of the whole body, if the sender said it.
-    length: Option<u64>,
+    pub(crate) length: Option<u64>,
     /// Whether what streams on was given away.
     is_spent: bool,
 }
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -4,6 +4,7 @@
 //! effects again.
 
 mod calls;
+mod crashes;
 mod members;
 mod versions;
 mod works;
@@ -22,6 +23,7 @@
 use crate::{
     budget::{RetryBound, RetryBudget},
     config::RouteTable,
+    crash_guard::CrashGuard,
     directory::{Directory, MemberRecord, Tally},
     effect::{Effect, Record},
     event::{Event, Timer},
@@ -112,6 +114,9 @@
     turns: HashMap<CompactString, calls::Turns>,
     /// The longest time that callers of a route have stated.
     patience: HashMap<CompactString, calls::Patience>,
+    guard: CrashGuard,
+    /// Suspicions that are told again.
+    news: Vec<crashes::News>,
     /// The last note to nodes of the own data centre, and to the others.
     told: [Option<(Time, LoadReport)>; 2],
     revisions: Revisions,
@@ -130,7 +135,6 @@
     pub(crate) fn new(me: Me, seed: u64) -> Reducer {
         Reducer {
             directory: Directory::new(me.centre.clone()),
-            me,
             rng: SmallRng::seed_from_u64(seed),
             config: None,
             is_listed: false,
@@ -148,6 +152,8 @@
             seen: HashMap::new(),
             turns: HashMap::new(),
             patience: HashMap::new(),
+            guard: CrashGuard::new(me.id),
+            news: Vec::new(),
             told: [None, None],
             revisions: Revisions::default(),
             pulling: None,
@@ -157,6 +163,7 @@
             is_queue_timed: false,
             stopping: None,
             has_exited: false,
+            me,
         }
     }
 
@@ -293,6 +300,7 @@
         self.update_seat(now, out);
         self.catch_up_far(now, out);
         self.judge_rollouts(now, out);
+        self.repeat_suspects(now, out);
         self.reopen(now, out);
         self.tell(now, out);
         if self.is_idle() && self.stopping.is_some_and(|since| now.since(since) >= STOP_NOTICE) {
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -11,6 +11,7 @@
 use crate::{
     budget::RetryBudget,
     config::Route,
+    crash_guard::RequestHash,
     effect::{Attempt, CallStep, Effect, Hop, Order},
     event::{CallEvent, CallHead, Timer},
     keys::{CallKey, MemberKey},
@@ -70,6 +71,8 @@
     /// The service time assumed until one is measured.
     assumed: Duration,
     can_resend: bool,
+    /// What it has in common with other sends of the same request.
+    hash: RequestHash,
     /// Members that refused it, failed it or run it.
     tried: Vec<MemberKey>,
     open: Vec<Open>,
@@ -184,6 +187,9 @@
             let refusal = Refusal { retry_after, ..refuse(Reason::Stopping) };
             return self.refuse_head(key, &head, refusal, out);
         }
+        if self.is_blocked(now, head.hash) {
+            return self.refuse_head(key, &head, refuse(Reason::CrashSuspect), out);
+        }
         let call = self.open_call(now, route, head);
         let time = call.deadline.since(now);
         self.calls.insert(key, call);
@@ -215,6 +221,7 @@
             whole: route.objective,
             assumed: route.objective.mul_f64(ASSUMED_PART),
             can_resend: head.can_resend,
+            hash: head.hash,
             tried: Vec::new(),
             open: Vec::new(),
             sent: 0,
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -47,6 +47,12 @@
         if call.deadline <= now {
             return false;
         }
+        if self.is_blocked(now, call.hash) {
+            if let Some(call) = self.calls.get_mut(key) {
+                call.last = Reason::CrashSuspect;
+            }
+            return false;
+        }
         let service = call.service.clone();
         let versions = self.draw_versions(now, &service);
         let mut candidates = self.candidates(now, key, &versions);
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -130,6 +130,10 @@
             return;
         }
         call.last = reason;
+        if reason == Reason::CrashSuspect {
+            // The nodes of the service agree, so that another one would refuse it too.
+            return self.give_up_unless_open(now, key, reason, out);
+        }
         if reason == Reason::Overloaded {
             call.wait = Some(call.wait.map_or(wait, |known| known.min(wait)));
         }
@@ -229,8 +233,8 @@
         let spread = self.rng.random_range(0.0..1.0);
         let left =
             Left { objective: call.objective.since(now), deadline: call.deadline.since(now) };
-        let retry_after =
-            (!may_have_run).then(|| return_time(reason, call.wait, left, usual, spread));
+        let may_return = !may_have_run && reason != Reason::CrashSuspect;
+        let retry_after = may_return.then(|| return_time(reason, call.wait, left, usual, spread));
         let refusal = Refusal { reason, may_have_run, retry_after };
         out.push(Effect::Log(Record::Refuse {
             id: call.id,
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
+    crash_guard::SuspectNote,
     directory::{Member, MemberRecord, Tally, far_interval},
     effect::{Effect, Record},
     keys::MemberId,
@@ -139,6 +140,7 @@
         if note.is_stopping {
             self.directory.lapse(now, note.from);
         }
+        self.suspects_noted(now, &note.suspects, out);
         for rollout in &note.rollouts {
             self.rollout_noted(now, rollout);
         }
@@ -152,7 +154,9 @@
         }
         self.log_new(record, out);
         self.directory.put(record.clone());
-        let (to, note) = (vec![record.address], self.note(now));
+        let is_own_service = record.service == self.me.service;
+        let suspects = if is_own_service { self.suspects_for_new(now) } else { Vec::new() };
+        let (to, note) = (vec![record.address], self.note(now, suspects));
         out.push(Effect::Tell { to, note });
     }
 
@@ -278,11 +282,11 @@
         if to.is_empty() {
             return;
         }
-        let note = self.note(now);
+        let note = self.note(now, Vec::new());
         out.push(Effect::Tell { to, note });
     }
 
-    fn note(&self, now: Time) -> Note {
+    pub(super) fn note(&self, now: Time, suspects: Vec<SuspectNote>) -> Note {
         let is_new = now.since(Time::ZERO) < INTRODUCTION_TIME;
         Note {
             from: self.me.id,
@@ -294,6 +298,7 @@
             load: self.gate.report(now),
             tally: self.tally,
             rollouts: self.rollout_notes(now),
+            suspects,
         }
     }
 
@@ -301,6 +306,7 @@
         let Some(health) = health else {
             if self.target.lost() {
                 self.log_target("unreachable", out);
+                self.guard_crash(now, out);
             }
             return self.reopen(now, out);
         };
@@ -309,6 +315,7 @@
         }
         let change = self.target.checked(now, &health);
         self.target_changed(now, change, out);
+        self.guard.returned();
         self.reopen(now, out);
         self.tell(now, out);
     }
@@ -322,6 +329,7 @@
         match change {
             Change::Nothing => {}
             Change::Started => {
+                self.guard_crash(now, out);
                 self.gate.restart();
                 self.tally = Tally::default();
                 self.log_target("started", out);
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -2,10 +2,13 @@
 
 use slotmap::SlotMap;
 
+mod crashes;
+
 use super::{Limits, Me, Reducer};
 use crate::{
     budget::RetryBound,
     config::{Config, Route, RouteTable, Service, Share},
+    crash_guard::RequestHash,
     directory::{MemberRecord, Tally},
     effect::{Attempt, CallStep, Effect, Hop, WorkStep},
     event::{CallEvent, CallHead, Event, Failure, Timer, WorkEvent, WorkHead},
@@ -122,6 +125,7 @@
             path: path.into(),
             timeout: Some(Duration::from_secs(1)),
             can_resend: true,
+            hash: RequestHash::of([path.as_bytes()]),
         };
         let key = self.calls.insert(());
         (key, self.apply(Event::Call(key, CallEvent::Arrived(head))))
@@ -145,6 +149,10 @@
     }
 
     fn work(&mut self) -> (WorkKey, Vec<Effect>) {
+        self.work_on("/own/")
+    }
+
+    fn work_on(&mut self, path: &str) -> (WorkKey, Vec<Effect>) {
         let head = WorkHead {
             id: "id".into(),
             service: "own".into(),
@@ -155,6 +163,7 @@
             whole: Duration::from_millis(500),
             usual: Duration::from_millis(50),
             is_late: false,
+            hash: RequestHash::of([path.as_bytes()]),
         };
         let key = self.works.insert(());
         (key, self.apply(Event::Work(key, WorkEvent::Arrived(head))))
@@ -180,6 +189,7 @@
         load,
         tally: Tally::default(),
         rollouts: Vec::new(),
+        suspects: Vec::new(),
     }
 }
 
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::{
+    crash_guard::{RequestHash, Standing},
     effect::{Effect, Record, WorkStep},
     event::{Failure, Timer, WorkEvent, WorkHead},
     gate::{Ask, Decision, Finish, Next},
@@ -23,7 +24,11 @@
     id: CompactString,
     deadline: Time,
     /// When it was sent to the target.
-    started: Option<Time>,
+    pub(super) started: Option<Time>,
+    /// What it has in common with other sends of the same request.
+    pub(super) hash: RequestHash,
+    /// Whether it was suspected of a crash when it was admitted.
+    pub(super) is_suspected: bool,
 }
 
 impl Reducer {
@@ -34,6 +39,7 @@
         event: WorkEvent,
         out: &mut Vec<Effect>,
     ) {
+        self.guard_work(now, key, &event, out);
         match event {
             WorkEvent::Arrived(head) => self.work_arrived(now, key, &head, out),
             WorkEvent::Answered { status } => {
@@ -69,11 +75,7 @@
             whole: head.whole,
             usual: head.usual,
         };
-        let decision = if head.service == self.me.service {
-            self.gate.arrive(now, key, &ask)
-        } else {
-            Decision::Refuse { reason: Reason::WrongMember, wait: Duration::ZERO }
-        };
+        let decision = self.admit(now, key, head, &ask);
         let (name, reason) = match decision {
             Decision::Run => ("run", None),
             Decision::Queue => ("queue", None),
@@ -94,7 +96,13 @@
             out.push(Effect::Work(key, WorkStep::Refuse { reason, wait }));
             return;
         }
-        let work = Work { id: head.id.clone(), deadline: ask.deadline, started: None };
+        let work = Work {
+            id: head.id.clone(),
+            deadline: ask.deadline,
+            started: None,
+            hash: head.hash,
+            is_suspected: self.guard.standing(now, head.hash) != Standing::Clear,
+        };
         self.works.insert(key, work);
         match decision {
             Decision::Run => self.run(now, key, out),
@@ -103,6 +111,16 @@
         self.tell(now, out);
     }
 
+    fn admit(&mut self, now: Time, key: WorkKey, head: &WorkHead, ask: &Ask) -> Decision {
+        if head.service != self.me.service {
+            return Decision::Refuse { reason: Reason::WrongMember, wait: Duration::ZERO };
+        }
+        if let Some((reason, wait)) = self.refuse_suspect(now, head.hash) {
+            return Decision::Refuse { reason, wait };
+        }
+        self.gate.arrive(now, key, ask)
+    }
+
     fn run(&mut self, now: Time, key: WorkKey, out: &mut Vec<Effect>) {
         let Some(work) = self.works.get_mut(key) else { return };
         let Some(life) = self.target.open() else {
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -33,11 +33,13 @@
     Deadline,
     /// The request was sent, and its answer was lost or is not the target's.
     AnswerLost,
+    /// The request crashes the targets that run it.
+    CrashSuspect,
 }
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub(crate) const ALL: [Reason; 12] = [
+    pub(crate) const ALL: [Reason; 13] = [
         Reason::Malformed,
         Reason::BodyTooLarge,
         Reason::BodyCut,
@@ -50,6 +52,7 @@
         Reason::WrongMember,
         Reason::Deadline,
         Reason::AnswerLost,
+        Reason::CrashSuspect,
     ];
 
     /// Returns the name used in logs, metrics and between nodes.
@@ -67,6 +70,7 @@
             Reason::WrongMember => "wrong-member",
             Reason::Deadline => "deadline",
             Reason::AnswerLost => "answer-lost",
+            Reason::CrashSuspect => "crash-suspect",
         }
     }
 
--- a/mesh/src/worker.rs
+++ b/mesh/src/worker.rs
@@ -11,6 +11,7 @@
     driver::Driver,
     effect::{Order, WorkStep},
     event::{Event, Failure, WorkEvent, WorkHead},
+    fingerprint::fingerprint,
     keys::WorkKey,
     names::{self, Names},
     payload::{Body, Payload},
@@ -60,6 +61,7 @@
             timeout: order.timeout,
             usual: order.usual,
             is_late: order.is_late,
+            hash: fingerprint(&parts, &payload, &self.names.caller),
         };
         let Some(mut work) = Handle::open(&self.driver) else {
             return Ending::Refused { reason: Reason::Overloaded, wait: Duration::ZERO };
--- a/src/crash_guard.rs
+++ b/src/crash_guard.rs
@@ -1,40 +1,14 @@
-//! Requests that crash the targets that run them: fingerprints, suspicions and refusals.
+//! Fingerprints of requests for the guard against those that crash the targets that run them.
 //!
-//! Everything here is pure. `docs/crash-guard.md` states what operators can rely on; `docs/design.md`,
-//! section 5.8, gives the requirements.
-
-use std::{
-    collections::{BTreeMap, VecDeque},
-    fmt,
-    time::Duration,
-};
+//! The guard itself is in the crate `poplarbarrow-mesh`, which both kinds of node use.
 
 use http::{HeaderMap, HeaderName, Method, Uri, header};
-use serde::{Deserialize, Serialize};
-
-use crate::{headers, keys::MemberId, time::Time};
-
-/// The crashes after which a request is refused. One more is needed if other requests were in progress at both
-/// and none of them was suspected yet.
-pub(crate) const BLOCK_CRASHES: usize = 2;
-
-/// How long a crash counts against the requests that were in progress. Callers send again within seconds or
-/// minutes; a longer time would only keep innocent requests from running together.
-pub(crate) const SUSPICION_TIME: Duration = Duration::from_secs(600);
 
-/// The most suspicions held: 85 crashes of targets with 12 requests each. Beyond it, those that end first are
-/// dropped.
-pub(crate) const MAX_SUSPICIONS: usize = 1_024;
-
-/// The time around a crash within which lost connections count as lost by it. The node notices the crash with
-/// its next connection, within 250 ms unless its retries are due.
-pub(crate) const CRASH_WINDOW: Duration = Duration::from_secs(1);
-
-/// The most crashes remembered for one request.
-const MAX_CRASHES: usize = 4;
+pub(crate) use poplarbarrow_mesh::crash_guard::{
+    BLOCK_CRASHES, CrashGuard, Judged, RequestHash, Standing, SuspectNote,
+};
 
-/// The most lost requests remembered before a crash; targets have 12 slots.
-const MAX_LOST: usize = 64;
+use crate::headers;
 
 /// Headers that differ between sends of the same request, or that nodes and proxies add.
 const VOLATILE: [HeaderName; 20] = [
@@ -63,56 +37,41 @@
 /// The starts of the names of further volatile headers.
 const VOLATILE_PREFIXES: [&str; 3] = ["poplarbarrow-", "x-forwarded-", "x-b3-"];
 
-/// Identifies a request over repeated sends.
-#[derive(
-    Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub(crate) struct RequestHash([u8; 8]);
-
-impl RequestHash {
-    /// Returns the fingerprint of a request: its identity if the caller gave one, else a hash of the head.
-    ///
-    /// The body is streamed and takes part with its length only.
-    pub(crate) fn new(
-        service: &str,
-        method: &Method,
-        uri: &Uri,
-        headers: &HeaderMap,
-    ) -> RequestHash {
-        let mut hasher = blake3::Hasher::new();
-        let mut part = |bytes: &[u8]| {
-            // The length separates the parts.
-            hasher.update(&(bytes.len() as u64).to_be_bytes());
-            hasher.update(bytes);
-        };
-        part(service.as_bytes());
-        if let Some(identity) = headers.get(headers::IDENTITY) {
-            part(identity.as_bytes());
-        } else {
-            part(method.as_str().as_bytes());
-            part(uri.path().as_bytes());
-            part(uri.query().unwrap_or_default().as_bytes());
-            let length = headers.get(header::CONTENT_LENGTH).map_or(&b""[..], |v| v.as_bytes());
-            // Between nodes an empty body may be sent with or without a length.
-            part(if length == b"0" { b"" } else { length });
-            let mut stable: Vec<_> = headers.iter().filter(|(name, _)| is_stable(name)).collect();
-            stable.sort_by_key(|(name, _)| name.as_str());
-            for (name, value) in stable {
-                part(name.as_str().as_bytes());
-                part(value.as_bytes());
-            }
+/// Returns the fingerprint of a request: its identity if the caller gave one, else a hash of the head.
+///
+/// The body is streamed and takes part with its length only.
+pub(crate) fn fingerprint(
+    service: &str,
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> RequestHash {
+    let mut hasher = blake3::Hasher::new();
+    let mut part = |bytes: &[u8]| {
+        // The length separates the parts.
+        hasher.update(&(bytes.len() as u64).to_be_bytes());
+        hasher.update(bytes);
+    };
+    part(service.as_bytes());
+    if let Some(identity) = headers.get(headers::IDENTITY) {
+        part(identity.as_bytes());
+    } else {
+        part(method.as_str().as_bytes());
+        part(uri.path().as_bytes());
+        part(uri.query().unwrap_or_default().as_bytes());
+        let length = headers.get(header::CONTENT_LENGTH).map_or(&b""[..], |v| v.as_bytes());
+        // Between nodes an empty body may be sent with or without a length.
+        part(if length == b"0" { b"" } else { length });
+        let mut stable: Vec<_> = headers.iter().filter(|(name, _)| is_stable(name)).collect();
+        stable.sort_by_key(|(name, _)| name.as_str());
+        for (name, value) in stable {
+            part(name.as_str().as_bytes());
+            part(value.as_bytes());
         }
-        let mut bytes = [0; 8];
-        hasher.finalize_xof().fill(&mut bytes);
-        RequestHash(bytes)
-    }
-}
-
-impl fmt::Display for RequestHash {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", u64::from_be_bytes(self.0))
     }
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    RequestHash::from_bytes(bytes)
 }
 
 fn is_stable(name: &HeaderName) -> bool {
@@ -121,280 +80,5 @@
     !is_volatile
 }
 
-/// Whether a request may run.
-#[derive(Copy, Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Standing {
-    /// It is not suspected.
-    Clear,
-    /// It was in progress at one crash. It runs, but not together with another suspected request.
-    Suspected,
-    /// It was in progress at [`BLOCK_CRASHES`] crashes, at one of them as the only suspect, or at more, and does
-    /// not run.
-    Blocked,
-}
-
-impl Standing {
-    /// Returns the name used in logs.
-    pub(crate) const fn as_str(self) -> &'static str {
-        match self {
-            Standing::Clear => "cleared",
-            Standing::Suspected => "suspected",
-            Standing::Blocked => "blocked",
-        }
-    }
-}
-
-/// A crash at which a request was in progress.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-struct Crash {
-    member: MemberId,
-    /// The number of the crash at that member, from 1.
-    number: u32,
-    /// Whether no other request can have caused it: this one ran alone, or as the only suspected one.
-    is_sure: bool,
-    /// Whether the request has completed since.
-    is_cleared: bool,
-    ends: Time,
-}
-
-/// What is known of one request, as other members receive it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct SuspectNote {
-    fingerprint: RequestHash,
-    crashes: Vec<CrashNote>,
-}
-
-#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct CrashNote {
-    member: [u8; 8],
-    number: u32,
-    is_sure: bool,
-    is_cleared: bool,
-    /// The seconds for which the crash still counts, rounded down so that no relay prolongs it.
-    left: u16,
-}
-
-/// A request and whether it may run.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Judged {
-    /// The request.
-    pub(crate) fingerprint: RequestHash,
-    /// Whether it may run.
-    pub(crate) standing: Standing,
-}
-
-/// A request whose connection was lost before the crash was noticed.
-#[derive(Copy, Clone, Debug)]
-struct Lost {
-    at: Time,
-    fingerprint: RequestHash,
-    was_suspected: bool,
-}
-
-/// Suspicions of requests at one node.
-///
-/// Suspicions are merged as sets of crashes, so a note that arrives repeatedly or late changes nothing.
-#[derive(Clone, Debug)]
-pub(crate) struct CrashGuard {
-    me: MemberId,
-    crashes: u32,
-    crashed: Option<Time>,
-    lost: VecDeque<Lost>,
-    suspicions: BTreeMap<RequestHash, Vec<Crash>>,
-    /// The request in the last note, after which the next one starts.
-    noted: Option<RequestHash>,
-}
-
-impl CrashGuard {
-    /// Creates the guard of member `me` without suspicions.
-    pub(crate) fn new(me: MemberId) -> CrashGuard {
-        CrashGuard {
-            me,
-            crashes: 0,
-            crashed: None,
-            lost: VecDeque::new(),
-            suspicions: BTreeMap::new(),
-            noted: None,
-        }
-    }
-
-    /// Returns whether a request may run.
-    pub(crate) fn standing(&self, now: Time, fingerprint: RequestHash) -> Standing {
-        let Some(crashes) = self.suspicions.get(&fingerprint) else { return Standing::Clear };
-        let counts = |crash: &&Crash| crash.ends > now && !crash.is_cleared;
-        let counted = crashes.iter().filter(counts).count();
-        let is_sure = crashes.iter().filter(counts).any(|crash| crash.is_sure);
-        match counted {
-            0 => Standing::Clear,
-            // Several targets may crash at once with the same popular request in progress at each.
-            n if n > BLOCK_CRASHES || (n == BLOCK_CRASHES && is_sure) => Standing::Blocked,
-            _ => Standing::Suspected,
-        }
-    }
-
-    /// Notes that the connection of a running request to this node's target was lost, and returns the request's
-    /// standing if it was lost by a crash that is known already.
-    ///
-    /// `was_suspected` says that it was suspected when it was admitted, and so ran with no other suspected one.
-    pub(crate) fn lost(
-        &mut self,
-        now: Time,
-        fingerprint: RequestHash,
-        was_suspected: bool,
-    ) -> Option<Judged> {
-        if self.crashed.is_some_and(|at| now.since(at) < CRASH_WINDOW) {
-            return Some(self.suspect(now, fingerprint, was_suspected));
-        }
-        if self.lost.len() >= MAX_LOST {
-            self.lost.pop_front();
-        }
-        self.lost.push_back(Lost { at: now, fingerprint, was_suspected });
-        None
-    }
-
-    /// Notes that this node's target has crashed, and returns the requests that were in progress.
-    pub(crate) fn crashed(&mut self, now: Time) -> Vec<Judged> {
-        self.crashes += 1;
-        self.crashed = Some(now);
-        let lost = std::mem::take(&mut self.lost);
-        let recent = lost.into_iter().filter(|lost| now.since(lost.at) < CRASH_WINDOW);
-        let recent: Vec<Lost> = recent.collect();
-        let is_alone = recent.len() == 1;
-        let suspect =
-            |lost: Lost| self.suspect(now, lost.fingerprint, lost.was_suspected || is_alone);
-        recent.into_iter().map(suspect).collect()
-    }
-
-    /// Notes that this node's target accepts connections again; a later loss belongs to a later crash.
-    pub(crate) fn returned(&mut self) {
-        self.crashed = None;
-    }
-
-    /// Notes that a request has completed, which clears it of all crashes so far.
-    pub(crate) fn completed(&mut self, now: Time, fingerprint: RequestHash) -> Option<Judged> {
-        self.change(now, fingerprint, |crashes| {
-            crashes.iter_mut().for_each(|crash| crash.is_cleared = true);
-        })
-    }
-
-    fn suspect(&mut self, now: Time, fingerprint: RequestHash, is_sure: bool) -> Judged {
-        let (member, number, ends) = (self.me, self.crashes, now + SUSPICION_TIME);
-        let crash = Crash { member, number, is_sure, is_cleared: false, ends };
-        self.add(now, fingerprint, crash);
-        Judged { fingerprint, standing: self.standing(now, fingerprint) }
-    }
-
-    fn add(&mut self, now: Time, fingerprint: RequestHash, crash: Crash) {
-        if !self.suspicions.contains_key(&fingerprint) {
-            self.make_room(now);
-            self.suspicions.insert(fingerprint, Vec::new());
-        }
-        self.change(now, fingerprint, |crashes| {
-            crashes.retain(|crash| crash.ends > now);
-            let same = |c: &&mut Crash| (c.member, c.number) == (crash.member, crash.number);
-            let has_room = crashes.len() < MAX_CRASHES;
-            match crashes.iter_mut().find(same) {
-                Some(known) => {
-                    known.is_cleared |= crash.is_cleared;
-                    known.is_sure |= crash.is_sure;
-                }
-                None if has_room => crashes.push(crash),
-                None => {
-                    // Crashes of which the request is cleared do not count any more.
-                    if let Some(cleared) = crashes.iter_mut().find(|c| c.is_cleared) {
-                        *cleared = crash;
-                    }
-                }
-            }
-        });
-    }
-
-    fn change(
-        &mut self,
-        now: Time,
-        fingerprint: RequestHash,
-        change: impl FnOnce(&mut Vec<Crash>),
-    ) -> Option<Judged> {
-        let before = self.standing(now, fingerprint);
-        change(self.suspicions.get_mut(&fingerprint)?);
-        let standing = self.standing(now, fingerprint);
-        (standing != before).then_some(Judged { fingerprint, standing })
-    }
-
-    /// Drops suspicions that have ended, and the one that ends first if the table is still full.
-    fn make_room(&mut self, now: Time) {
-        if self.suspicions.len() < MAX_SUSPICIONS {
-            return;
-        }
-        self.expire(now);
-        if self.suspicions.len() < MAX_SUSPICIONS {
-            return;
-        }
-        let ends = |crashes: &[Crash]| crashes.iter().map(|crash| crash.ends).max();
-        let standing = |fingerprint| self.standing(now, fingerprint);
-        let first = self.suspicions.iter().min_by_key(|(f, c)| (standing(**f), ends(c)));
-        if let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) {
-            self.suspicions.remove(&fingerprint);
-        }
-    }
-
-    /// Drops suspicions that have ended.
-    pub(crate) fn expire(&mut self, now: Time) {
-        self.suspicions.retain(|_, crashes| crashes.iter().any(|crash| crash.ends > now));
-    }
-
-    /// Returns the next notes for other members, in turn over all requests.
-    pub(crate) fn notes(&mut self, now: Time, count: usize) -> Vec<SuspectNote> {
-        self.expire(now);
-        let after = |f: &&RequestHash| self.noted.is_none_or(|noted| **f > noted);
-        let keys = self.suspicions.keys();
-        let next = keys.clone().filter(after).chain(keys.filter(|f| !after(f)));
-        let next: Vec<RequestHash> = next.take(count).copied().collect();
-        self.noted = next.last().copied();
-        next.into_iter().filter_map(|fingerprint| self.note(now, fingerprint)).collect()
-    }
-
-    /// Returns what other members should know of a request, or `None` if there is nothing.
-    pub(crate) fn note(&self, now: Time, fingerprint: RequestHash) -> Option<SuspectNote> {
-        let crashes = self.suspicions.get(&fingerprint)?.iter();
-        let crashes = crashes.map(|crash| CrashNote {
-            member: crash.member.0.to_be_bytes(),
-            number: crash.number,
-            is_sure: crash.is_sure,
-            is_cleared: crash.is_cleared,
-            left: u16::try_from(crash.ends.since(now).as_secs()).unwrap_or(u16::MAX),
-        });
-        let crashes: Vec<_> = crashes.filter(|crash| crash.left > 0).collect();
-        (!crashes.is_empty()).then_some(SuspectNote { fingerprint, crashes })
-    }
-
-    /// Merges a note of another member, and returns the change.
-    pub(crate) fn merge(&mut self, now: Time, note: &SuspectNote) -> Option<Judged> {
-        let fingerprint = note.fingerprint;
-        let before = self.standing(now, fingerprint);
-        for crash in note.crashes.iter().filter(|c| c.left > 0).take(MAX_CRASHES) {
-            let left = Duration::from_secs(crash.left.into()).min(SUSPICION_TIME);
-            let member = MemberId(u64::from_be_bytes(crash.member));
-            let &CrashNote { number, is_sure, is_cleared, .. } = crash;
-            let ends = now + left;
-            self.add(now, fingerprint, Crash { member, number, is_sure, is_cleared, ends });
-        }
-        let standing = self.standing(now, fingerprint);
-        (standing != before).then_some(Judged { fingerprint, standing })
-    }
-
-    /// Returns the number of requests with a suspicion.
-    #[cfg(test)]
-    pub(crate) fn len(&self) -> usize {
-        self.suspicions.len()
-    }
-
-    /// Returns whether no request is suspected.
-    #[cfg(test)]
-    pub(crate) fn is_empty(&self) -> bool {
-        self.suspicions.is_empty()
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 
 use crate::{
-    crash_guard::RequestHash,
+    crash_guard,
     driver::Driver,
     envelope::Envelope,
     event::{Failure, WorkHead},
@@ -107,7 +107,7 @@
             from: envelope.sender(),
             tag,
             timeout,
-            hash: RequestHash::new(service, req.method(), req.uri(), req.headers()),
+            hash: crash_guard::fingerprint(service, req.method(), req.uri(), req.headers()),
         }))
     }
 
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -22,7 +22,7 @@
 use crate::{
     auth::RequestKey,
     body::{BodyCut, End, Replay, Tracked},
-    crash_guard::RequestHash,
+    crash_guard::{self, RequestHash},
     driver::Driver,
     effect::{Attempt, AttemptKind, CallStep, Hop},
     envelope::Envelope,
@@ -104,7 +104,8 @@
         let arrived = Instant::now();
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
-        let hash = RequestHash::new(&head.service, &parts.method, &parts.uri, &parts.headers);
+        let hash =
+            crash_guard::fingerprint(&head.service, &parts.method, &parts.uri, &parts.headers);
         let head = CallHead { hash, ..head };
         let overloaded = Refusal::not_run(Reason::Overloaded);
         let call = Handle::open(&self.driver).ok_or(overloaded)?;
@@ -187,7 +188,7 @@
             AttemptKind::Run | AttemptKind::Relay { .. } => None,
         };
         let path = req.uri().path().to_compact_string();
-        let hash = RequestHash::new(&service, req.method(), req.uri(), req.headers());
+        let hash = crash_guard::fingerprint(&service, req.method(), req.uri(), req.headers());
         let timeout = attempt.timeout;
         let head = WorkHead { service, path, from: self.me, tag, timeout, hash };
         match self.worker.run(head, req).await {
--- a/src/reducer/tests.rs
+++ b/src/reducer/tests.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 use crate::{
-    crash_guard::{RequestHash, SuspectNote},
+    crash_guard::{self, RequestHash, SuspectNote},
     document::{Centre, CentreState, Route, Service, Version},
     effect::{Attempt, CallStep, WorkStep},
     event::{CallEvent, CallHead, Failure, WorkEvent, WorkHead},
@@ -344,7 +344,7 @@
         from: MemberId(2),
         timeout: Duration::from_secs(1),
         tag: None,
-        hash: RequestHash::new("catalogue", &Method::GET, &uri, &headers),
+        hash: crash_guard::fingerprint("catalogue", &Method::GET, &uri, &headers),
     }
 }
 
