Serve histograms, gauges and counters by route on the metrics address

Cause: the node counted records by kind only, so that on-call engineers saw neither times, nor what a node holds, nor which route fails. The metrics now come from a library: times of answers, at the target and in the queue, requests by route and outcome, calls to the store, and gauges read at the scrape. Lines of answers and runs name their route, and a run its wait.

--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -60,6 +60,11 @@
         self.earned = (self.earned + bound.ratio * USED_PART).min(most);
     }
 
+    /// Returns the repeats left at the last use.
+    pub(crate) fn left(&self) -> f64 {
+        self.earned + self.spare
+    }
+
     /// Takes one repeat, or returns `false` if none is left.
     pub(crate) fn take(
         &mut self,
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -124,7 +124,7 @@
         waited: Duration,
     },
     /// A caller's request was answered by a target.
-    Answer { id: CompactString, status: u16, attempts: u32, took: Duration },
+    Answer { id: CompactString, route: CompactString, status: u16, attempts: u32, took: Duration },
     /// The target's node decided about a request.
     Admit {
         id: CompactString,
@@ -137,7 +137,15 @@
         pace: u16,
     },
     /// A request at the target ended.
-    Ran { id: CompactString, outcome: &'static str, status: u16, took: Duration },
+    Ran {
+        id: CompactString,
+        route: CompactString,
+        outcome: &'static str,
+        status: u16,
+        took: Duration,
+        /// The time from its arrival at the node to its start.
+        waited: Duration,
+    },
     /// A member appeared or is gone.
     Member { id: MemberId, service: CompactString, change: &'static str },
     /// The target beside this node changed.
--- a/mesh/src/lines.rs
+++ b/mesh/src/lines.rs
@@ -2,7 +2,10 @@
 
 use std::{
     io::{self, Write},
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -31,6 +34,8 @@
 struct Shared {
     waiting: Mutex<Waiting>,
     changed: Condvar,
+    /// All lines dropped since the start.
+    dropped: Arc<AtomicU64>,
 }
 
 #[derive(Default)]
@@ -53,6 +58,11 @@
             thread::Builder::new().name(THREAD.into()).spawn(move || source.copy(out, report))?;
         Ok(Lines { line: Vec::new(), shared, writer: Some(writer) })
     }
+
+    /// Returns the number of lines dropped since the start, as it grows.
+    pub fn dropped(&self) -> Arc<AtomicU64> {
+        self.shared.dropped.clone()
+    }
 }
 
 impl Write for Lines {
@@ -66,6 +76,7 @@
         let mut waiting = self.shared.lock();
         if waiting.text.len() + self.line.len() > MAX_WAITING {
             waiting.dropped += 1;
+            self.shared.dropped.fetch_add(1, Ordering::Relaxed);
         } else {
             let was_empty = waiting.text.is_empty();
             waiting.text.extend_from_slice(&self.line);
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -3,7 +3,10 @@
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     io,
-    sync::Mutex,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -16,20 +19,32 @@
 /// log the same requests.
 const SAMPLED: u64 = 16;
 
-/// Creates a logger that writes to standard output from a thread of its own.
-///
-/// # Panics
-///
-/// Panics if the thread cannot be started.
-pub fn logger() -> Logger {
-    let lines = Lines::start(io::stdout(), dropped).expect("a process can start its first threads");
-    let lines = Mutex::new(Logfmt::new(lines).set_prefix(write_prefix).build());
-    Logger::root(lines.filter_level(Level::Info).fuse(), o!())
+/// A logger and the number of lines that it had to drop.
+#[derive(Clone, Debug)]
+pub struct Log {
+    /// Takes the lines.
+    pub logger: Logger,
+    dropped: Arc<AtomicU64>,
 }
 
-/// Creates a logger that writes nothing.
-pub fn silent() -> Logger {
-    Logger::root(slog::Discard, o!())
+impl Log {
+    /// Writes to standard output from a thread of its own.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the thread cannot be started.
+    pub fn to_stdout() -> Log {
+        let lines =
+            Lines::start(io::stdout(), dropped).expect("a process can start its first threads");
+        let dropped = lines.dropped();
+        let lines = Mutex::new(Logfmt::new(lines).set_prefix(write_prefix).build());
+        Log { logger: Logger::root(lines.filter_level(Level::Info).fuse(), o!()), dropped }
+    }
+
+    /// Returns the number of lines that were dropped because the writer was too slow.
+    pub(crate) fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
 }
 
 /// Writes one record as one line.
@@ -51,9 +66,9 @@
             "may_have_run" => refusal.may_have_run, "status" => refusal.status().as_u16(),
             "retry_after_ms" => refusal.retry_after.as_ref().map(ms), "attempts" => attempts,
             "tried" => tried.as_str(), "waited_ms" => ms(waited)),
-        Record::Answer { id, status, attempts, took } => {
+        Record::Answer { id, route, status, attempts, took } => {
             if *attempts > 1 || *status >= 400 || is_sampled(id) {
-                info!(log, "answer"; "id" => id.as_str(), "status" => status,
+                info!(log, "answer"; "id" => id.as_str(), "route" => route.as_str(), "status" => status,
                     "attempts" => attempts, "took_ms" => ms(took));
             }
         }
@@ -64,10 +79,10 @@
                     "running" => running, "queued" => queued, "limit" => limit, "pace" => pace);
             }
         }
-        Record::Ran { id, outcome, status, took } => {
+        Record::Ran { id, route, outcome, status, took, waited } => {
             if *outcome != "answered" || *status >= 400 || is_sampled(id) {
-                info!(log, "ran"; "id" => id.as_str(), "outcome" => outcome, "status" => status,
-                    "took_ms" => ms(took));
+                info!(log, "ran"; "id" => id.as_str(), "route" => route.as_str(), "outcome" => outcome,
+                    "status" => status, "took_ms" => ms(took), "waited_ms" => ms(waited));
             }
         }
         Record::Member { id, service, change } => info!(log, "member";
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -1,57 +1,282 @@
-//! Counters of what a node decides, as text for scrapers.
+//! Counters, histograms and gauges of what a node decides and holds, as text for scrapers.
+//!
+//! `docs/OPERATIONS.md` lists all of them. Every label has a bounded set of values.
 
 use std::{
-    collections::BTreeMap,
-    fmt::Write as _,
-    sync::{Mutex, PoisonError},
+    collections::{HashMap, HashSet},
+    fmt,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
-use crate::effect::Record;
+use compact_str::CompactString;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+use crate::{effect::Record, levels::Levels};
+
+/// The most routes with series of their own; the requests of further ones are counted under [`OTHER_ROUTES`].
+const MAX_ROUTES: usize = 256;
+
+/// The name under which requests of further routes are counted.
+const OTHER_ROUTES: &str = "other";
+
+/// The upper bound of the first bucket of a histogram in seconds.
+const FIRST_BUCKET: f64 = 0.001;
+
+/// The number of buckets, each twice as wide as the one before; the last one ends at about eight seconds.
+const BUCKETS: u16 = 14;
+
+/// Counters by kind, with what they count.
+const COUNTERS: [(&str, &str); 14] = [
+    ("attempts", "Attempts of callers' requests at targets"),
+    ("retries", "Attempts that ended without an answer that is passed on, by cause"),
+    ("refusals", "Callers' requests refused, by reason"),
+    ("answers", "Callers' requests answered by a target"),
+    ("admissions", "Requests that the target's node took, by decision"),
+    ("admissions_refused", "Requests that the target's node refused, by reason"),
+    ("target_requests", "Requests that ended at the target, by outcome"),
+    ("members", "Members that appeared or are gone"),
+    ("target_changes", "Changes of the target beside this node"),
+    ("seats", "Changes of the duty to watch the store"),
+    ("store", "Times the store became reachable or unreachable"),
+    ("orders", "Configurations, evacuations and stages of rollouts that came into force"),
+    ("suspects", "Requests whose standing changed after a crash"),
+    ("stops", "Graceful stops that began or ended"),
+];
+
+/// Gauges, with what they say.
+const GAUGES: [(&str, &str); 14] = [
+    ("calls_in_progress", "Callers' requests in progress at this entry node"),
+    ("target_running", "Requests running at the target beside this node"),
+    ("target_queued", "Requests waiting for that target"),
+    ("target_limit", "The most requests that run there at the same time"),
+    ("target_pace", "How long work takes there, as a multiple of the usual time"),
+    ("target_open", "Whether that target takes new work"),
+    ("target_cold", "Whether that target is in cold start"),
+    ("members_known", "Members that this node knows"),
+    ("members_silent", "Members from which nothing was heard for long"),
+    ("members_cold", "Members whose targets are in cold start"),
+    ("repeats_left", "Repeats of requests left to this node"),
+    ("config_version", "The version of the configuration in force"),
+    ("config_age_seconds", "How long that configuration has been in force here"),
+    ("store_reachable", "Whether this node reaches the store"),
+];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Kind {
+    kind: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Name(CompactString);
+
+impl EncodeLabelValue for Name {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), fmt::Error> {
+        self.0.as_str().encode(encoder)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByRoute {
+    route: Name,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteOutcome {
+    route: Name,
+    outcome: &'static str,
+}
 
-/// Counts records by their kind and outcome. Both are closed sets, so the number of series is bounded.
-#[derive(Default)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreCall {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+type Times = Family<ByRoute, Histogram, fn() -> Histogram>;
+
+/// Everything that a node counts.
 pub(crate) struct Metrics {
-    counts: Mutex<BTreeMap<(&'static str, &'static str), u64>>,
+    registry: Registry,
+    counters: HashMap<&'static str, Family<Kind, Counter>>,
+    requests: Family<RouteOutcome, Counter>,
+    answer_times: Times,
+    target_times: Times,
+    queue_times: Histogram,
+    store_calls: Family<StoreCall, Counter>,
+    gauges: Vec<Gauge<f64, AtomicU64>>,
+    dropped: Counter,
+    routes: Mutex<HashSet<CompactString>>,
 }
 
 impl Metrics {
+    pub(crate) fn new() -> Metrics {
+        let mut registry = Registry::with_prefix("poplarbarrow");
+        let mut counters = HashMap::new();
+        for (name, help) in COUNTERS {
+            let family = Family::<Kind, Counter>::default();
+            registry.register(name, help, family.clone());
+            counters.insert(name, family);
+        }
+        let mut gauges = Vec::new();
+        for (name, help) in GAUGES {
+            let gauge = Gauge::<f64, AtomicU64>::default();
+            registry.register(name, help, gauge.clone());
+            gauges.push(gauge);
+        }
+        let requests = Family::default();
+        registry.register("requests", "Callers' requests by route and outcome", requests.clone());
+        let answer_times = Times::new_with_constructor(histogram);
+        let help = "Time from the arrival of a caller's request to its answer";
+        registry.register("answer_seconds", help, answer_times.clone());
+        let target_times = Times::new_with_constructor(histogram);
+        let help = "Time of a request at the target";
+        registry.register("target_seconds", help, target_times.clone());
+        let queue_times = histogram();
+        let help = "Time for which a request waited at the target's node";
+        registry.register("queue_seconds", help, queue_times.clone());
+        let store_calls = Family::default();
+        registry.register("store_calls", "Calls to the store", store_calls.clone());
+        let dropped = Counter::default();
+        registry.register("log_lines_dropped", "Log lines that did not fit", dropped.clone());
+        Metrics {
+            registry,
+            counters,
+            requests,
+            answer_times,
+            target_times,
+            queue_times,
+            store_calls,
+            gauges,
+            dropped,
+            routes: Mutex::default(),
+        }
+    }
+
     /// Counts a record.
     pub(crate) fn count(&self, record: &Record) {
-        let series = match record {
-            Record::Route { .. } => ("attempts", "sent"),
-            Record::Retry { cause, .. } => ("retries", *cause),
-            Record::Refuse { refusal, .. } => ("refusals", refusal.reason.as_str()),
-            Record::Answer { status, .. } if *status < 400 => ("answers", "success"),
-            Record::Answer { .. } => ("answers", "failure"),
-            Record::Admit { reason: Some(reason), .. } => ("admissions_refused", reason.as_str()),
-            Record::Admit { decision, .. } => ("admissions", *decision),
-            Record::Ran { outcome, .. } => ("target_requests", *outcome),
-            Record::Member { change, .. } => ("members", *change),
-            Record::Target { change, .. } => ("target_changes", *change),
-            Record::Seat { is_seated: true } => ("seats", "taken"),
-            Record::Seat { .. } => ("seats", "given_up"),
-            Record::Store { is_reachable: true } => ("store", "regained"),
-            Record::Store { .. } => ("store", "lost"),
-            Record::Config { .. } => ("configurations", "applied"),
-            Record::Evacuated { .. } => ("evacuations", "changed"),
-            Record::Rollout { stage, .. } => ("rollouts", *stage),
-            Record::Suspect(judged) => ("suspects", judged.standing.as_str()),
-            Record::Stop { phase, .. } => ("stops", *phase),
-        };
-        *self.lock().entry(series).or_insert(0) += 1;
-    }
-
-    /// Writes all counters in the text form of Prometheus.
-    pub(crate) fn text(&self) -> String {
-        let mut text = String::new();
-        for ((name, kind), count) in self.lock().iter() {
-            // Writing to a string cannot fail.
-            let _ = writeln!(text, "poplarbarrow_{name}_total{{kind=\"{kind}\"}} {count}");
+        let (name, kind) = series(record);
+        if let Some(family) = self.counters.get(name) {
+            family.get_or_create(&Kind { kind }).inc();
+        }
+        match record {
+            Record::Answer { route, status, took, .. } => {
+                let outcome = if *status < 400 { "success" } else { "failure" };
+                self.count_request(route, outcome);
+                observe(&self.answer_times, self.name(route), *took);
+            }
+            Record::Refuse { route, refusal, .. } => {
+                self.count_request(route, refusal.reason.as_str());
+            }
+            Record::Ran { route, took, waited, .. } => {
+                observe(&self.target_times, self.name(route), *took);
+                self.queue_times.observe(waited.as_secs_f64());
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn count_store(&self, call: &'static str, outcome: &'static str) {
+        self.store_calls.get_or_create(&StoreCall { call, outcome }).inc();
+    }
+
+    /// Writes everything in the text form that scrapers read.
+    pub(crate) fn text(&self, levels: &Levels, dropped: u64) -> String {
+        for (gauge, value) in self.gauges.iter().zip(values(levels)) {
+            gauge.set(value);
         }
+        self.dropped.inner().store(dropped, Ordering::Relaxed);
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
         text
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<(&'static str, &'static str), u64>> {
-        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    fn count_request(&self, route: &CompactString, outcome: &'static str) {
+        let labels = RouteOutcome { route: self.name(route), outcome };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Returns the label of a route, which is [`OTHER_ROUTES`] for those beyond the bound.
+    fn name(&self, route: &CompactString) -> Name {
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        if routes.contains(route) {
+            return Name(route.clone());
+        }
+        if routes.len() >= MAX_ROUTES {
+            return Name(OTHER_ROUTES.into());
+        }
+        routes.insert(route.clone());
+        Name(route.clone())
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
+}
+
+fn observe(times: &Times, route: Name, time: Duration) {
+    times.get_or_create(&ByRoute { route }).observe(time.as_secs_f64());
+}
+
+/// Returns the counter of a record and its kind.
+fn series(record: &Record) -> (&'static str, &'static str) {
+    match record {
+        Record::Route { .. } => ("attempts", "sent"),
+        Record::Retry { cause, .. } => ("retries", *cause),
+        Record::Refuse { refusal, .. } => ("refusals", refusal.reason.as_str()),
+        Record::Answer { status, .. } if *status < 400 => ("answers", "success"),
+        Record::Answer { .. } => ("answers", "failure"),
+        Record::Admit { reason: Some(reason), .. } => ("admissions_refused", reason.as_str()),
+        Record::Admit { decision, .. } => ("admissions", *decision),
+        Record::Ran { outcome, .. } => ("target_requests", *outcome),
+        Record::Member { change, .. } => ("members", *change),
+        Record::Target { change, .. } => ("target_changes", *change),
+        Record::Seat { is_seated: true } => ("seats", "taken"),
+        Record::Seat { .. } => ("seats", "given_up"),
+        Record::Store { is_reachable: true } => ("store", "regained"),
+        Record::Store { .. } => ("store", "lost"),
+        Record::Config { .. } => ("orders", "configuration"),
+        Record::Evacuated { .. } => ("orders", "evacuation"),
+        Record::Rollout { stage, .. } => ("orders", *stage),
+        Record::Suspect(judged) => ("suspects", judged.standing.as_str()),
+        Record::Stop { phase, .. } => ("stops", *phase),
     }
 }
+
+/// Returns the values of [`GAUGES`], in that order.
+fn values(levels: &Levels) -> [f64; GAUGES.len()] {
+    let flag = |is: bool| f64::from(u8::from(is));
+    [
+        levels.calls as f64,
+        levels.running as f64,
+        levels.queued as f64,
+        levels.limit as f64,
+        levels.pace,
+        flag(levels.is_open),
+        flag(levels.is_cold),
+        levels.members as f64,
+        levels.silent as f64,
+        levels.cold as f64,
+        levels.repeats,
+        levels.config as f64,
+        levels.config_age.as_secs_f64(),
+        flag(levels.has_store),
+    ]
+}
+
+#[cfg(test)]
+mod tests;
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -7,7 +7,6 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rand::Rng as _;
-use slog::Logger;
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -24,8 +23,10 @@
     health,
     inbound::Inbound,
     keys::MemberId,
+    logging::Log,
     metrics::Metrics,
     note::{self, Note},
+    observed::Observed,
     payload::Body,
     peers::Peers,
     pool::{Policy, Pool},
@@ -95,8 +96,10 @@
         settings: Settings,
         store: S,
         operator: impl Operator,
-        log: Logger,
+        log: Log,
     ) -> Result<Node, NodeError> {
+        let lines = log.clone();
+        let log = log.logger;
         let id = MemberId(rand::rng().random());
         let caller = HeaderValue::from_str(&settings.service).ok();
         let service = settings.service.clone();
@@ -114,7 +117,8 @@
             service: settings.service.clone(),
             limits: settings.limits,
         };
-        let metrics = Arc::new(Metrics::default());
+        let metrics = Arc::new(Metrics::new());
+        let store = Observed::new(store, metrics.clone());
         let record = me.record();
         let reducer = Reducer::new(me, rand::rng().random());
         let driver = Arc::new(Driver::new(reducer, log.clone(), metrics.clone()));
@@ -173,8 +177,10 @@
         if let Some(address) = settings.metrics {
             match TcpListener::bind(address).await {
                 Ok(listener) => {
+                    let driver = driver.clone();
                     let handle = move |_: Request<Incoming>| {
-                        let text = metrics.text();
+                        let levels = driver.inspect(|now, reducer| reducer.levels(now));
+                        let text = metrics.text(&levels, lines.dropped());
                         async move { Response::new(Body::from(Bytes::from(text))) }
                     };
                     tasks.spawn(serve::serve(listener, stop.subscribe(), log, handle));
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -24,11 +24,12 @@
     budget::{RetryBound, RetryBudget},
     config::RouteTable,
     crash_guard::CrashGuard,
-    directory::{Directory, MemberRecord, Tally},
+    directory::{Directory, Member, MemberRecord, Tally},
     effect::{Effect, Record},
     event::{Event, Timer},
     gate::Gate,
     keys::{CallKey, MemberId, WorkKey},
+    levels::Levels,
     replica::Revisions,
     report::LoadReport,
     rollout::{Rollout, RolloutRecord},
@@ -93,6 +94,8 @@
     me: Me,
     rng: SmallRng,
     config: Option<Arc<RouteTable>>,
+    /// When that configuration came into force here.
+    configured: Time,
     directory: Directory,
     /// Whether the members were listed since the start.
     is_listed: bool,
@@ -137,6 +140,7 @@
             directory: Directory::new(me.centre.clone()),
             rng: SmallRng::seed_from_u64(seed),
             config: None,
+            configured: Time::ZERO,
             is_listed: false,
             is_synced: false,
             has_store: false,
@@ -245,6 +249,29 @@
         self.config.as_ref()
     }
 
+    /// Returns what this node holds at this moment.
+    pub(crate) fn levels(&self, now: Time) -> Levels {
+        let report = self.gate.report(now);
+        let members = || self.directory.iter().map(|(_, member)| member);
+        let is_cold = |member: &&Member| member.load.is_some_and(|(_, load)| load.is_cold);
+        Levels {
+            calls: self.calls.len(),
+            running: report.running.into(),
+            queued: report.queued.into(),
+            limit: report.limit.into(),
+            pace: self.gate.pace(),
+            is_open: report.is_open,
+            is_cold: report.is_cold,
+            members: self.directory.len(),
+            silent: members().filter(|member| member.is_silent(now)).count(),
+            cold: members().filter(is_cold).count(),
+            repeats: self.budgets.values().map(RetryBudget::left).sum(),
+            config: self.config.as_ref().map_or(0, |table| table.config.version),
+            config_age: now.since(self.configured),
+            has_store: self.has_store,
+        }
+    }
+
     /// Returns the number of members that this node knows.
     pub(crate) fn members(&self) -> usize {
         self.directory.len()
@@ -265,6 +292,7 @@
             out.push(Effect::Watch { health: service.health.clone() });
         }
         self.config = Some(table);
+        self.configured = now;
         out.push(Effect::Log(Record::Config { version, routes, previous }));
         self.reopen(now, out);
         self.update_ready(out);
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -81,7 +81,8 @@
         call.is_answered = true;
         let open = std::mem::take(&mut call.open);
         let (attempts, took) = (call.sent, now.since(call.arrived));
-        out.push(Effect::Log(Record::Answer { id: call.id.clone(), status, attempts, took }));
+        let (id, route) = (call.id.clone(), call.route.clone());
+        out.push(Effect::Log(Record::Answer { id, route, status, attempts, took }));
         out.push(deliver(key, attempt));
         for open in open {
             self.release(open.member);
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -22,6 +22,8 @@
 /// A request at the target's node.
 pub(super) struct Work {
     id: CompactString,
+    route: CompactString,
+    arrived: Time,
     deadline: Time,
     /// When it was sent to the target.
     pub(super) started: Option<Time>,
@@ -98,6 +100,8 @@
         }
         let work = Work {
             id: head.id.clone(),
+            route: head.route.clone(),
+            arrived: now,
             deadline: ask.deadline,
             started: None,
             hash: head.hash,
@@ -149,7 +153,9 @@
         if let Some(started) = work.started {
             let took = now.since(started);
             self.count(now, finish, status, took);
-            out.push(Effect::Log(Record::Ran { id: work.id, outcome, status, took }));
+            let waited = started.since(work.arrived);
+            let Work { id, route, .. } = work;
+            out.push(Effect::Log(Record::Ran { id, route, outcome, status, took, waited }));
         }
         self.continue_works(now, next, out);
         self.tell(now, out);
