Judge a version by its answers at busy targets, and fill one of its targets before all of them

The stage with 35% of the requests loads no target at this rate; only the last stage did. Ruled out: a late record, a node that did not know of the stop.

Answers that begin at a busy target are counted apart, and compared with the others of the same second and with the old version's. A load test fills one target for 0.8 s and sends what it refuses to the old version, so that its cost does not grow with the rate; a pause for its answers follows. A version in doubt is not completed. Evidence is a file of its own.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -12,6 +12,7 @@
 use crate::{
     keys::{MemberId, MemberKey},
     report::LoadReport,
+    statistics::Share,
     time::Time,
 };
 
@@ -92,6 +93,10 @@
     pub(crate) timed: u32,
     /// Requests sent to the target.
     pub(crate) sent: u32,
+    /// Those of the answers with success that began with at least half of the slots taken.
+    pub(crate) loaded_good: u32,
+    /// The same of the failures.
+    pub(crate) loaded_bad: u32,
 }
 
 impl Tally {
@@ -102,6 +107,21 @@
         self.slowness = self.slowness.saturating_add(other.slowness);
         self.timed = self.timed.saturating_add(other.timed);
         self.sent = self.sent.saturating_add(other.sent);
+        self.loaded_good = self.loaded_good.saturating_add(other.loaded_good);
+        self.loaded_bad = self.loaded_bad.saturating_add(other.loaded_bad);
+    }
+
+    /// Returns the failures among answers that began at a busy target.
+    pub(crate) fn at_load(&self) -> Share {
+        let of = u64::from(self.loaded_good) + u64::from(self.loaded_bad);
+        Share { hits: self.loaded_bad.into(), of }
+    }
+
+    /// Returns the failures among the other answers.
+    pub(crate) fn at_ease(&self) -> Share {
+        let Share { hits, of } = self.at_load();
+        let all = u64::from(self.good) + u64::from(self.bad);
+        Share { hits: u64::from(self.bad).saturating_sub(hits), of: all.saturating_sub(of) }
     }
 
     /// Returns what was counted since an earlier tally, or all of it if counting began anew.
@@ -115,6 +135,8 @@
             slowness: self.slowness.saturating_sub(earlier.slowness),
             timed: self.timed.saturating_sub(earlier.timed),
             sent: self.sent - earlier.sent,
+            loaded_good: self.loaded_good.saturating_sub(earlier.loaded_good),
+            loaded_bad: self.loaded_bad.saturating_sub(earlier.loaded_bad),
         }
     }
 }
--- a/mesh/src/directory/tests.rs
+++ b/mesh/src/directory/tests.rs
@@ -67,8 +67,9 @@
 /// Guards against counts of a restarted target that make the difference of two tallies absurd.
 #[test]
 fn a_tally_that_began_anew_counts_whole() {
-    let before = Tally { good: 100, bad: 5, slowness: 9_000, timed: 90, sent: 106 };
-    let after = Tally { good: 3, bad: 1, slowness: 300, timed: 3, sent: 4 };
+    let before =
+        Tally { good: 100, bad: 5, slowness: 9_000, timed: 90, sent: 106, ..Tally::default() };
+    let after = Tally { good: 3, bad: 1, slowness: 300, timed: 3, sent: 4, ..Tally::default() };
     assert_eq!(after.since(&before), after);
     let grown = Tally { good: 101, sent: 107, ..before };
     assert_eq!(grown.since(&before), Tally { good: 1, sent: 1, ..Tally::default() });
--- a/mesh/src/gate.rs
+++ b/mesh/src/gate.rs
@@ -281,6 +281,11 @@
         !self.queue.is_empty()
     }
 
+    /// Returns whether at least half of the target's slots are taken.
+    pub(crate) fn is_busy(&self) -> bool {
+        2 * self.running.len() >= usize::from(self.slots)
+    }
+
     /// Returns the number of requests that run or wait.
     pub(crate) fn busy(&self) -> usize {
         self.running.len() + self.queue.len()
--- a/mesh/src/note.rs
+++ b/mesh/src/note.rs
@@ -18,7 +18,7 @@
 pub(crate) const MAX_BYTES: usize = 1_200;
 
 /// The first byte of a note; it changes with the format.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// What a node tells about itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/mesh/src/note/tests.rs
+++ b/mesh/src/note/tests.rs
@@ -22,7 +22,15 @@
         }),
         version: "release-2026-12-04".into(),
         load: LoadReport { running: 9, limit: 9, service_us: u32::MAX, ..LoadReport::default() },
-        tally: Tally { good: u32::MAX, bad: u32::MAX, slowness: u32::MAX, timed: 1, sent: 1 },
+        tally: Tally {
+            good: u32::MAX,
+            bad: u32::MAX,
+            slowness: u32::MAX,
+            timed: 1,
+            sent: 1,
+            loaded_good: u32::MAX,
+            loaded_bad: u32::MAX,
+        },
         suspects: Vec::new(),
         rollouts: vec![
             RolloutNote {
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -19,9 +19,6 @@
 /// nodes, and after a few the reports here are fresh.
 const MAX_BOUNCES: u8 = 3;
 
-/// The part of its limit up to which one target of a version on trial is filled before the next one.
-const TRIAL_FILL: f64 = 1.0;
-
 /// The part of the time to the objective after which an idempotent request is also sent to another target.
 const HEDGE_PART: f64 = 0.45;
 
@@ -53,13 +50,18 @@
             }
             return false;
         }
-        let service = call.service.clone();
+        let (service, is_first) = (call.service.clone(), call.tried.is_empty());
         let versions = self.draw_versions(now, &service);
         let mut candidates = self.candidates(now, key, &versions);
+        if matches!(versions, Versions::Only(_)) && self.is_version_on_trial(&service) {
+            if self.is_load_test(now, &service) {
+                fill_first(&mut candidates, is_first);
+            } else {
+                concentrate(&mut candidates);
+            }
+        }
         if let (true, Versions::Only(version)) = (candidates.is_empty(), &versions) {
             candidates = self.candidates(now, key, &Versions::Except(version.clone()));
-        } else if matches!(versions, Versions::Only(_)) && self.is_version_on_trial(&service) {
-            concentrate(&mut candidates);
         }
         let Some(call) = self.calls.get(key) else { return false };
         let demand = self.demand(now, call);
@@ -206,16 +208,29 @@
 /// faults that depend on its load.
 fn concentrate(candidates: &mut Vec<Candidate>) {
     candidates.sort_by_key(|candidate| candidate.id);
-    let has_room = |candidate: &&Candidate| {
-        let load = candidate.load.map(|(_, load)| load);
-        let busy = load.map_or(0, |load| load.running + load.queued);
-        let limit = load.map_or(1.0, |load| f64::from(load.limit));
-        let is_warm = load.is_none_or(|load| !load.is_cold);
-        is_warm
-            && !candidate.is_doubtful
-            && f64::from(busy) + f64::from(candidate.sent) < limit * TRIAL_FILL
-    };
-    if let Some(first) = candidates.iter().find(has_room).copied() {
+    let first = candidates.iter().find(|candidate| is_fit(candidate) && has_room(candidate));
+    if let Some(first) = first.copied() {
         *candidates = vec![first];
     }
 }
+
+/// Leaves the first candidate while it has room, and none otherwise: a load test fills one target, whatever the number
+/// of requests. A request that this target has refused goes to the old version.
+fn fill_first(candidates: &mut Vec<Candidate>, is_first: bool) {
+    candidates.sort_by_key(|candidate| candidate.id);
+    let first = candidates.iter().find(|candidate| is_fit(candidate)).copied();
+    let first = first.filter(|candidate| is_first && has_room(candidate));
+    *candidates = first.into_iter().collect();
+}
+
+/// Returns whether a target can be compared with others.
+fn is_fit(candidate: &Candidate) -> bool {
+    !candidate.is_doubtful && candidate.load.is_none_or(|(_, load)| !load.is_cold)
+}
+
+fn has_room(candidate: &Candidate) -> bool {
+    let load = candidate.load.map(|(_, load)| load);
+    let busy = load.map_or(0, |load| load.running + load.queued);
+    let limit = load.map_or(1, |load| load.limit);
+    u32::from(busy) + candidate.sent < u32::from(limit)
+}
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -8,9 +8,7 @@
 use crate::{
     directory::Member,
     effect::{Effect, Record},
-    rollout::{
-        Part, Rollout, RolloutNote, RolloutOrder, RolloutRecord, RolloutState, Tallies, Verdict,
-    },
+    rollout::{Part, Rollout, RolloutNote, RolloutOrder, RolloutRecord, RolloutState, Tallies},
     time::Time,
 };
 
@@ -112,8 +110,7 @@
             let was_stopped = rollout.is_stopped;
             let verdict = rollout.judge(now, &parts);
             if rollout.is_stopped && !was_stopped {
-                let stage = if verdict == Verdict::Slow { "slow" } else { "failing" };
-                self.log_rollout(&rollout, stage, out);
+                self.log_rollout(&rollout, verdict.as_str(), out);
             }
             if let Some((since, state)) = rollout.due()
                 && self.is_turn(now, since)
@@ -167,6 +164,11 @@
         self.rollouts.get(service).is_some_and(|rollout| !rollout.is_over())
     }
 
+    /// Returns whether one target of the new version of a service is kept full.
+    pub(super) fn is_load_test(&self, now: Time, service: &str) -> bool {
+        self.rollouts.get(service).is_some_and(|rollout| rollout.is_load_test(now))
+    }
+
     /// Returns whether a version of the own service is being judged.
     pub(super) fn has_rollout(&self) -> bool {
         self.rollouts.get(&self.me.service).is_some_and(|rollout| !rollout.is_over())
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -31,6 +31,8 @@
     pub(super) hash: RequestHash,
     /// Whether it was suspected of a crash when it was admitted.
     pub(super) is_suspected: bool,
+    /// Whether it began with at least half of the target's slots taken.
+    is_at_load: bool,
 }
 
 impl Reducer {
@@ -106,6 +108,7 @@
             started: None,
             hash: head.hash,
             is_suspected: self.guard.standing(now, head.hash) != Standing::Clear,
+            is_at_load: false,
         };
         self.works.insert(key, work);
         match decision {
@@ -135,6 +138,7 @@
             return self.continue_works(now, next, out);
         };
         work.started = Some(now);
+        work.is_at_load = self.gate.is_busy();
         self.tally.sent += 1;
         let timeout = work.deadline.since(now);
         out.push(Effect::Work(key, WorkStep::Run { life: life.id.clone(), timeout }));
@@ -152,7 +156,7 @@
         let next = self.gate.finish(now, key, finish);
         if let Some(started) = work.started {
             let took = now.since(started);
-            self.count(now, finish, status, took);
+            self.count(now, finish, status, took, work.is_at_load);
             let waited = started.since(work.arrived);
             let Work { id, route, .. } = work;
             out.push(Effect::Log(Record::Ran { id, route, outcome, status, took, waited }));
@@ -162,10 +166,11 @@
     }
 
     /// Counts an answer for the comparison of versions; a cold target is slow whatever its version.
-    fn count(&mut self, now: Time, finish: Finish, status: u16, took: Duration) {
+    fn count(&mut self, now: Time, finish: Finish, status: u16, took: Duration, is_at_load: bool) {
         match finish {
             Finish::Answer => {
                 self.tally.good += 1;
+                self.tally.loaded_good += u32::from(is_at_load);
                 if !self.target.is_cold(now) {
                     let usual = took.mul_f64(1.0 / self.gate.pace()).as_millis();
                     self.tally.slowness = self.tally.slowness.saturating_add(usual as u32);
@@ -173,7 +178,10 @@
                 }
             }
             // A lost answer tells of the way to the target, not of its version.
-            Finish::Failure if status >= 500 => self.tally.bad += 1,
+            Finish::Failure if status >= 500 => {
+                self.tally.bad += 1;
+                self.tally.loaded_bad += u32::from(is_at_load);
+            }
             Finish::Failure | Finish::Shed | Finish::Cancelled => {}
         }
     }
--- a/mesh/src/rollout.rs
+++ b/mesh/src/rollout.rs
@@ -3,8 +3,9 @@
 //! Every node counts what its own target answers and tells the others, so all nodes judge the same counts. A bad
 //! version stops receiving requests at each node that sees the evidence; one node records the outcome.
 
+mod evidence;
+
 use std::{
-    collections::{HashMap, VecDeque},
     hash::{DefaultHasher, Hash, Hasher},
     time::Duration,
 };
@@ -12,12 +13,10 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    directory::Tally,
-    keys::MemberId,
-    statistics::{Share, Strata, chance},
-    time::Time,
-};
+use crate::time::Time;
+
+use self::evidence::Evidence;
+pub(crate) use self::evidence::{Part, Tallies, Verdict};
 
 /// The part of the exposure bound that the trial of a new version uses.
 const TRIAL_PART: f64 = 0.6;
@@ -31,15 +30,27 @@
 /// The answers of the new version that are enough to end the trial.
 const TRIAL_ANSWERS: u32 = 25;
 
-/// The share of requests after the trial. It fills at least one target of the new version, so that faults that show
-/// only under load show before many requests have met them.
-const LOAD_SHARE: f64 = 0.35;
+/// The time after the trial for which one target of the new version is kept full, so that faults that show only under
+/// load show before many requests have met them.
+const LOAD_TEST_TIME: Duration = Duration::from_millis(800);
+
+/// The pause behind the load test, for its answers to arrive.
+const PAUSE_TIME: Duration = Duration::from_millis(700);
+
+/// The share of requests after the load test.
+const SHIFT_SHARE: f64 = 0.35;
 
 /// The time for which the version gets that share.
-const LOAD_TIME: Duration = Duration::from_millis(1_800);
+const SHIFT_SHARE_TIME: Duration = Duration::from_millis(800);
 
 /// The time over which the share rises from there to all requests.
-const SHIFT_TIME: Duration = Duration::from_millis(700);
+const RISE_TIME: Duration = Duration::from_millis(500);
+
+/// The time from the end of the trial to that at which the version gets all requests.
+const SHIFT_TIME: Duration = LOAD_TEST_TIME
+    .saturating_add(PAUSE_TIME)
+    .saturating_add(SHIFT_SHARE_TIME)
+    .saturating_add(RISE_TIME);
 
 /// The shortest time after the shift in which the new version carries all requests before the rollout is completed,
 /// because completing it ends the old targets at once.
@@ -52,43 +63,9 @@
 /// The part of the time after which a rollout is completed although old targets still run requests.
 const LATEST_COMPLETION: f64 = 0.9;
 
-/// The time over which recent answers are compared.
-const RECENT_TIME: Duration = Duration::from_millis(2_500);
-
-/// The time over which answers of the old version are compared with recent ones of the new version.
-const OLD_TIME: Duration = Duration::from_secs(6);
-
 /// The difference of two nodes' ages of an order that is not corrected.
 const AGE_SLACK: Duration = Duration::from_millis(200);
 
-/// The fewest failures that count as evidence.
-const MIN_FAILURES: u32 = 4;
-
-/// The smallest excess of the new version's share of failures over that of the old one that matters.
-const FAILURE_EXCESS: f64 = 0.03;
-
-/// The probability by chance below which a difference counts. A false alarm costs one rollout, a missed fault
-/// exposes callers to it.
-const CHANCE: f64 = 1e-3;
-
-/// The score of all strata that corresponds to [`CHANCE`].
-const SCORE: f64 = 3.1;
-
-/// The score of all strata that corresponds to [`DOUBT`].
-const DOUBT_SCORE: f64 = 1.9;
-
-/// The length of a stratum. Trouble of all targets changes over seconds.
-const STRATUM_TIME: Duration = Duration::from_secs(1);
-
-/// The probability by chance below which a rollout is not completed yet.
-const DOUBT: f64 = 0.03;
-
-/// The fewest answers of each version whose service times are compared.
-const MIN_ANSWERS: u32 = 12;
-
-/// The ratio of mean service times from which a version counts as slow.
-const SLOW_RATIO: f64 = 2.2;
-
 /// An operators' order to move a service's traffic.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RolloutOrder {
@@ -122,17 +99,6 @@
     pub state: RolloutState,
 }
 
-/// What the evidence says of a version.
-#[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Verdict {
-    /// Too little is known, or nothing is wrong.
-    NoFault,
-    /// It fails more often than the old version.
-    Failing,
-    /// It is slower than the old version.
-    Slow,
-}
-
 /// One rollout as this node sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct Rollout {
@@ -171,128 +137,6 @@
     pub(crate) open: u32,
 }
 
-/// One member's part in a rollout.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Part {
-    pub(crate) member: MemberId,
-    pub(crate) is_new: bool,
-    pub(crate) tally: Tally,
-    pub(crate) running: u32,
-    pub(crate) is_open: bool,
-}
-
-/// Answers of both versions. Counts of members that restart or leave stay in it.
-#[derive(Clone, Debug, Default)]
-struct Evidence {
-    known: HashMap<MemberId, Tally>,
-    has_begun: bool,
-    total: Tallies,
-    /// What was added since the present stratum began.
-    stratum: Tallies,
-    stratum_began: Time,
-    strata: Strata,
-    gathered: Time,
-    /// What was added lately, the oldest first.
-    recent: VecDeque<(Time, Tallies)>,
-}
-
-/// Answers of the new version and of the old ones.
-#[derive(Copy, Clone, Debug, Default, PartialEq)]
-pub(crate) struct Tallies {
-    pub(crate) new: Tally,
-    pub(crate) old: Tally,
-}
-
-impl Tallies {
-    fn add(&mut self, other: &Tallies) {
-        self.new.add(&other.new);
-        self.old.add(&other.old);
-    }
-}
-
-impl Evidence {
-    /// Adds what members have answered since the last time.
-    fn gather(&mut self, now: Time, parts: &[Part]) {
-        let mut added = Tallies::default();
-        for part in parts {
-            let known = self.known.insert(part.member, part.tally).unwrap_or_default();
-            let side = if part.is_new { &mut added.new } else { &mut added.old };
-            side.add(&part.tally.since(&known));
-        }
-        self.total.add(&added);
-        if self.is_first(now) {
-            // What members counted before this node looked is of many moments, and of old targets mostly.
-            self.gathered = now;
-            return;
-        }
-        self.stratum.add(&added);
-        if now.since(self.stratum_began) >= STRATUM_TIME {
-            let Tallies { new, old } = std::mem::take(&mut self.stratum);
-            self.strata.add(failed(&new), failed(&old));
-            self.stratum_began = now;
-        }
-        self.gathered = now;
-        self.recent.push_back((now, added));
-        while self.recent.front().is_some_and(|(at, _)| now.since(*at) > OLD_TIME) {
-            self.recent.pop_front();
-        }
-    }
-
-    /// Returns whether nothing was gathered before.
-    fn is_first(&mut self, now: Time) -> bool {
-        let is_first = !self.has_begun;
-        if is_first {
-            self.has_begun = true;
-            self.stratum_began = now;
-        }
-        is_first
-    }
-
-    /// Compares the versions over the whole time and over the last seconds, because some faults show only under load.
-    ///
-    /// Once the version is proved, the old one gets ever less. Trouble that begins then shows at the new version alone,
-    /// so only answers of the same moments are compared.
-    fn judge(&self, is_proven: bool) -> Verdict {
-        let is_failing = self.total.new.bad >= MIN_FAILURES && self.strata.score() > SCORE;
-        if is_failing && is_excess(&self.total) {
-            return Verdict::Failing;
-        }
-        if is_proven {
-            return Verdict::NoFault;
-        }
-        let shown = [self.lately(RECENT_TIME), self.lately(OLD_TIME)];
-        let verdicts = shown.iter().map(compare);
-        verdicts
-            .into_iter()
-            .find(|verdict| *verdict != Verdict::NoFault)
-            .unwrap_or(Verdict::NoFault)
-    }
-
-    /// Returns whether the new version may be failing, though too little is known for a verdict.
-    fn is_doubtful(&self) -> bool {
-        let is_odd = |Tallies { new, old }: &Tallies| {
-            new.bad > 1 && chance(failed(new), failed(old)) < DOUBT
-        };
-        self.strata.score() > DOUBT_SCORE || is_odd(&self.lately(OLD_TIME))
-    }
-
-    /// Returns recent answers of the new version, and those of the old one within `old`. The old one has few once
-    /// traffic has moved.
-    fn lately(&self, old: Duration) -> Tallies {
-        let mut recent = Tallies::default();
-        for (at, added) in &self.recent {
-            let age = self.gathered.since(*at);
-            if age <= RECENT_TIME {
-                recent.new.add(&added.new);
-            }
-            if age <= old {
-                recent.old.add(&added.old);
-            }
-        }
-        recent
-    }
-}
-
 impl Rollout {
     pub(crate) fn new(now: Time, order: RolloutOrder) -> Rollout {
         Rollout {
@@ -372,12 +216,12 @@
             self.shift = Some(elapsed);
         }
         if let Some(shift) = self.shift {
-            let is_settled = elapsed >= shift + LOAD_TIME + SHIFT_TIME + SETTLE_TIME;
-            let is_doubtful = !self.is_proven && self.evidence.is_doubtful();
+            let is_settled = elapsed >= shift + SHIFT_TIME + SETTLE_TIME;
+            let is_doubtful = self.evidence.is_doubtful(self.is_proven);
             self.is_proven |= is_settled && !is_doubtful;
             let is_latest = part >= LATEST_COMPLETION;
             let is_empty = part >= FINAL_PART && old.running == 0;
-            if new.open > 0 && self.is_proven && (is_empty || is_latest) {
+            if new.open > 0 && self.is_proven && !is_doubtful && (is_empty || is_latest) {
                 self.decide(now, RolloutState::Completed);
             } else if is_latest && is_doubtful {
                 self.is_stopped = true;
@@ -398,10 +242,22 @@
         }
         let trial = exposure * TRIAL_PART;
         let Some(shift) = self.shift else { return trial };
-        let since = self.elapsed(now).saturating_sub(shift);
-        let Some(rising) = since.checked_sub(LOAD_TIME) else { return LOAD_SHARE.max(trial) };
-        let part = (rising.as_secs_f64() / SHIFT_TIME.as_secs_f64()).min(1.0);
-        LOAD_SHARE + (1.0 - LOAD_SHARE) * part
+        if self.is_load_test(now) {
+            return 1.0;
+        }
+        let since = self.elapsed(now).saturating_sub(shift + LOAD_TEST_TIME);
+        let Some(since) = since.checked_sub(PAUSE_TIME) else { return trial };
+        let Some(rising) = since.checked_sub(SHIFT_SHARE_TIME) else {
+            return SHIFT_SHARE.max(trial);
+        };
+        let part = (rising.as_secs_f64() / RISE_TIME.as_secs_f64()).min(1.0);
+        SHIFT_SHARE + (1.0 - SHIFT_SHARE) * part
+    }
+
+    /// Returns whether one target of the new version is kept full, and only that one.
+    pub(crate) fn is_load_test(&self, now: Time) -> bool {
+        let since = self.shift.and_then(|shift| self.elapsed(now).checked_sub(shift));
+        !self.is_stopped && since.is_some_and(|since| since < LOAD_TEST_TIME)
     }
 
     /// Returns whether both versions carry requests, since the new one has shown that it bears all of them.
@@ -461,28 +317,5 @@
     (new, old)
 }
 
-/// Compares the answers of the new version with those of the old one over the same time.
-pub(crate) fn compare(tallies: &Tallies) -> Verdict {
-    let Tallies { new, old } = tallies;
-    if new.bad >= MIN_FAILURES && is_excess(tallies) && chance(failed(new), failed(old)) < CHANCE {
-        return Verdict::Failing;
-    }
-    let mean = |tally: &Tally| f64::from(tally.slowness) / f64::from(tally.timed.max(1));
-    let enough = new.timed >= MIN_ANSWERS && old.timed >= MIN_ANSWERS;
-    if enough && mean(new) > SLOW_RATIO * mean(old) {
-        return Verdict::Slow;
-    }
-    Verdict::NoFault
-}
-
-fn is_excess(Tallies { new, old }: &Tallies) -> bool {
-    let share = |tally: &Tally| f64::from(tally.bad) / f64::from((tally.good + tally.bad).max(1));
-    share(new) - share(old) >= FAILURE_EXCESS
-}
-
-fn failed(tally: &Tally) -> Share {
-    Share { hits: tally.bad.into(), of: (tally.good + tally.bad).into() }
-}
-
 #[cfg(test)]
 mod tests;
