Apply the operators' limits on heads, and changed settings while a node runs

Cause: size and time of a caller's head were constants, and a reload only logged that the file had changed.

--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -25,6 +25,7 @@
     peers::Peers,
     reducer::Reducer,
     rollout::RolloutRecord,
+    serve::HeadLimits,
     target::{Heard, Heartbeat, Lifetime},
     time::Time,
     timer::Timers,
@@ -50,6 +51,7 @@
     pub(crate) pulls: mpsc::UnboundedSender<SocketAddr>,
     pub(crate) rollouts: mpsc::UnboundedSender<RolloutRecord>,
     pub(crate) health: watch::Sender<Option<CompactString>>,
+    pub(crate) heads: watch::Sender<HeadLimits>,
     pub(crate) peers: Peers,
     pub(crate) timers: Timers<Timer>,
 }
@@ -276,6 +278,9 @@
                     is_new
                 });
             }
+            Effect::Limit(limits) => {
+                self.heads.send_replace(HeadLimits::from(&limits));
+            }
             Effect::Forget(address) => self.peers.forget(address),
             Effect::Arm { timer, after } => self.timers.arm(timer, after),
             Effect::Call(..)
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::CallerLimits,
     crash_guard::Judged,
     event::Timer,
     keys::{CallKey, MemberId, WorkKey},
@@ -29,6 +30,8 @@
     Pull(SocketAddr),
     /// Records the state of a rollout in the store, unless an outcome is there.
     Record(RolloutRecord),
+    /// What callers may send, from now on.
+    Limit(CallerLimits),
     /// The path of the target's health endpoint.
     Watch { health: CompactString },
     /// Closes the connections to a member that is gone.
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -9,6 +9,7 @@
     crash_guard::RequestHash,
     directory::MemberRecord,
     keys::{CallKey, MemberId, WorkKey},
+    limits::Limits,
     note::Note,
     refusal::Reason,
     replica::Revisions,
@@ -44,6 +45,8 @@
     Store { is_reachable: bool },
     /// A configuration was read.
     Config(Arc<RouteTable>),
+    /// The settings state other bounds.
+    Limits(Limits),
     /// The data centres that are out of service.
     Evacuated(BTreeSet<CompactString>),
     /// An operators' order about versions was written, or removed.
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node;
 pub mod payload;
 pub mod pool;
+pub mod reload;
 pub mod serve;
 pub mod settings;
 pub mod statistics;
@@ -33,6 +34,7 @@
 mod health;
 mod inbound;
 mod levels;
+mod limits;
 mod metrics;
 mod note;
 mod observed;
@@ -53,7 +55,7 @@
 
 pub use crate::{
     budget::RetryBound,
-    reducer::Limits,
+    limits::Limits,
     replica::Topic,
     rollout::{RolloutOrder, RolloutRecord, RolloutState},
     sync::{Operator, Prefixes},
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -23,6 +23,7 @@
     health,
     inbound::Inbound,
     keys::MemberId,
+    limits::Limits,
     logging::Log,
     metrics::Metrics,
     note::{self, Note},
@@ -34,7 +35,7 @@
     registry,
     replica::Topic,
     rollout::{RolloutOrder, RolloutRecord},
-    serve,
+    serve::{self, HeadLimits},
     settings::Settings,
     store::Store,
     sync::{self, Copies, Operator},
@@ -126,6 +127,8 @@
         let (seat, seated) = watch::channel(false);
         let (pulls, wanted) = mpsc::unbounded_channel();
         let (path, health_path) = watch::channel(None);
+        let (heads, head_limits) = watch::channel(HeadLimits::default());
+        let (_, usual) = watch::channel(HeadLimits::default());
         let (rollouts, decided) = mpsc::unbounded_channel();
 
         let mut tasks = JoinSet::new();
@@ -161,19 +164,19 @@
             let entry = entry.clone();
             async move { entry.serve(req).await }
         };
-        tasks.spawn(serve::serve(callers, stop.subscribe(), log.clone(), handle));
+        tasks.spawn(serve::serve(callers, stop.subscribe(), head_limits, log.clone(), handle));
         let inbound = Inbound { me: id, driver: driver.clone(), worker, copies };
         let handle = move |req: Request<Incoming>| {
             let inbound = inbound.clone();
             async move { inbound.serve(req).await }
         };
-        tasks.spawn(serve::serve(peers, stop.subscribe(), log.clone(), handle));
+        tasks.spawn(serve::serve(peers, stop.subscribe(), usual.clone(), log.clone(), handle));
         let is_ready = driver.ready();
         let handle = move |_: Request<Incoming>| {
             let is_ready = *is_ready.borrow();
             async move { readiness(is_ready) }
         };
-        tasks.spawn(serve::serve(ready, stop.subscribe(), log.clone(), handle));
+        tasks.spawn(serve::serve(ready, stop.subscribe(), usual.clone(), log.clone(), handle));
         if let Some(address) = settings.metrics {
             match TcpListener::bind(address).await {
                 Ok(listener) => {
@@ -183,7 +186,7 @@
                         let text = metrics.text(&levels, lines.dropped());
                         async move { Response::new(Body::from(Bytes::from(text))) }
                     };
-                    tasks.spawn(serve::serve(listener, stop.subscribe(), log, handle));
+                    tasks.spawn(serve::serve(listener, stop.subscribe(), usual, log, handle));
                 }
                 // A node without counters still serves requests.
                 Err(error) => slog::warn!(log, "metrics-unavailable"; "address" => %address,
@@ -197,7 +200,7 @@
             move |timer| ask.inspect(|_, reducer| reducer.awaits(timer)),
         );
         let peers = connections;
-        driver.start(Outlets { notes, seat, pulls, rollouts, health: path, peers, timers });
+        driver.start(Outlets { notes, seat, pulls, rollouts, health: path, heads, peers, timers });
         Ok(Node { driver, id, stop, tasks, rollouts: Some(decided) })
     }
 
@@ -256,6 +259,11 @@
         self.driver.dispatch(Event::Config(table));
     }
 
+    /// Takes other bounds from the settings.
+    pub fn limit(&self, limits: Limits) {
+        self.driver.dispatch(Event::Limits(limits));
+    }
+
     /// Takes the data centres that are out of service.
     pub fn evacuate(&self, centres: BTreeSet<CompactString>) {
         self.driver.dispatch(Event::Evacuated(centres));
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -21,7 +21,7 @@
 use slotmap::SecondaryMap;
 
 use crate::{
-    budget::{RetryBound, RetryBudget},
+    budget::RetryBudget,
     config::RouteTable,
     crash_guard::CrashGuard,
     directory::{Directory, Member, MemberRecord, Tally},
@@ -30,6 +30,7 @@
     gate::Gate,
     keys::{CallKey, MemberId, WorkKey},
     levels::Levels,
+    limits::Limits,
     replica::Revisions,
     report::LoadReport,
     rollout::{Rollout, RolloutRecord},
@@ -76,19 +77,6 @@
     }
 }
 
-/// Bounds that all nodes of a deployment keep together.
-#[derive(Copy, Clone, Debug, PartialEq)]
-pub struct Limits {
-    /// The repeats of requests.
-    pub retries: RetryBound,
-    /// The share of requests that a version may receive while it may be bad.
-    pub exposure: f64,
-    /// The bound on the requests of a cold target in one second, as a multiple of the rate that it tolerates.
-    pub cold_over: f64,
-    /// The time that a graceful stop may take.
-    pub grace: Duration,
-}
-
 /// The state of all decisions of one node.
 pub(crate) struct Reducer {
     me: Me,
@@ -192,6 +180,7 @@
             Event::PullEnded => self.pulling = None,
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.configure(now, table, out),
+            Event::Limits(limits) => self.me.limits = limits,
             Event::Evacuated(centres) => self.evacuate(now, centres, out),
             Event::Rollout { service, order } => self.rollout_ordered(now, service, order, out),
             Event::RolloutRecorded(record) => self.rollout_recorded(now, &record, out),
@@ -291,6 +280,7 @@
         if let Some(service) = table.service(&self.me.service) {
             out.push(Effect::Watch { health: service.health.clone() });
         }
+        out.push(Effect::Limit(table.config.limits.clone()));
         self.config = Some(table);
         self.configured = now;
         out.push(Effect::Log(Record::Config { version, routes, previous }));
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -12,22 +12,51 @@
     time,
 };
 
-use crate::{payload::Body, pool};
+use crate::{config::CallerLimits, payload::Body, pool};
 
-/// The largest head of a request in bytes; a larger one is answered with status 431.
+/// The largest head in bytes where no configuration says otherwise.
 const MAX_HEAD: usize = 64 << 10;
 
-/// The time in which the next head must arrive, counted from the end of the answer before it. It is longer than any
-/// time for which callers and nodes use idle connections again.
+/// The smallest bound on a head that the HTTP library accepts, in bytes.
+const MIN_HEAD: usize = 8 << 10;
+
+/// The time in which the next head must arrive where no configuration says otherwise. It is longer than any time for
+/// which nodes use idle connections again.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(90);
 
 /// The pause after the listener failed to accept, for instance because no file descriptor was free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts connections until `stop` becomes true, then closes them gracefully.
+/// How large the head of a request may be, and how long it may take.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// The largest head in bytes; a larger one is answered with status 431.
+    bytes: usize,
+    /// The time in which the next head must arrive, counted from the end of the answer before it.
+    time: Duration,
+}
+
+impl Default for HeadLimits {
+    fn default() -> HeadLimits {
+        HeadLimits { bytes: MAX_HEAD, time: HEAD_TIMEOUT }
+    }
+}
+
+impl From<&CallerLimits> for HeadLimits {
+    fn from(limits: &CallerLimits) -> HeadLimits {
+        HeadLimits {
+            bytes: limits.head.max(MIN_HEAD),
+            time: limits.idle_timeout + limits.head_timeout,
+        }
+    }
+}
+
+/// Accepts connections until `stop` becomes true, then closes them gracefully. A connection keeps the limits that were
+/// in force when it was opened.
 pub async fn serve<H, F>(
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
+    limits: watch::Receiver<HeadLimits>,
     log: Logger,
     handle: H,
 ) where
@@ -41,7 +70,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, stop.clone(), handle.clone()));
+                let limits = *limits.borrow();
+                tokio::spawn(serve_connection(stream, stop.clone(), limits, handle.clone()));
             }
             Err(error) => {
                 slog::warn!(log, "accept-failed"; "error" => %error);
@@ -51,8 +81,12 @@
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, mut stop: watch::Receiver<bool>, handle: H)
-where
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+    limits: HeadLimits,
+    handle: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -65,8 +99,8 @@
     builder
         .auto_date_header(false)
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD);
+        .header_read_timeout(limits.time)
+        .max_buf_size(limits.bytes);
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     // A connection that fails has told its requests already.
--- a/mesh/src/settings.rs
+++ b/mesh/src/settings.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::{names::Names, reducer::Limits, sync::Prefixes};
+use crate::{limits::Limits, names::Names, sync::Prefixes};
 
 /// The settings of a node; an adapter reads them from the form that its deployment uses.
 #[derive(Clone, Debug)]
@@ -30,3 +30,14 @@
     /// Bounds that all nodes keep together.
     pub limits: Limits,
 }
+
+impl Settings {
+    /// Returns whether a node with these settings has the same service, data centre and addresses as another one.
+    pub(crate) fn has_same_place(&self, other: &Settings) -> bool {
+        let place = |settings: &Settings| {
+            let Settings { callers, peers, ready, metrics, target, .. } = settings;
+            (*callers, *peers, *ready, *metrics, *target)
+        };
+        self.service == other.service && self.centre == other.centre && place(self) == place(other)
+    }
+}
