Do not hold a pause of the own node against other members

The time between two ticks in which it did not run is not counted any more, and is logged. Test: reducer::tests::a_pause_of_the_node_is_not_held_against_others (fails without the change).

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -266,6 +266,13 @@
         gone.into_iter().filter_map(|id| self.remove(id)).collect()
     }
 
+    /// Does not count a time in which nothing could be heard of any member.
+    pub(crate) fn excuse(&mut self, time: Duration) {
+        for member in self.members.values_mut() {
+            member.heard = member.heard.map(|heard| heard + time);
+        }
+    }
+
     /// Pauses a member whose connection could not be opened or broke.
     pub(crate) fn pause(&mut self, now: Time, key: MemberKey) {
         if let Some(member) = self.members.get_mut(key) {
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -173,6 +173,8 @@
     },
     /// The standing of a request that was in progress at a crash changed.
     Suspect(Judged),
+    /// This node did not run for some time.
+    Paused { time: Duration },
     /// A graceful stop began or ended.
     Stop { phase: &'static str, calls: usize, works: usize },
 }
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -105,6 +105,7 @@
         }
         Record::Suspect(judged) => info!(log, "suspect";
             "fingerprint" => %judged.fingerprint, "standing" => judged.standing.as_str()),
+        Record::Paused { time } => info!(log, "paused"; "time_ms" => ms(time)),
         Record::Stop { phase, calls, works } => info!(log, "stop";
             "phase" => phase, "calls" => calls, "works" => works),
     }
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -39,7 +39,7 @@
 const BUCKETS: u16 = 14;
 
 /// Counters by kind, with what they count.
-const COUNTERS: [(&str, &str); 14] = [
+const COUNTERS: [(&str, &str); 15] = [
     ("attempts", "Attempts of callers' requests at targets"),
     ("retries", "Attempts that ended without an answer that is passed on, by cause"),
     ("refusals", "Callers' requests refused, by reason"),
@@ -53,6 +53,7 @@
     ("store", "Times the store became reachable or unreachable"),
     ("orders", "Configurations, evacuations and stages of rollouts that came into force"),
     ("suspects", "Requests whose standing changed after a crash"),
+    ("pauses", "Times for which this node did not run"),
     ("stops", "Graceful stops that began or ended"),
 ];
 
@@ -253,6 +254,7 @@
         Record::Evacuated { .. } => ("orders", "evacuation"),
         Record::Rollout { stage, .. } => ("orders", *stage),
         Record::Suspect(judged) => ("suspects", judged.standing.as_str()),
+        Record::Paused { .. } => ("pauses", "ended"),
         Record::Stop { phase, .. } => ("stops", *phase),
     }
 }
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -43,6 +43,9 @@
 /// The interval of periodic work.
 const TICK: Duration = Duration::from_millis(100);
 
+/// The time between two ticks from which this node counts as having been paused.
+const PAUSE: Duration = Duration::from_millis(500);
+
 /// The time after a stop begins during which new requests are still taken, because callers learn only with their
 /// next questions that the node is not ready any more.
 const STOP_NOTICE: Duration = Duration::from_millis(2_500);
@@ -118,6 +121,8 @@
     is_seated: bool,
     is_ready: bool,
     is_queue_timed: bool,
+    /// When the periodic work was last done.
+    ticked: Time,
     stopping: Option<Time>,
     has_exited: bool,
 }
@@ -153,6 +158,7 @@
             is_seated: false,
             is_ready: false,
             is_queue_timed: false,
+            ticked: Time::ZERO,
             stopping: None,
             has_exited: false,
             me,
@@ -314,6 +320,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         out.push(Effect::Arm { timer: Timer::Tick, after: TICK });
+        self.excuse_pause(now, out);
         self.expire_members(now, out);
         self.update_seat(now, out);
         self.catch_up_far(now, out);
@@ -326,6 +333,16 @@
         }
     }
 
+    /// Does not hold against other members the time in which this node did not run and heard nobody.
+    fn excuse_pause(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let gap = now.since(self.ticked);
+        self.ticked = now;
+        if gap > PAUSE {
+            self.directory.excuse(gap);
+            out.push(Effect::Log(Record::Paused { time: gap }));
+        }
+    }
+
     fn stop(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.stopping.is_some() {
             return;
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -466,3 +466,23 @@
         bench.apply(Event::Call(key, CallEvent::Ended));
     }
 }
+
+/// Guards against a node that was paused, takes the silence of that time for the end of all others, and refuses
+/// requests until it has heard of them again.
+#[test]
+fn a_pause_of_the_node_is_not_held_against_others() {
+    let mut bench = Bench::new(&THREE);
+    bench.apply(Event::Timer(Timer::Tick));
+    bench.apply(Event::Members(Vec::new()));
+    bench.now = at(4_000);
+    bench.apply(Event::Timer(Timer::Tick));
+    let (_, effects) = bench.call("/read/1");
+    assert!(attempt(&effects).is_some(), "{effects:?}");
+    // Members that stay silent while the node runs are gone.
+    for ms in (4_100..8_000).step_by(100) {
+        bench.now = at(ms);
+        bench.apply(Event::Timer(Timer::Tick));
+    }
+    let (_, effects) = bench.call("/read/1");
+    assert!(attempt(&effects).is_none(), "{effects:?}");
+}
