Keep the timer of the queue while nothing waits

Ruled out: the target, which answered health checks, and the proxy. Test: reducer::tests::the_timer_of_the_queue_is_kept_while_nothing_waits (fails without the change).

--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -224,7 +224,8 @@
     pub(crate) fn awaits(&self, timer: Timer) -> bool {
         match timer {
             Timer::CallDeadline(key) | Timer::Hedge(key) => self.calls.contains_key(key),
-            Timer::Queue => self.gate.has_queue(),
+            // One that is dropped while the queue is empty would never be set again.
+            Timer::Queue => self.is_queue_timed,
             Timer::Tick | Timer::StopDeadline => true,
         }
     }
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -486,3 +486,26 @@
     let (_, effects) = bench.call("/read/1");
     assert!(attempt(&effects).is_none(), "{effects:?}");
 }
+
+/// Guards against a queue that nothing looks at any more: its timer was dropped in a moment in which nothing waited, and
+/// counted as set from then on.
+#[test]
+fn the_timer_of_the_queue_is_kept_while_nothing_waits() {
+    let mut bench = Bench::new(&[]).with_target();
+    bench.now = at(100);
+    let cold = Health { cold: Duration::from_secs(5), ..well() };
+    bench.apply(Event::Health(Some(cold)));
+    let works: Vec<WorkKey> = (0..8).map(|_| bench.work().0).collect();
+    assert!(bench.reducer.gate.has_queue());
+    for work in works {
+        bench.apply(Event::Work(work, WorkEvent::Cancelled));
+    }
+    assert!(!bench.reducer.gate.has_queue());
+    assert!(bench.reducer.awaits(Timer::Queue));
+    // After it has fired, the next request that waits sets it again.
+    bench.apply(Event::Timer(Timer::Queue));
+    assert!(!bench.reducer.awaits(Timer::Queue));
+    let effects: Vec<Effect> = (0..8).flat_map(|_| bench.work().1).collect();
+    let is_set = |effect: &Effect| matches!(effect, Effect::Arm { timer: Timer::Queue, .. });
+    assert!(effects.iter().any(is_set));
+}
