--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -1,10 +1,9 @@
 //! Applies events to the reducer and carries out the effects.
 
 use std::{
-    collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll, Waker},
+    task::{Context, Poll},
 };
 
 use compact_str::CompactString;
@@ -21,6 +20,7 @@
     event::{CallEvent, Event, Timer, WorkEvent},
     keys::{CallKey, WorkKey},
     logging,
+    mailbox::Mailbox,
     metrics::Metrics,
     peers::Peers,
     reducer::Reducer,
@@ -64,35 +64,6 @@
     effects: Vec<Effect>,
 }
 
-/// The steps of one request that its task has not taken.
-///
-/// Nearly every step is taken by the task whose event caused it, so that the queue costs less than a channel.
-struct Mailbox<T> {
-    steps: VecDeque<T>,
-    reader: Option<Waker>,
-}
-
-impl<T> Mailbox<T> {
-    const fn new() -> Mailbox<T> {
-        Mailbox { steps: VecDeque::new(), reader: None }
-    }
-
-    fn push(&mut self, step: T) {
-        self.steps.push_back(step);
-        if let Some(reader) = self.reader.take() {
-            reader.wake();
-        }
-    }
-
-    fn poll(&mut self, cx: &Context<'_>) -> Poll<Option<T>> {
-        if let Some(step) = self.steps.pop_front() {
-            return Poll::Ready(Some(step));
-        }
-        self.reader = Some(cx.waker().clone());
-        Poll::Pending
-    }
-}
-
 impl Driver {
     pub(crate) fn new(reducer: Reducer, log: Logger, metrics: Arc<Metrics>) -> Driver {
         let core = Core {
@@ -150,13 +121,13 @@
     /// Registers a caller's request, or returns `None` if the node handles too many.
     pub(crate) fn open_call(&self) -> Option<CallKey> {
         let mut core = self.lock();
-        (core.calls.len() < MAX_REQUESTS).then(|| core.calls.insert(Mailbox::new()))
+        (core.calls.len() < MAX_REQUESTS).then(|| core.calls.insert(Mailbox::default()))
     }
 
     /// Registers a request for the target, or returns `None` if the node handles too many.
     pub(crate) fn open_work(&self) -> Option<WorkKey> {
         let mut core = self.lock();
-        (core.works.len() < MAX_REQUESTS).then(|| core.works.insert(Mailbox::new()))
+        (core.works.len() < MAX_REQUESTS).then(|| core.works.insert(Mailbox::default()))
     }
 
     /// Returns the next step of a caller's request, or `None` if it is not registered.
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -7,13 +7,13 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use slog::{Drain, Level, Logger, info, o};
 use slog_logfmt::Logfmt;
 
-use crate::{effect::Record, lines::Lines};
+use crate::{effect::Record, lines::Lines, prefix};
 
 /// One in this many requests that are served without trouble is logged in full, chosen by its id so that all nodes
 /// log the same requests.
@@ -34,10 +34,10 @@
     ///
     /// Panics if the thread cannot be started.
     pub fn to_stdout() -> Log {
-        let lines =
-            Lines::start(io::stdout(), dropped).expect("a process can start its first threads");
+        let lines = Lines::start(io::stdout(), prefix::dropped)
+            .expect("a process can start its first threads");
         let dropped = lines.dropped();
-        let lines = Mutex::new(Logfmt::new(lines).set_prefix(write_prefix).build());
+        let lines = Mutex::new(Logfmt::new(lines).set_prefix(prefix::write_prefix).build());
         Log { logger: Logger::root(lines.filter_level(Level::Info).fuse(), o!()), dropped }
     }
 
@@ -116,19 +116,3 @@
     id.hash(&mut hasher);
     hasher.finish().is_multiple_of(SAMPLED)
 }
-
-/// Starts a line with the time in milliseconds since the Unix epoch, the severity and the event.
-fn write_prefix(out: &mut dyn io::Write, record: &slog::Record<'_>) -> slog::Result {
-    let level = record.level().as_str().to_ascii_lowercase();
-    write!(out, "time={} level={level} event={} ", wall_millis(), record.msg())?;
-    Ok(())
-}
-
-/// Formats the line about lines that were dropped because the writer was too slow.
-fn dropped(lines: u64) -> String {
-    format!("time={} level=error event=log-lines-dropped lines={lines}\n", wall_millis())
-}
-
-fn wall_millis() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
-}
--- a/mesh/src/names.rs
+++ b/mesh/src/names.rs
@@ -37,8 +37,8 @@
 /// How an attempt ended if the answer is not the target's.
 pub(crate) const ENDING: HeaderName = HeaderName::from_static("poplarbarrow-ending");
 
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [HeaderName; 8] = [
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
     header::TRANSFER_ENCODING,
     header::TE,
@@ -47,10 +47,11 @@
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
 ];
 
 /// Removes the headers that concern one connection only, also those that `Connection` names.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
--- /dev/null
+++ b/mesh/src/prefix.rs
@@ -0,0 +1,31 @@
+//! The start of each log line.
+
+use std::{
+    io,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use slog::Level;
+
+/// Starts a line with the time in milliseconds since the Unix epoch, the severity and the event.
+pub fn write_prefix(out: &mut dyn io::Write, record: &slog::Record<'_>) -> slog::Result {
+    let level = match record.level() {
+        Level::Critical => "critical",
+        Level::Error => "error",
+        Level::Warning => "warning",
+        Level::Info => "info",
+        Level::Debug => "debug",
+        Level::Trace => "trace",
+    };
+    write!(out, "time={} level={level} event={} ", wall_millis(), record.msg())?;
+    Ok(())
+}
+
+/// Formats the line about lines that were dropped because the writer was too slow.
+pub fn dropped(lines: u64) -> String {
+    format!("time={} level=error event=log-lines-dropped lines={lines}\n", wall_millis())
+}
+
+fn wall_millis() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
+}
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -1,16 +1,15 @@
 //! Applies events to the reducer and carries out the effects.
 
 use std::{
-    collections::VecDeque,
     net::SocketAddr,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    task::{Context, Poll, Waker},
+    task::{Context, Poll},
 };
 
-use poplarbarrow_mesh::timer::Timers;
+use poplarbarrow_mesh::{mailbox::Mailbox, timer::Timers};
 use slog::Logger;
 use slotmap::SlotMap;
 use tokio::{
@@ -85,36 +84,6 @@
     effects: Vec<Effect>,
 }
 
-/// The steps of one request that its task has not taken.
-///
-/// Nearly every step is taken by the task whose event caused it, so that the queue costs less than a channel,
-/// which allocates several kilobytes for each request.
-struct Mailbox<T> {
-    steps: VecDeque<T>,
-    reader: Option<Waker>,
-}
-
-impl<T> Mailbox<T> {
-    const fn new() -> Mailbox<T> {
-        Mailbox { steps: VecDeque::new(), reader: None }
-    }
-
-    fn push(&mut self, step: T) {
-        self.steps.push_back(step);
-        if let Some(reader) = self.reader.take() {
-            reader.wake();
-        }
-    }
-
-    fn poll(&mut self, cx: &Context<'_>) -> Poll<Option<T>> {
-        if let Some(step) = self.steps.pop_front() {
-            return Poll::Ready(Some(step));
-        }
-        self.reader = Some(cx.waker().clone());
-        Poll::Pending
-    }
-}
-
 impl Driver {
     pub(crate) fn new(reducer: Reducer, log: Logger, metrics: Metrics) -> Driver {
         let core = Core {
@@ -156,7 +125,7 @@
             self.count_rejected();
             return None;
         }
-        Some(core.calls.insert(Mailbox::new()))
+        Some(core.calls.insert(Mailbox::default()))
     }
 
     /// Registers a request for the target, or returns `None` if the node handles too many.
@@ -166,7 +135,7 @@
             self.count_rejected();
             return None;
         }
-        Some(core.works.insert(Mailbox::new()))
+        Some(core.works.insert(Mailbox::default()))
     }
 
     /// Returns the next step of a caller's request, or `None` if it is not registered.
--- a/src/headers.rs
+++ b/src/headers.rs
@@ -1,6 +1,7 @@
 //! Names and forms of the HTTP headers of the system; see `docs/http.md`.
 
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue};
+pub(crate) use poplarbarrow_mesh::names::strip_hop_by_hop;
 
 /// The time left for the request, in milliseconds.
 pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("poplarbarrow-deadline-ms");
@@ -29,34 +30,9 @@
 /// The service of a request between nodes, whose authority is an address.
 pub(crate) const SERVICE: HeaderName = HeaderName::from_static("poplarbarrow-service");
 
-/// Headers that apply to one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 7] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// Headers that only nodes may set; a caller or target that sends one must not be believed.
 const INTERNAL: [HeaderName; 6] = [LOAD, ATTEMPT, TAG, SERVICE, OUTCOME, REASON];
 
-/// Removes the headers that apply to one connection only, including those that `Connection` names.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP_BY_HOP.iter().chain(&named) {
-        headers.remove(name);
-    }
-}
-
 /// Removes the headers that only nodes may set.
 pub(crate) fn strip_internal(headers: &mut HeaderMap) {
     for name in &INTERNAL {
--- a/src/headers/tests.rs
+++ b/src/headers/tests.rs
@@ -5,7 +5,7 @@
 #[test]
 fn strips_headers_named_by_connection() {
     let mut headers = HeaderMap::new();
-    headers.insert(header::CONNECTION, HeaderValue::from_static("close, x-private"));
+    headers.insert(http::header::CONNECTION, HeaderValue::from_static("close, x-private"));
     headers.insert("x-private", HeaderValue::from_static("1"));
     headers.insert("x-public", HeaderValue::from_static("1"));
     strip_hop_by_hop(&mut headers);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -5,10 +5,9 @@
 use std::{
     io,
     sync::{Arc, Mutex},
-    time::{SystemTime, UNIX_EPOCH},
 };
 
-use poplarbarrow_mesh::lines::Lines;
+use poplarbarrow_mesh::{lines::Lines, prefix};
 use slog::{Drain, Level, Logger, info, o, warn};
 use slog_logfmt::Logfmt;
 use slotmap::{Key, KeyData};
@@ -32,8 +31,8 @@
 }
 
 fn queued(out: impl io::Write + Send + 'static, level: LogLevel) -> Logger {
-    let lines = Lines::start(out, dropped).expect("a process can start its first threads");
-    let lines = Mutex::new(Logfmt::new(lines).set_prefix(write_prefix).build());
+    let lines = Lines::start(out, prefix::dropped).expect("a process can start its first threads");
+    let lines = Mutex::new(Logfmt::new(lines).set_prefix(prefix::write_prefix).build());
     let level = match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warning => Level::Warning,
@@ -52,7 +51,7 @@
 pub(crate) fn count_bytes(write: impl FnOnce(&Logger)) -> usize {
     let lines = Arc::new(Mutex::new(Vec::new()));
     let sink = Shared(lines.clone());
-    let drain = Logfmt::new(sink).set_prefix(write_prefix).build().fuse();
+    let drain = Logfmt::new(sink).set_prefix(prefix::write_prefix).build().fuse();
     write(&Logger::root(Mutex::new(drain).fuse(), o!()));
     lines.lock().map_or(0, |lines| lines.len())
 }
@@ -132,29 +131,6 @@
     }
 }
 
-/// Starts a line with the time in milliseconds since the Unix epoch, the severity and the event.
-fn write_prefix(out: &mut dyn io::Write, record: &slog::Record<'_>) -> slog::Result {
-    let level = match record.level() {
-        Level::Critical => "critical",
-        Level::Error => "error",
-        Level::Warning => "warning",
-        Level::Info => "info",
-        Level::Debug => "debug",
-        Level::Trace => "trace",
-    };
-    write!(out, "time={} level={level} event={} ", wall_millis(), record.msg())?;
-    Ok(())
-}
-
-/// Formats the line about lines that were dropped because the writer was too slow.
-fn dropped(lines: u64) -> String {
-    format!("time={} level=error event=log-lines-dropped lines={lines}\n", wall_millis())
-}
-
-fn wall_millis() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
-}
-
 fn id(data: KeyData) -> u64 {
     data.as_ffi()
 }
