Bound the nodes that are told in one round of notes

Cause: every node told every other one, so that bytes between data centres grew with the square of the deployment. Weighed: longer intervals for all (reports go stale where they are used), relays in each data centre (another hop to fail and to place). Requests between nodes name their entry node.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -10,6 +10,7 @@
 use slotmap::SlotMap;
 
 use crate::{
+    fanout,
     keys::{MemberId, MemberKey},
     report::LoadReport,
     statistics::Share,
@@ -22,6 +23,12 @@
 /// The notes to other data centres that members leave out before their silence counts.
 const MISSED_NOTES: u32 = 3;
 
+/// The most nodes of the own data centre that are told in one round of notes.
+pub(crate) const NEAR_BOUND: usize = 128;
+
+/// The most nodes of other data centres that are told in one round.
+pub(crate) const FAR_BOUND: usize = 48;
+
 /// The shortest interval of notes to other data centres.
 const FAR_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -58,8 +65,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
     pub(crate) record: MemberRecord,
-    /// The time without any sign of it after which it is doubted.
-    silence: Duration,
     /// The last load report and when it arrived.
     pub(crate) load: Option<(Time, LoadReport)>,
     /// Requests sent since that report and not answered.
@@ -72,6 +77,8 @@
     pub(crate) paused: Option<Time>,
     /// When its record disappeared from the store.
     lapsed: Option<Time>,
+    /// When it last sent a request here.
+    pub(crate) asked: Option<Time>,
     /// What its target answered, by its own count.
     pub(crate) tally: Tally,
     /// The version of its target's software, if it is known.
@@ -142,12 +149,6 @@
 }
 
 impl Member {
-    /// Returns whether nothing was heard of the member for long, or ever.
-    pub(crate) fn is_silent(&self, now: Time) -> bool {
-        let longest = self.silence;
-        self.heard.is_none_or(|heard| now.since(heard) > longest)
-    }
-
     pub(crate) fn is_paused(&self, now: Time) -> bool {
         self.paused.is_some_and(|until| now < until)
     }
@@ -171,6 +172,8 @@
 pub(crate) struct Directory {
     /// The own data centre.
     centre: CompactString,
+    /// The members in it.
+    near: usize,
     members: SlotMap<MemberKey, Member>,
     ids: HashMap<MemberId, MemberKey>,
     services: HashMap<CompactString, Vec<MemberKey>>,
@@ -183,12 +186,10 @@
 
     /// Adds a member or brings it up to date; returns whether it was new.
     pub(crate) fn put(&mut self, record: MemberRecord) -> bool {
-        let silence = self.silence(&record.centre);
         if let Some(&key) = self.ids.get(&record.id) {
             let member = &mut self.members[key];
             member.lapsed = None;
             member.record = record;
-            member.silence = silence;
             return false;
         }
         // A new process at an address replaces the earlier one there.
@@ -199,7 +200,6 @@
         }
         let (id, service) = (record.id, record.service.clone());
         let member = Member {
-            silence,
             record,
             load: None,
             sent: 0,
@@ -207,28 +207,45 @@
             heard: None,
             paused: None,
             lapsed: None,
+            asked: None,
             tally: Tally::default(),
             version: CompactString::default(),
             has_store: true,
         };
+        self.near += usize::from(member.record.centre == self.centre);
         let key = self.members.insert(member);
         self.ids.insert(id, key);
         self.services.entry(service).or_default().push(key);
         true
     }
 
+    /// Returns whether nothing was heard of a member for long, or ever.
+    pub(crate) fn is_silent(&self, now: Time, member: &Member) -> bool {
+        let longest = self.silence(&member.record.centre);
+        member.heard.is_none_or(|heard| now.since(heard) > longest)
+    }
+
     /// Returns the time without any sign of a member after which it is doubted.
     fn silence(&self, centre: &str) -> Duration {
         if self.centre == centre {
-            return SILENCE;
+            return SILENCE * fanout::rounds(NEAR_BOUND, self.near);
+        }
+        let rounds = fanout::rounds(FAR_BOUND, self.members.len() - self.near);
+        SILENCE.max(far_interval(self.members.len()) * MISSED_NOTES * rounds)
+    }
+
+    /// Notes a request of another node.
+    pub(crate) fn asked(&mut self, now: Time, id: MemberId) {
+        if let Some(member) = self.ids.get(&id).and_then(|&key| self.members.get_mut(key)) {
+            member.asked = Some(now);
         }
-        SILENCE.max(far_interval(self.members.len()) * MISSED_NOTES)
     }
 
     /// Removes a member at once.
     pub(crate) fn remove(&mut self, id: MemberId) -> Option<Member> {
         let key = self.ids.remove(&id)?;
         let member = self.members.remove(key)?;
+        self.near -= usize::from(member.record.centre == self.centre);
         if let Some(keys) = self.services.get_mut(&member.record.service) {
             keys.retain(|&other| other != key);
         }
@@ -259,7 +276,7 @@
     /// stays, because its record may have lapsed while the store was away.
     pub(crate) fn expire(&mut self, now: Time, me: MemberId) -> Vec<Member> {
         let is_gone = |member: &&Member| {
-            member.record.id != me && member.lapsed.is_some() && member.is_silent(now)
+            member.record.id != me && member.lapsed.is_some() && self.is_silent(now, member)
         };
         let gone: Vec<MemberId> =
             self.members.values().filter(is_gone).map(|member| member.record.id).collect();
--- a/mesh/src/entry.rs
+++ b/mesh/src/entry.rs
@@ -18,7 +18,7 @@
     event::{AnswerHead, CallEvent, CallHead, Event, Failure},
     fingerprint::fingerprint,
     inbound::{self, Reply},
-    keys::CallKey,
+    keys::{CallKey, MemberId},
     names::{self, Names},
     payload::{Body, Payload},
     peers::Peers,
@@ -35,6 +35,7 @@
 /// Serves callers' requests.
 #[derive(Clone)]
 pub(crate) struct Entry {
+    pub(crate) me: MemberId,
     pub(crate) driver: Arc<Driver>,
     pub(crate) names: Arc<Names>,
     /// The service of the instance on which this node runs.
@@ -151,14 +152,15 @@
         async move {
             let reply = match hop {
                 Hop::Own => {
-                    let ending = this.worker.run(&order, parts, payload).await;
+                    let ending = this.worker.run(None, &order, parts, payload).await;
                     let (load, usual) = this.driver.inspect(|now, reducer| {
                         (reducer.load(now), reducer.usual_service(&order.route))
                     });
                     Reply { ending, load: Some(load), usual }
                 }
                 Hop::Peer { member, address } => {
-                    inbound::send(&this.peers.to(address), member, &order, parts, payload).await
+                    let pool = this.peers.to(address);
+                    inbound::send(&pool, (this.me, member), &order, parts, payload).await
                 }
             };
             (number, reply)
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -148,6 +148,8 @@
 /// What the target's node knows about a request.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkHead {
+    /// The entry node, if it is another one.
+    pub(crate) from: Option<MemberId>,
     /// The id by which callers and targets name the request, for logs.
     pub(crate) id: CompactString,
     pub(crate) service: CompactString,
--- a/mesh/src/inbound.rs
+++ b/mesh/src/inbound.rs
@@ -24,6 +24,8 @@
 /// What a request between nodes says of itself.
 #[derive(Debug, Serialize, Deserialize)]
 struct Envelope {
+    /// The entry node.
+    from: MemberId,
     /// The process for which it is meant; another one at the same address refuses it.
     to: MemberId,
     order: Order,
@@ -57,12 +59,12 @@
 /// Sends a request to the node of a target.
 pub(crate) async fn send(
     pool: &Pool,
-    to: MemberId,
+    (from, to): (MemberId, MemberId),
     order: &Order,
     mut parts: Parts,
     mut payload: Payload,
 ) -> Reply {
-    let envelope = Envelope { to, order: order.clone() };
+    let envelope = Envelope { from, to, order: order.clone() };
     let Some(text) = envelope.encode() else { return Reply::failed(Failure::NotSent) };
     names::set(&mut parts.headers, &names::ORDER, &text);
     // A request that names its host in the request line would be sent on in that form.
@@ -119,13 +121,13 @@
         let Ok(payload) = Payload::read(body).await else {
             return self.answer(Ending::Failed(Failure::BodyCut), "");
         };
-        let Some(Envelope { to, order }) = envelope else {
+        let Some(Envelope { from, to, order }) = envelope else {
             return self.answer(refused(Reason::Malformed), "");
         };
         if to != self.me {
             return self.answer(refused(Reason::WrongMember), "");
         }
-        let ending = self.worker.run(&order, parts, payload).await;
+        let ending = self.worker.run(Some(from), &order, parts, payload).await;
         self.answer(ending, &order.route)
     }
 
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -31,6 +31,7 @@
 mod effect;
 mod entry;
 mod event;
+mod fanout;
 mod fingerprint;
 mod gate;
 mod health;
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -154,6 +154,7 @@
         tasks.spawn(pull(wanted, connections.clone(), copies.clone()));
         let worker = Worker { driver: driver.clone(), names: names.clone(), pool };
         let entry = Entry {
+            me: id,
             driver: driver.clone(),
             names,
             caller,
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -24,9 +24,10 @@
     budget::RetryBudget,
     config::RouteTable,
     crash_guard::CrashGuard,
-    directory::{Directory, Member, MemberRecord, Tally},
+    directory::{Directory, FAR_BOUND, Member, MemberRecord, NEAR_BOUND, Tally},
     effect::{Effect, Record},
     event::{Event, Timer},
+    fanout::Fanout,
     gate::Gate,
     keys::{CallKey, MemberId, WorkKey},
     levels::Levels,
@@ -111,6 +112,8 @@
     guard: CrashGuard,
     /// Suspicions that are told again.
     news: Vec<crashes::News>,
+    /// Who is told in a round of notes in the own data centre, and in the others.
+    fanouts: [Fanout; 2],
     /// The last note to nodes of the own data centre, and to the others.
     told: [Option<(Time, LoadReport)>; 2],
     revisions: Revisions,
@@ -151,6 +154,7 @@
             patience: HashMap::new(),
             guard: CrashGuard::new(me.id),
             news: Vec::new(),
+            fanouts: [Fanout::new(NEAR_BOUND), Fanout::new(FAR_BOUND)],
             told: [None, None],
             revisions: Revisions::default(),
             pulling: None,
@@ -259,7 +263,7 @@
             is_open: report.is_open,
             is_cold: report.is_cold,
             members: self.directory.len(),
-            silent: members().filter(|member| member.is_silent(now)).count(),
+            silent: members().filter(|member| self.directory.is_silent(now, member)).count(),
             cold: members().filter(is_cold).count(),
             repeats: self.budgets.values().map(RetryBudget::left).sum(),
             config: self.config.as_ref().map_or(0, |table| table.config.version),
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -126,7 +126,8 @@
                 load: if is_me { Some(own) } else { placement::aged(now, member.load) },
                 sent: if is_me { 0 } else { member.sent },
                 distance,
-                is_doubtful: !is_me && (member.is_silent(now) || member.is_paused(now)),
+                is_doubtful: !is_me
+                    && (self.directory.is_silent(now, member) || member.is_paused(now)),
             }
         };
         eligible.map(candidate).collect()
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     crash_guard::SuspectNote,
-    directory::{Member, MemberRecord, Tally, far_interval},
+    directory::{FAR_BOUND, Member, MemberRecord, NEAR_BOUND, Tally, far_interval},
     effect::{Effect, Record},
     keys::MemberId,
     note::Note,
@@ -220,7 +220,8 @@
         }
         let me =
             Watcher { id: self.me.id, centre: self.me.centre.clone(), has_store: self.has_store };
-        let alive = self.directory.iter().filter(|(_, member)| !member.is_silent(now));
+        let alive =
+            self.directory.iter().filter(|(_, member)| !self.directory.is_silent(now, member));
         let watcher = |member: &Member| Watcher {
             id: member.record.id,
             centre: member.record.centre.clone(),
@@ -259,7 +260,8 @@
 
     fn is_due(&self, now: Time, reach: Reach, load: &LoadReport) -> bool {
         let Some((at, told)) = self.told[reach as usize] else { return true };
-        let others = Duration::from_secs_f64(self.directory.len() as f64 / MAX_NOTES);
+        let others = self.directory.len().min(NEAR_BOUND + FAR_BOUND);
+        let others = Duration::from_secs_f64(others as f64 / MAX_NOTES);
         let (shortest, longest) = match reach {
             Reach::Near => (MIN_GAP.max(others / 3), MAX_GAP),
             Reach::Far => (FAR_GAP.max(others), far_interval(self.directory.len())),
@@ -277,8 +279,11 @@
             let is_near = member.record.centre == self.me.centre;
             member.record.id != self.me.id && is_near == (reach == Reach::Near)
         };
-        let others = self.directory.iter().filter(|(_, member)| is_wanted(member));
-        let to: Vec<_> = others.map(|(_, member)| member.record.address).collect();
+        let others = self.directory.iter().map(|(_, member)| member);
+        let others: Vec<&Member> = others.filter(|member| is_wanted(member)).collect();
+        let asked: Vec<Option<Time>> = others.iter().map(|member| member.asked).collect();
+        let chosen = self.fanouts[reach as usize].choose(now, &asked);
+        let to: Vec<_> = chosen.into_iter().map(|index| others[index].record.address).collect();
         if to.is_empty() {
             return;
         }
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -154,6 +154,7 @@
 
     fn work_on(&mut self, path: &str) -> (WorkKey, Vec<Effect>) {
         let head = WorkHead {
+            from: None,
             id: "id".into(),
             service: "own".into(),
             route: "own".into(),
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -197,7 +197,8 @@
     /// lowest id is first.
     fn is_turn(&mut self, now: Time, since: Time) -> bool {
         let me = self.me.id;
-        let before = |member: &Member| member.record.id < me && !member.is_silent(now);
+        let before =
+            |member: &Member| member.record.id < me && !self.directory.is_silent(now, member);
         let rank = self.directory.iter().filter(|(_, member)| before(member)).count();
         let elapsed = now.since(since).as_millis();
         let wait = RANK_DELAY.as_millis() * rank as u128;
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -70,6 +70,9 @@
     }
 
     fn work_arrived(&mut self, now: Time, key: WorkKey, head: &WorkHead, out: &mut Vec<Effect>) {
+        if let Some(from) = head.from {
+            self.directory.asked(now, from);
+        }
         let ask = Ask {
             route: head.route.clone(),
             priority: head.priority,
--- a/mesh/src/worker.rs
+++ b/mesh/src/worker.rs
@@ -12,7 +12,7 @@
     effect::{Order, WorkStep},
     event::{Event, Failure, WorkEvent, WorkHead},
     fingerprint::fingerprint,
-    keys::WorkKey,
+    keys::{MemberId, WorkKey},
     names::{self, Names},
     payload::{Body, Payload},
     pool::{Lease, Pool, SendError},
@@ -49,9 +49,16 @@
     /// Has a request admitted, sends it to the target and returns the answer.
     ///
     /// A request that is not idempotent goes on when its caller goes away: cancelling it would leave it half done.
-    pub(crate) async fn run(&self, order: &Order, parts: Parts, payload: Payload) -> Ending {
+    pub(crate) async fn run(
+        &self,
+        from: Option<MemberId>,
+        order: &Order,
+        parts: Parts,
+        payload: Payload,
+    ) -> Ending {
         let id = names::text(&parts.headers, &self.names.request_id).unwrap_or_default().into();
         let head = WorkHead {
+            from,
             id,
             service: order.service.clone(),
             route: order.route.clone(),
