Give cold targets what their bound allows, with its slack

The bound on a cold target is a rate times 1.5 and a slack in any second, 32 on this site; the gate used 0.85 of the rate alone, 20.4 and a burst of 2. Ruled out: a smaller margin on the rate alone; the spacing at the target is that of its own node on the same machine.

What is earned in a second and what was saved up stay below 0.92 of the bound.

--- a/mesh/src/gate.rs
+++ b/mesh/src/gate.rs
@@ -26,12 +26,15 @@
 /// Waiting requests for each slot; beyond it the lowest rank is refused.
 const QUEUE_PER_SLOT: usize = 3;
 
-/// The part of the bound on a cold target's rate that is used, because the bound holds for arrivals at the target,
-/// whose spacing differs from that of the sends.
-const COLD_PART: f64 = 0.85;
+/// The part of the bound on a cold target's requests in a second that is used, because the bound holds for arrivals at the
+/// target, whose spacing differs from that of the sends.
+const COLD_PART: f64 = 0.92;
 
-/// The requests that a cold target may get at once.
-const COLD_BURST: f64 = 2.0;
+/// The part of that which a cold target may get at once.
+const COLD_BURST_PART: f64 = 0.1;
+
+/// The requests per second that a cold target gets at least, so that it comes into use.
+const MIN_COLD_RATE: f64 = 0.5;
 
 /// The weight of an outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.06;
@@ -124,15 +127,24 @@
 /// A bucket of the requests that a cold target tolerates.
 #[derive(Copy, Clone, Debug)]
 struct ColdRate {
-    rate: f64,
+    /// The most requests in any second: what is earned in it and what was saved up before.
+    most: f64,
     tokens: f64,
     filled: Time,
 }
 
 impl ColdRate {
+    fn burst(&self) -> f64 {
+        (self.most * COLD_BURST_PART).max(1.0)
+    }
+
+    fn rate(&self) -> f64 {
+        (self.most - self.burst()).max(MIN_COLD_RATE)
+    }
+
     fn refill(&mut self, now: Time) {
-        let earned = now.since(self.filled).as_secs_f64() * self.rate;
-        self.tokens = (self.tokens + earned).min(COLD_BURST);
+        let earned = now.since(self.filled).as_secs_f64() * self.rate();
+        self.tokens = (self.tokens + earned).min(self.burst());
         self.filled = now;
     }
 
@@ -140,7 +152,7 @@
     fn wait(&mut self, now: Time) -> Duration {
         self.refill(now);
         let missing = (1.0 - self.tokens).max(0.0);
-        Duration::from_secs_f64(missing / self.rate.max(0.1))
+        Duration::from_secs_f64(missing / self.rate())
     }
 }
 
@@ -179,12 +191,12 @@
         self.queue.drain(..).map(refuse).collect()
     }
 
-    /// Sets the requests per second that the target tolerates in cold start, or `None` if it is warm.
-    pub(crate) fn set_cold(&mut self, now: Time, rate: Option<f64>) {
-        match (&mut self.cold, rate) {
-            (Some(cold), Some(rate)) => cold.rate = rate * COLD_PART,
-            (cold, Some(rate)) => {
-                *cold = Some(ColdRate { rate: rate * COLD_PART, tokens: 1.0, filled: now });
+    /// Sets the most requests that the target may get in any second of its cold start, or `None` if it is warm.
+    pub(crate) fn set_cold(&mut self, now: Time, bound: Option<f64>) {
+        match (&mut self.cold, bound) {
+            (Some(cold), Some(bound)) => cold.most = bound * COLD_PART,
+            (cold, Some(bound)) => {
+                *cold = Some(ColdRate { most: bound * COLD_PART, tokens: 1.0, filled: now });
             }
             (cold, None) => *cold = None,
         }
@@ -369,7 +381,7 @@
         let ahead = (self.running.len() + position + 1).saturating_sub(limit);
         let mut wait = self.mean_service().mul_f64(ahead as f64 / limit as f64);
         if let Some(mut cold) = self.cold {
-            let turns = Duration::from_secs_f64(position as f64 / cold.rate.max(0.1));
+            let turns = Duration::from_secs_f64(position as f64 / cold.rate());
             wait = wait.max(cold.wait(now) + turns);
         }
         wait
--- a/mesh/src/limits.rs
+++ b/mesh/src/limits.rs
@@ -13,6 +13,8 @@
     pub exposure: f64,
     /// The bound on the requests of a cold target in one second, as a multiple of the rate that it tolerates.
     pub cold_over: f64,
+    /// The requests in one second that this bound allows besides.
+    pub cold_slack: f64,
     /// The time that a graceful stop may take.
     pub grace: Duration,
 }
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -7,6 +7,7 @@
     directory::{FAR_BOUND, Member, MemberRecord, NEAR_BOUND, Tally, far_interval},
     effect::{Effect, Record},
     keys::MemberId,
+    limits::Limits,
     note::Note,
     refusal::Reason,
     replica::Revisions,
@@ -353,8 +354,8 @@
     /// Opens or closes the gate by what is known of the target, the configuration and the operators' orders.
     pub(super) fn reopen(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.gate.set_slots(self.target.slots());
-        let rate = self.cold_rate();
-        self.gate.set_cold(now, rate.filter(|_| self.target.is_cold(now)));
+        let bound = self.cold_bound();
+        self.gate.set_cold(now, bound.filter(|_| self.target.is_cold(now)));
         let was_open = self.gate.report(now).is_open;
         let next = self.gate.set_closed(self.closed());
         self.continue_works(now, next, out);
@@ -378,9 +379,11 @@
         self.target.open().is_none().then_some(Reason::NoTarget)
     }
 
-    fn cold_rate(&self) -> Option<f64> {
+    /// Returns the most requests that the target may get in any second of its cold start.
+    fn cold_bound(&self) -> Option<f64> {
         let service = self.config.as_ref()?.service(&self.me.service)?;
-        (service.cold_rate > 0.0).then_some(service.cold_rate * self.me.limits.cold_over)
+        let Limits { cold_over, cold_slack, .. } = self.me.limits;
+        (service.cold_rate > 0.0).then_some(service.cold_rate * cold_over + cold_slack)
     }
 
     pub(super) fn is_me(&self, id: MemberId) -> bool {
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -38,7 +38,13 @@
         address: address(ME),
         centre: "a".into(),
         service: "own".into(),
-        limits: Limits { retries, exposure: 0.1, cold_over: 1.5, grace: Duration::from_secs(6) },
+        limits: Limits {
+            retries,
+            exposure: 0.1,
+            cold_over: 1.5,
+            cold_slack: 5.0,
+            grace: Duration::from_secs(6),
+        },
     }
 }
 
