--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -125,7 +125,7 @@
     }
 
     /// Returns the failures among the other answers.
-    pub(crate) fn at_ease(&self) -> Share {
+    pub(crate) fn at_light_load(&self) -> Share {
         let Share { hits, of } = self.at_load();
         let all = u64::from(self.good) + u64::from(self.bad);
         Share { hits: u64::from(self.bad).saturating_sub(hits), of: all.saturating_sub(of) }
--- a/mesh/src/gate.rs
+++ b/mesh/src/gate.rs
@@ -1,7 +1,7 @@
 //! Admission at the target's node: how much runs at once, who waits, and who is refused at once.
 //!
 //! A target gets slower when nearly all of its slots are taken, so the gate leaves some free. Work that waits is
-//! ordered by rank; routes whose runs are in vain come last. Work that cannot end within its objective is refused while its entry node can still have it
+//! ordered by rank; routes whose runs mostly fail come last. Work that cannot end within its objective is refused while its entry node can still have it
 //! run elsewhere; the refusal names the expected wait.
 
 use std::time::Duration;
@@ -104,7 +104,7 @@
     work: WorkKey,
     ask: Ask,
     /// Whether most runs of its route failed when it arrived.
-    is_vain: bool,
+    fails_mostly: bool,
 }
 
 /// Admits, queues and refuses requests for one target.
@@ -216,8 +216,8 @@
         if ask.deadline <= now {
             return Decision::Refuse { reason: Reason::Deadline, wait: Duration::ZERO };
         }
-        let is_vain = self.outcomes.is_vain(now, &ask.route);
-        let position = self.position(ask, is_vain);
+        let fails_mostly = self.outcomes.fails_mostly(now, &ask.route);
+        let position = self.position(ask, fails_mostly);
         let wait = self.wait(now, position);
         let finish = now + wait + self.service(ask);
         if ask.is_late {
@@ -237,7 +237,7 @@
         if self.queue.len() >= usize::from(self.slots) * QUEUE_PER_SLOT {
             return Decision::Refuse { reason: Reason::Overloaded, wait };
         }
-        self.queue.insert(position, Waiting { work, ask: ask.clone(), is_vain });
+        self.queue.insert(position, Waiting { work, ask: ask.clone(), fails_mostly });
         Decision::Queue
     }
 
@@ -367,12 +367,13 @@
         self.running.push(Running { work, route, since: now, pace });
     }
 
-    /// Returns the place of a request in the queue: by lateness, then whether its runs are in vain, then rank, then
+    /// Returns the place of a request in the queue: by lateness, then whether its runs mostly fail, then rank, then
     /// objective.
-    fn position(&self, ask: &Ask, is_vain: bool) -> usize {
-        let key = |ask: &Ask, is_vain| (ask.is_late, is_vain, ask.priority, ask.objective);
-        let own = key(ask, is_vain);
-        self.queue.partition_point(|waiting| key(&waiting.ask, waiting.is_vain) <= own)
+    fn position(&self, ask: &Ask, fails_mostly: bool) -> usize {
+        let key =
+            |ask: &Ask, fails_mostly| (ask.is_late, fails_mostly, ask.priority, ask.objective);
+        let own = key(ask, fails_mostly);
+        self.queue.partition_point(|waiting| key(&waiting.ask, waiting.fails_mostly) <= own)
     }
 
     /// Returns the expected time until the request at a place in the queue starts.
--- a/mesh/src/gate/tests.rs
+++ b/mesh/src/gate/tests.rs
@@ -218,7 +218,7 @@
 /// Guards against runs that fail for want of a call and take the slots of requests that would succeed: a target with
 /// twice the load that it bears, where seven in ten runs of the route with the higher rank fail.
 #[test]
-fn runs_in_vain_leave_slots_to_others() {
+fn routes_that_mostly_fail_leave_slots_to_others() {
     let mut works = Works::new();
     let mut running: Vec<(Time, WorkKey, Finish)> = Vec::new();
     let (mut served, mut runs) = (0, 0);
--- a/mesh/src/outcomes.rs
+++ b/mesh/src/outcomes.rs
@@ -1,4 +1,4 @@
-//! How often requests of each route fail at the target, to tell a route whose runs are in vain from a sick target.
+//! How often requests of each route fail at the target, to tell a route whose runs mostly fail from a sick target.
 //!
 //! A run fails without any fault of the target if it needs a call for which no target is left. Such runs take slots
 //! from requests that would succeed.
@@ -15,10 +15,10 @@
 /// The age at which a share of failures counts half, in seconds, so that the route is tried again.
 const HALF_AGE: f64 = 2.0;
 
-/// The share of failures from which most runs of a route are in vain.
-const VAIN_SHARE: f64 = 0.5;
+/// The share of failures from which most runs of a route count as failing.
+const FAILING_SHARE: f64 = 0.5;
 
-/// The most that other routes may fail, as a part of the failures of a route whose runs are in vain. Beyond it the
+/// The most that other routes may fail, as a part of the failures of a route whose runs mostly fail. Beyond it the
 /// target is to blame.
 const OTHERS_PART: f64 = 0.5;
 
@@ -63,12 +63,12 @@
     }
 
     /// Returns whether most runs of a route fail here while another route does well.
-    pub(crate) fn is_vain(&self, now: Time, route: &str) -> bool {
+    pub(crate) fn fails_mostly(&self, now: Time, route: &str) -> bool {
         let Some(share) = self.routes.get(route).map(|share| share.get(now)) else { return false };
         let does_well = |(other, outcome): (&CompactString, &Share)| {
             other != route && outcome.get(now) <= share * OTHERS_PART
         };
-        share >= VAIN_SHARE && self.routes.iter().any(does_well)
+        share >= FAILING_SHARE && self.routes.iter().any(does_well)
     }
 
     /// Forgets what an earlier lifetime of the target did.
--- a/mesh/src/outcomes/tests.rs
+++ b/mesh/src/outcomes/tests.rs
@@ -19,18 +19,18 @@
     outcomes
 }
 
-/// Guards against runs that are in vain and not recognised, and against a sick target whose routes are told apart.
+/// Guards against runs that mostly fail and are not recognised, and against a sick target whose routes are told apart.
 #[test_case(&[("pay", 70), ("read", 2)] => true; "calls of one route fail")]
 #[test_case(&[("pay", 70), ("read", 60)] => false; "the target fails all routes")]
 #[test_case(&[("pay", 20), ("read", 2)] => false; "some failures")]
 #[test_case(&[("pay", 100)] => false; "no other route")]
-fn runs_of_pay_are_in_vain(failing: &[(&str, u64)]) -> bool {
-    outcomes(failing).is_vain(at(1_000), "pay")
+fn runs_of_pay_mostly_fail(failing: &[(&str, u64)]) -> bool {
+    outcomes(failing).fails_mostly(at(1_000), "pay")
 }
 
 /// Guards against a route that is never tried again.
 #[test]
 fn a_route_is_tried_again() {
     let outcomes = outcomes(&[("pay", 70), ("read", 2)]);
-    assert!(!outcomes.is_vain(at(4_000), "pay"));
+    assert!(!outcomes.fails_mostly(at(4_000), "pay"));
 }
--- a/mesh/src/rollout/evidence.rs
+++ b/mesh/src/rollout/evidence.rs
@@ -138,7 +138,7 @@
             let Tallies { new, old } = std::mem::take(&mut self.stratum);
             self.strata.add(failed(&new), failed(&old));
             for (load, tally) in self.loads.iter_mut().zip([&new, &old]) {
-                load.add(tally.at_load(), tally.at_ease());
+                load.add(tally.at_load(), tally.at_light_load());
             }
             self.stratum_began = now;
         }
@@ -183,7 +183,7 @@
     fn fails_under_load(&self) -> bool {
         let [new, old] = self.loads.map(|load| load.score());
         let tally = &self.total.new;
-        let excess = share(tally.at_load()) - share(tally.at_ease());
+        let excess = share(tally.at_load()) - share(tally.at_light_load());
         tally.at_load().hits >= u64::from(MIN_FAILURES)
             && excess >= LOAD_EXCESS
             && new > SCORE
