--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -100,9 +100,10 @@
 fn raw(addr: SocketAddr, request: &[u8]) -> String {
     let mut stream = TcpStream::connect(addr).expect("a connection");
     stream.write_all(request).expect("a request");
-    stream.shutdown(std::net::Shutdown::Write).expect("an open connection");
+    // A server that closes with input unread resets the connection after its answer, at times before this end is shut
+    // down. What it answered before can still be read.
+    let _ = stream.shutdown(std::net::Shutdown::Write);
     let mut answer = String::new();
-    // A server that closes with input unread resets the connection after its answer.
     let _ = stream.read_to_string(&mut answer);
     answer
 }
