--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -128,7 +128,7 @@
         let (pulls, wanted) = mpsc::unbounded_channel();
         let (path, health_path) = watch::channel(None);
         let (heads, head_limits) = watch::channel(HeadLimits::default());
-        let (_, usual) = watch::channel(HeadLimits::default());
+        let fixed = serve::fixed_limits();
         let (rollouts, decided) = mpsc::unbounded_channel();
 
         let mut tasks = JoinSet::new();
@@ -171,13 +171,13 @@
             let inbound = inbound.clone();
             async move { inbound.serve(req).await }
         };
-        tasks.spawn(serve::serve(peers, stop.subscribe(), usual.clone(), log.clone(), handle));
+        tasks.spawn(serve::serve(peers, stop.subscribe(), fixed.clone(), log.clone(), handle));
         let is_ready = driver.ready();
         let handle = move |_: Request<Incoming>| {
             let is_ready = *is_ready.borrow();
             async move { readiness(is_ready) }
         };
-        tasks.spawn(serve::serve(ready, stop.subscribe(), usual.clone(), log.clone(), handle));
+        tasks.spawn(serve::serve(ready, stop.subscribe(), fixed.clone(), log.clone(), handle));
         if let Some(address) = settings.metrics {
             match TcpListener::bind(address).await {
                 Ok(listener) => {
@@ -187,7 +187,7 @@
                         let text = metrics.text(&levels, lines.dropped());
                         async move { Response::new(Body::from(Bytes::from(text))) }
                     };
-                    tasks.spawn(serve::serve(listener, stop.subscribe(), usual, log, handle));
+                    tasks.spawn(serve::serve(listener, stop.subscribe(), fixed, log, handle));
                 }
                 // A node without counters still serves requests.
                 Err(error) => slog::warn!(log, "metrics-unavailable"; "address" => %address,
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -51,6 +51,11 @@
     }
 }
 
+/// Returns limits that never change, for servers that no caller reaches.
+pub fn fixed_limits() -> watch::Receiver<HeadLimits> {
+    watch::channel(HeadLimits::default()).1
+}
+
 /// Accepts connections until `stop` becomes true, then closes them gracefully. A connection keeps the limits that were
 /// in force when it was opened.
 pub async fn serve<H, F>(
