Log the source, size, time and cause of pulls, and the configuration of refusals

Change: lines pull and pull-failed with source, bytes, took_ms and the error; event=refuse has the version of the configuration that decided.

--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -125,6 +125,8 @@
         /// The members of the attempts, separated by commas.
         tried: CompactString,
         waited: Duration,
+        /// The version of the configuration in force, or 0 if there is none.
+        config: u64,
     },
     /// A caller's request was answered by a target.
     Answer { id: CompactString, route: CompactString, status: u16, attempts: u32, took: Duration },
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -61,11 +61,13 @@
         }
         Record::Retry { id, attempt, cause, is_resent } => info!(log, "retry";
             "id" => id.as_str(), "attempt" => attempt, "cause" => cause, "resent" => is_resent),
-        Record::Refuse { id, route, refusal, attempts, tried, waited } => info!(log, "refuse";
+        Record::Refuse { id, route, refusal, attempts, tried, waited, config } => {
+            info!(log, "refuse";
             "id" => id.as_str(), "route" => route.as_str(), "reason" => refusal.reason.as_str(),
             "may_have_run" => refusal.may_have_run, "status" => refusal.status().as_u16(),
             "retry_after_ms" => refusal.retry_after.as_ref().map(ms), "attempts" => attempts,
-            "tried" => tried.as_str(), "waited_ms" => ms(waited)),
+            "tried" => tried.as_str(), "waited_ms" => ms(waited), "config" => config);
+        }
         Record::Answer { id, route, status, attempts, took } => {
             if *attempts > 1 || *status >= 400 || is_sampled(id) {
                 info!(log, "answer"; "id" => id.as_str(), "route" => route.as_str(), "status" => status,
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -256,6 +256,11 @@
         self.config.as_ref()
     }
 
+    /// Returns the version of the configuration in force, or 0 if there is none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |table| table.config.version)
+    }
+
     /// Returns the current values of the gauge metrics.
     pub(crate) fn gauge_values(&self, now: Time) -> GaugeValues {
         let report = self.admission.report(now);
@@ -273,7 +278,7 @@
             silent: members().filter(|member| self.directory.is_silent(now, member)).count(),
             cold: members().filter(is_cold).count(),
             retries_left: self.retry_budgets.values().map(RetryBudget::remaining).sum(),
-            config_version: self.config.as_ref().map_or(0, |table| table.config.version),
+            config_version: self.config_version(),
             config_age: now.since(self.config_since),
             has_store: self.has_store,
         }
@@ -289,7 +294,7 @@
     }
 
     fn set_config(&mut self, now: Time, table: Arc<RouteTable>, out: &mut Vec<Effect>) {
-        let previous = self.config.as_ref().map_or(0, |config| config.config.version);
+        let previous = self.config_version();
         let version = table.config.version;
         if self.config.is_some() && version <= previous {
             return;
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -248,6 +248,7 @@
             attempts: call.attempts,
             tried: self.member_ids(&call.tried),
             waited: now.since(call.arrived),
+            config: self.config_version(),
         }));
         out.push(Effect::Call(key, CallStep::Refuse(refusal)));
         for open in call.open {
@@ -277,6 +278,7 @@
             attempts: 0,
             tried: "".into(),
             waited: Duration::ZERO,
+            config: self.config_version(),
         }));
         out.push(Effect::Call(key, CallStep::Refuse(refusal)));
     }
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -2,22 +2,28 @@
 //! other nodes otherwise.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Limited};
 use rand::Rng as _;
-use tokio::{sync::watch, time};
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    sync::watch,
+    time::{self, Instant},
+};
 
 use crate::{
     driver::Driver,
     event::Event,
     node::NodeHandle,
     payload::Body,
-    pool::Pool,
+    pool::{Pool, SendError},
     registry,
     replica::{Delta, Replica, Revisions, Topic},
     store::{Backoff, Freshness, Store, StoreError, Update},
@@ -43,6 +49,19 @@
 /// The maximum size of a pull's response, which holds the configuration and all members.
 const MAX_PULL_BYTES: usize = 8 << 20;
 
+/// The reason for which a pull from another node brought nothing.
+#[derive(Debug, Snafu)]
+enum PullError {
+    #[snafu(display("{source}"))]
+    Send { source: SendError },
+    #[snafu(display("the response did not arrive within {PULL_TIMEOUT:?}"))]
+    TimedOut,
+    #[snafu(display("the response is incomplete or larger than {MAX_PULL_BYTES} bytes"))]
+    Incomplete,
+    #[snafu(display("the response cannot be read"))]
+    Unreadable,
+}
+
 /// Receives what operators write to the store, in the deployment's own format.
 pub trait UpdateHandler: Send + 'static {
     /// Handles an update of a topic other than the members.
@@ -128,27 +147,49 @@
     }
 
     /// Pulls what another node knows beyond this one.
-    pub(crate) async fn pull(&self, pool: Pool) {
-        let result = time::timeout(PULL_TIMEOUT, self.try_pull(&pool)).await;
-        if !matches!(result, Ok(Some(()))) {
-            slog::warn!(self.driver.log(), "pull-failed");
+    pub(crate) async fn pull(&self, source: SocketAddr, pool: Pool) {
+        let started = Instant::now();
+        let mut bytes = Vec::new();
+        let fetched = time::timeout(PULL_TIMEOUT, self.fetch(&pool, &mut bytes)).await;
+        let result = fetched.unwrap_or(Err(PullError::TimedOut)).and_then(|()| self.merge(&bytes));
+        let (log, took_ms) = (self.driver.log(), started.elapsed().as_millis());
+        match result {
+            Ok(topics) => {
+                slog::info!(log, "pull"; "source" => %source, "topics" => topics.as_str(),
+                "bytes" => bytes.len(), "took_ms" => took_ms);
+            }
+            Err(error) => slog::warn!(log, "pull-failed"; "source" => %source, "error" => %error,
+                "bytes" => bytes.len(), "took_ms" => took_ms),
         }
         self.driver.dispatch(Event::PullEnded);
     }
 
-    async fn try_pull(&self, pool: &Pool) -> Option<()> {
+    /// Reads the response of another node into `bytes`, which hold what has arrived if it fails.
+    async fn fetch(&self, pool: &Pool, bytes: &mut Vec<u8>) -> Result<(), PullError> {
         let [members, orders, status] = Topic::ALL.map(|topic| self.revision(topic));
         let path = format!("{PATH}?{members},{orders},{status}");
-        let req = Request::get(path).header(header::HOST, "node").body(Body::default()).ok()?;
-        let (response, conn) = pool.send(req).await.ok()?;
-        let body =
-            Limited::new(response.into_body(), MAX_PULL_BYTES).collect().await.ok()?.to_bytes();
+        let req = Request::get(path).header(header::HOST, "node").body(Body::default());
+        let req = req.map_err(|_| PullError::Unreadable)?;
+        let (response, conn) = pool.send(req).await.context(SendSnafu)?;
+        let mut body = Limited::new(response.into_body(), MAX_PULL_BYTES);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| PullError::Incomplete)?;
+            bytes.extend(frame.into_data().unwrap_or_default());
+        }
         conn.release();
-        let deltas: Vec<Delta> = postcard::from_bytes(&body).ok()?;
+        Ok(())
+    }
+
+    /// Merges the changes of another node and returns the names of their topics, separated by
+    /// commas.
+    fn merge(&self, bytes: &[u8]) -> Result<CompactString, PullError> {
+        let deltas: Vec<Delta> = postcard::from_bytes(bytes).map_err(|_| PullError::Unreadable)?;
+        let topics: Vec<&str> = deltas.iter().map(|delta| delta.topic.as_str()).collect();
+        let topics = topics.join(",").into();
         for delta in deltas {
             self.apply(delta.topic, |replica| replica.merge(delta));
         }
-        Some(())
+        Ok(topics)
     }
 
     fn lock(&self) -> MutexGuard<'_, Shared> {
