Show that a node with an old configuration denies routes that exist

What callers saw: 404 for a route of a configuration that had been confirmed 2.6 s before. Two tests of the reducer fail on this code: a node answers 404 although the status of another node shows newer orders, and although neither it nor any node that it hears reaches the store. Test fixture: the nodes of the reducer's tests start with a reachable store, as a node that has read a configuration does.

--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -3,6 +3,7 @@
 use slotmap::SlotMap;
 
 mod crashes;
+mod stale_config;
 
 use super::{Limits, LocalNode, Reducer};
 use crate::{
@@ -104,6 +105,7 @@
             now: at_ms(0),
         };
         node.reducer.start(&mut Vec::new());
+        node.apply(Event::Store { is_reachable: true });
         node.apply(Event::Config(Arc::new(RouteTable::new(config(1)))));
         let record = |&(id, service, centre): &(u64, &str, &str)| MemberRecord {
             id: MemberId(id),
--- /dev/null
+++ b/mesh/src/reducer/tests/stale_config.rs
@@ -0,0 +1,32 @@
+use super::*;
+use crate::replica::Topic;
+
+/// Returns the status of the answer to a request for a route that the node's configuration lacks.
+fn status_of_unknown_route(node: &mut TestNode) -> Option<u16> {
+    refusal(&node.call("/added/1").1).map(|refusal| refusal.status().as_u16())
+}
+
+/// Guards against a final 404 for a route that was added by a configuration that only other nodes have read so far.
+#[test]
+fn a_node_behind_the_orders_of_another_does_not_deny_a_route() {
+    let mut node = TestNode::new(&[(2, "stock", "a")]);
+    let mut status = status_from(2, idle_load());
+    status.revisions[Topic::Orders.index()] = 5;
+    node.apply(Event::Status { status, source: address(2) });
+    assert_eq!(status_of_unknown_route(&mut node), Some(503));
+    node.apply(Event::Revisions([0, 5, 0]));
+    assert_eq!(status_of_unknown_route(&mut node), Some(404));
+}
+
+/// Guards against a final 404 from a node whose configuration may be old because nobody it hears reaches the store.
+#[test]
+fn a_node_that_nobody_connects_to_the_store_does_not_deny_a_route() {
+    let mut node = TestNode::new(&[(2, "stock", "a")]);
+    node.apply(Event::Store { is_reachable: false });
+    assert_eq!(status_of_unknown_route(&mut node), Some(404), "another node reaches the store");
+    let status = NodeStatus { has_store: false, ..status_from(2, idle_load()) };
+    node.apply(Event::Status { status, source: address(2) });
+    assert_eq!(status_of_unknown_route(&mut node), Some(503));
+    node.apply(Event::Store { is_reachable: true });
+    assert_eq!(status_of_unknown_route(&mut node), Some(404));
+}
