Answer 503 instead of 404 while a newer configuration may be in force

Cause: a node without a matching route answered as if its configuration were complete, although the status of others had told it of newer orders (it was pulling them at that moment), or although nobody it hears reaches the store. Evidence: sidecar-nizwa-c-14 logs pull-failed at 37.26, 38.11 and 39.10 s and reason=no-route at 38.73 and 39.52 s. Change: each member keeps the revisions of its last status. A request without a route is refused with 404 only while no node that is heard has newer orders and one of them reaches the store; otherwise with 503 and Retry-After (reason stale-config): it has not run, and the caller comes back to a node that has the route.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -12,6 +12,7 @@
 use crate::{
     fanout,
     keys::{MemberId, MemberKey},
+    replica::Revisions,
     report::LoadReport,
     statistics::Proportion,
     time::Time,
@@ -87,6 +88,8 @@
     pub(crate) version: CompactString,
     /// Whether it reaches the store, as the member reports.
     pub(crate) has_store: bool,
+    /// The store revisions up to which the member has data, as it reports.
+    pub(crate) revisions: Revisions,
 }
 
 /// Counts of the answers in one lifetime of a target, kept by its node.
@@ -216,6 +219,7 @@
             tally: Tally::default(),
             version: CompactString::default(),
             has_store: true,
+            revisions: Revisions::default(),
         };
         self.same_centre_count += usize::from(member.record.centre == self.centre);
         let key = self.members.insert(member);
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -4,6 +4,7 @@
 //! effects.
 
 mod calls;
+mod configuration;
 mod crashes;
 mod members;
 mod versions;
@@ -251,16 +252,6 @@
         self.admission.nominal_service_time(route)
     }
 
-    /// Returns the current configuration.
-    pub(crate) fn config(&self) -> Option<&Arc<RouteTable>> {
-        self.config.as_ref()
-    }
-
-    /// Returns the version of the configuration in force, or 0 if there is none.
-    pub(crate) fn config_version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |table| table.config.version)
-    }
-
     /// Returns the current values of the gauge metrics.
     pub(crate) fn gauge_values(&self, now: Time) -> GaugeValues {
         let report = self.admission.report(now);
@@ -293,24 +284,6 @@
         self.stopping_since.is_some()
     }
 
-    fn set_config(&mut self, now: Time, table: Arc<RouteTable>, out: &mut Vec<Effect>) {
-        let previous = self.config_version();
-        let version = table.config.version;
-        if self.config.is_some() && version <= previous {
-            return;
-        }
-        let routes = table.config.routes.len();
-        if let Some(service) = table.service(&self.local.service) {
-            out.push(Effect::CheckHealth { path: service.health_path.clone() });
-        }
-        out.push(Effect::LimitCallers(table.config.limits.clone()));
-        self.config = Some(table);
-        self.config_since = now;
-        out.push(Effect::Log(Record::Config { version, routes, previous }));
-        self.update_admission(now, out);
-        self.update_ready(out);
-    }
-
     fn set_evacuated(
         &mut self,
         now: Time,
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -32,6 +32,9 @@
 /// The Retry-After time that a stopping node gives. By then its successor may have started.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// The Retry-After time of a node without the configuration in force. It has arrived by then unless the store is away.
+const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// The service time assumed before one has been measured, as a fraction of the objective.
 const ASSUMED_OBJECTIVE_SHARE: f64 = 0.35;
 
@@ -186,12 +189,18 @@
     fn call_arrived(&mut self, now: Time, key: CallKey, head: CallHead, out: &mut Vec<Effect>) {
         let refuse = |reason| Refusal { reason, may_have_run: false, retry_after: None };
         let Some(table) = self.config.clone() else {
-            let retry_after = Some(Duration::from_millis(300));
+            let retry_after = Some(CONFIG_RETRY_AFTER);
             let refusal = Refusal { retry_after, ..refuse(Reason::NoConfig) };
             return self.refuse_on_arrival(key, &head, refusal, out);
         };
         let Some(route) = table.find(&head.host, &head.path) else {
-            return self.refuse_on_arrival(key, &head, refuse(Reason::NoRoute), out);
+            let refusal = if self.is_config_current(now) {
+                refuse(Reason::NoRoute)
+            } else {
+                let retry_after = Some(CONFIG_RETRY_AFTER);
+                Refusal { retry_after, ..refuse(Reason::StaleConfig) }
+            };
+            return self.refuse_on_arrival(key, &head, refusal, out);
         };
         let time = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         if self.would_outlast_stop(now, time) {
--- /dev/null
+++ b/mesh/src/reducer/configuration.rs
@@ -0,0 +1,59 @@
+//! The configuration in force on this node, and whether a newer one may be in force elsewhere.
+
+use std::sync::Arc;
+
+use crate::{
+    config::RouteTable,
+    directory::Member,
+    effect::{Effect, Record},
+    replica::Topic,
+    time::Time,
+};
+
+use super::Reducer;
+
+impl Reducer {
+    pub(super) fn set_config(&mut self, now: Time, table: Arc<RouteTable>, out: &mut Vec<Effect>) {
+        let previous = self.config_version();
+        let version = table.config.version;
+        if self.config.is_some() && version <= previous {
+            return;
+        }
+        let routes = table.config.routes.len();
+        if let Some(service) = table.service(&self.local.service) {
+            out.push(Effect::CheckHealth { path: service.health_path.clone() });
+        }
+        out.push(Effect::LimitCallers(table.config.limits.clone()));
+        self.config = Some(table);
+        self.config_since = now;
+        out.push(Effect::Log(Record::Config { version, routes, previous }));
+        self.update_admission(now, out);
+        self.update_ready(out);
+    }
+
+    /// Returns the current configuration.
+    pub(crate) fn config(&self) -> Option<&Arc<RouteTable>> {
+        self.config.as_ref()
+    }
+
+    /// Returns the version of the configuration in force, or 0 if there is none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |table| table.config.version)
+    }
+
+    /// Returns whether no newer configuration can be in force as far as this node knows: no node that it hears has
+    /// newer orders, and it or one of them reaches the store.
+    ///
+    /// Only then is a request that the configuration does not allow refused for good. Otherwise the caller may come
+    /// back, since the configuration that allows it may be on its way.
+    pub(super) fn is_config_current(&self, now: Time) -> bool {
+        let orders = Topic::Orders.index();
+        let is_heard = |member: &&Member| {
+            !self.is_local(member.record.id) && !self.directory.is_silent(now, member)
+        };
+        let heard = || self.directory.iter().map(|(_, member)| member).filter(is_heard);
+        let is_behind = heard().any(|member| member.revisions[orders] > self.revisions[orders]);
+        let has_store = self.has_store || heard().any(|member| member.has_store);
+        !is_behind && has_store
+    }
+}
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -141,6 +141,7 @@
         member.tally = status.tally;
         member.version = status.version.clone();
         member.has_store = status.has_store;
+        member.revisions = status.revisions;
         let (address, centre) = (member.record.address, member.record.centre.clone());
         if status.is_stopping {
             self.directory.mark_removed(now, status.from);
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -20,6 +20,8 @@
     NoRoute,
     /// The node has not received a configuration yet.
     NoConfig,
+    /// No route matches, but a newer configuration may be in force.
+    StaleConfig,
     /// No target of the service accepts requests.
     NoTarget,
     /// The targets have no capacity for the request in time.
@@ -40,12 +42,13 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub(crate) const ALL: [Reason; 13] = [
+    pub(crate) const ALL: [Reason; 14] = [
         Reason::Malformed,
         Reason::BodyTooLarge,
         Reason::BodyCut,
         Reason::NoRoute,
         Reason::NoConfig,
+        Reason::StaleConfig,
         Reason::NoTarget,
         Reason::Overloaded,
         Reason::OutOfService,
@@ -64,6 +67,7 @@
             Reason::BodyCut => "body-cut",
             Reason::NoRoute => "no-route",
             Reason::NoConfig => "no-config",
+            Reason::StaleConfig => "stale-config",
             Reason::NoTarget => "no-target",
             Reason::Overloaded => "overloaded",
             Reason::OutOfService => "out-of-service",
