Spread large configurations from node to node without restarting pulls

What callers saw: routes of a confirmed configuration answered as by an older one, or with 404, for up to 5 s; requests on the same links were late. Cause: all nodes pulled some 350 KB at the same moment from the few that watch the store. Evidence: 62 pulls fail within 40 ms, 0.8 s after their start, while each watching node sends 1.7 to 2.0 MB in that second. Change: a pull ends when nothing arrives for 800 ms, not 800 ms after its start. A node sends at most two large responses at the same time and refuses others with 503. A node that is behind asks any node of its data centre that has the data, at random, and another one after a refusal or failure. Why it works: each node that has the data serves two others, so the sources grow in each round, and what was sent is never thrown away.

--- /dev/null
+++ b/mesh/src/compression.rs
@@ -0,0 +1,38 @@
+//! Compression of the data that nodes pull from each other. A configuration of thousands of routes shrinks to a
+//! fraction, and the links of many nodes are narrow.
+
+use std::io::{self, Read as _, Write as _};
+
+use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
+
+/// The value of `Content-Encoding` and `Accept-Encoding` for data from [`compress`].
+pub(crate) const ENCODING: &str = "deflate";
+
+/// Compresses data. Speed counts more than size, because a node may have a tenth of a core.
+///
+/// # Errors
+///
+/// Writing to memory does not fail.
+pub(crate) fn compress(data: &[u8]) -> io::Result<Vec<u8>> {
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(data)?;
+    encoder.finish()
+}
+
+/// Decompresses data of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails if the data is corrupt, incomplete or larger than the limit.
+pub(crate) fn decompress(data: &[u8], limit: usize) -> io::Result<Vec<u8>> {
+    let mut decompressed = Vec::new();
+    let limit_bytes = u64::try_from(limit).unwrap_or(u64::MAX);
+    ZlibDecoder::new(data).take(limit_bytes.saturating_add(1)).read_to_end(&mut decompressed)?;
+    if decompressed.len() > limit {
+        return Err(io::ErrorKind::FileTooLarge.into());
+    }
+    Ok(decompressed)
+}
+
+#[cfg(test)]
+mod tests;
--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -90,6 +90,8 @@
     pub(crate) has_store: bool,
     /// The store revisions up to which the member has data, as it reports.
     pub(crate) revisions: Revisions,
+    /// The time before which it is not asked for its data, after it refused a pull or a pull from it failed.
+    pub(crate) pull_after: Option<Time>,
 }
 
 /// Counts of the answers in one lifetime of a target, kept by its node.
@@ -220,6 +222,7 @@
             version: CompactString::default(),
             has_store: true,
             revisions: Revisions::default(),
+            pull_after: None,
         };
         self.same_centre_count += usize::from(member.record.centre == self.centre);
         let key = self.members.insert(member);
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -39,8 +39,8 @@
     Synced,
     /// The store revisions known to this node changed.
     Revisions(Revisions),
-    /// A pull from another node completed or failed.
-    PullEnded,
+    /// A pull from another node ended.
+    PullEnded(PullOutcome),
     /// The store became reachable or unreachable for this node.
     Store { is_reachable: bool },
     /// A configuration was read.
@@ -61,6 +61,17 @@
     Stop,
 }
 
+/// The outcome of a pull from another node.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum PullOutcome {
+    /// The changes arrived.
+    Done,
+    /// The node sends its data to as many others as it may.
+    Busy,
+    /// No complete response arrived.
+    Failed,
+}
+
 /// A step of a caller's request at its entry node.
 #[derive(Clone, Debug)]
 pub(crate) enum CallEvent {
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod admission;
 mod budget;
+mod compression;
 mod directory;
 mod driver;
 mod effect;
--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    compression,
     driver::Driver,
     effect::AttemptSpec,
     event::Failure,
@@ -120,7 +121,9 @@
 impl PeerServer {
     pub(crate) async fn serve(&self, req: Request<Incoming>) -> Response<Body> {
         if req.uri().path() == sync::PATH {
-            return self.replicas.serve_pull(req.uri().query());
+            let encodings = headers::text(req.headers(), &header::ACCEPT_ENCODING);
+            let is_compressed = encodings == Some(compression::ENCODING);
+            return self.replicas.serve_pull(req.uri().query(), is_compressed);
         }
         let (parts, body) = req.into_parts();
         let envelope = read_envelope(&parts.headers);
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod crashes;
 mod members;
+mod pulls;
 mod versions;
 mod works;
 
@@ -40,7 +41,7 @@
     time::Time,
 };
 
-use self::{calls::Call, works::Work};
+use self::{calls::Call, pulls::Pulls, works::Work};
 
 /// The interval of [`Timer::Tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -118,10 +119,7 @@
     /// When a status was last sent and its load report: to this data centre, and to the others.
     last_status: [Option<(Time, LoadReport)>; 2],
     revisions: Revisions,
-    /// When the pull in progress began.
-    pull_started: Option<Time>,
-    /// A node of another data centre that has newer revisions, and since when this node has been behind it.
-    pending_pull: Option<(Time, SocketAddr)>,
+    pulls: Pulls,
     /// Whether this node watches the store for the other nodes.
     is_watcher: bool,
     is_ready: bool,
@@ -159,8 +157,7 @@
             fanouts: [Fanout::new(SAME_CENTRE_FANOUT), Fanout::new(OTHER_CENTRE_FANOUT)],
             last_status: [None, None],
             revisions: Revisions::default(),
-            pull_started: None,
-            pending_pull: None,
+            pulls: Pulls::default(),
             is_watcher: false,
             is_ready: false,
             has_queue_timer: false,
@@ -189,7 +186,7 @@
             Event::MemberRemoved(id) => self.directory.mark_removed(now, id),
             Event::Synced => self.members_synced(now, out),
             Event::Revisions(revisions) => self.revisions_changed(now, revisions, out),
-            Event::PullEnded => self.pull_started = None,
+            Event::PullEnded(outcome) => self.pull_ended(now, outcome, out),
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
             Event::Limits(limits) => self.local.limits = limits,
@@ -318,7 +315,7 @@
         self.adjust_for_pause(now, out);
         self.expire_members(now, out);
         self.update_watcher(now, out);
-        self.pull_from_other_centre(now, out);
+        self.continue_pull(now, out);
         self.evaluate_rollouts(now, out);
         self.resend_suspects(now, out);
         self.update_admission(now, out);
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -12,7 +12,6 @@
     limits::Limits,
     node_status::NodeStatus,
     refusal::Reason,
-    replica::Revisions,
     report::LoadReport,
     target::{Health, TargetChange},
     time::Time,
@@ -30,13 +29,6 @@
     OtherCentre,
 }
 
-/// The time for which this node waits for a node of its own data centre to have newer revisions before it pulls them
-/// from another data centre.
-const OTHER_CENTRE_PULL_DELAY: Duration = Duration::from_millis(250);
-
-/// The time after which a pull that has not ended no longer prevents another one.
-const PULL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// The time after its start for which a node includes its record in its status. By then other nodes have read the
 /// record from the store, unless the store is unavailable.
 const RECORD_SEND_TIME: Duration = Duration::from_secs(10);
@@ -135,14 +127,13 @@
         let key = self.directory.key(status.from);
         let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else {
             // The sender's record is newer than this node's replica of the store.
-            return self.pull_if_behind(now, &status.revisions, true, source, out);
+            return self.pull_from_unknown(now, &status.revisions, source, out);
         };
         member.update_load(now, status.load);
         member.tally = status.tally;
         member.version = status.version.clone();
         member.has_store = status.has_store;
         member.revisions = status.revisions;
-        let (address, centre) = (member.record.address, member.record.centre.clone());
         if status.is_stopping {
             self.directory.mark_removed(now, status.from);
         }
@@ -150,7 +141,9 @@
         for rollout in &status.rollouts {
             self.merge_rollout(now, rollout);
         }
-        self.pull_if_behind(now, &status.revisions, centre == self.local.centre, address, out);
+        if self.is_behind(&status.revisions) {
+            self.pull_if_behind(now, out);
+        }
     }
 
     /// Adds a new node by the record in its own status, since the store may be slow or unavailable, and sends it the
@@ -167,58 +160,6 @@
         out.push(Effect::SendStatus { to, status });
     }
 
-    /// Pulls from another node if it has newer revisions of the store than this one. A node of another data centre is
-    /// used only if the nodes of this data centre stay behind it.
-    fn pull_if_behind(
-        &mut self,
-        now: Time,
-        revisions: &Revisions,
-        is_same_centre: bool,
-        address: SocketAddr,
-        out: &mut Vec<Effect>,
-    ) {
-        let is_behind = revisions.iter().zip(&self.revisions).any(|(theirs, own)| theirs > own);
-        if !is_behind {
-            return;
-        }
-        if is_same_centre {
-            return self.pull(now, address, out);
-        }
-        self.pending_pull.get_or_insert((now, address));
-        self.pull_from_other_centre(now, out);
-    }
-
-    /// Pulls from a node of another data centre if this node has been behind it for [`OTHER_CENTRE_PULL_DELAY`].
-    pub(super) fn pull_from_other_centre(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if let Some((since, address)) = self.pending_pull
-            && now.since(since) >= OTHER_CENTRE_PULL_DELAY
-        {
-            self.pull(now, address, out);
-        }
-    }
-
-    fn pull(&mut self, now: Time, address: SocketAddr, out: &mut Vec<Effect>) {
-        if self.pull_started.is_some_and(|since| now.since(since) < PULL_TIMEOUT) {
-            return;
-        }
-        self.pull_started = Some(now);
-        self.pending_pull = None;
-        out.push(Effect::Pull(address));
-    }
-
-    pub(super) fn revisions_changed(
-        &mut self,
-        now: Time,
-        revisions: Revisions,
-        out: &mut Vec<Effect>,
-    ) {
-        if self.revisions != revisions {
-            self.revisions = revisions;
-            self.pending_pull = None;
-            self.send_status_now(now, out);
-        }
-    }
-
     pub(super) fn members_synced(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.is_synced = true;
         self.update_watcher(now, out);
--- /dev/null
+++ b/mesh/src/reducer/pulls.rs
@@ -0,0 +1,154 @@
+//! Pulls of newer store data from other nodes: when, and from which node.
+//!
+//! A few nodes read a change from the store, and each node that has it is a source for the others. A node that sends
+//! enough already refuses a pull, so that a large configuration spreads from node to node instead of filling the links
+//! of the first ones.
+
+use std::{net::SocketAddr, time::Duration};
+
+use rand::{Rng as _, seq::IteratorRandom as _};
+
+use crate::{
+    directory::Member, effect::Effect, event::PullOutcome, keys::MemberId, replica::Revisions,
+    time::Time,
+};
+
+use super::Reducer;
+
+/// The time for which this node waits for a node of its own data centre to have newer revisions before it pulls them
+/// from another data centre.
+const OTHER_CENTRE_PULL_DELAY: Duration = Duration::from_millis(250);
+
+/// The time for which this node waits for busy nodes of its own data centre before it pulls from another one.
+const BUSY_CENTRE_PULL_DELAY: Duration = Duration::from_millis(800);
+
+/// The time in which a node that was read or refused a pull is not asked again, randomised by half of it.
+const BUSY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The time in which a node is not asked again after a pull from it failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// The pull in progress and the lag behind other nodes.
+#[derive(Debug, Default)]
+pub(super) struct Pulls {
+    /// The member that is asked in the pull in progress, or `None` for a node without a record here.
+    in_progress: Option<Option<MemberId>>,
+    /// Since when a member has been known to have newer data than this node.
+    behind_since: Option<Time>,
+}
+
+/// A member that has newer data than this node.
+#[derive(Copy, Clone, Debug)]
+struct Source {
+    id: MemberId,
+    address: SocketAddr,
+    /// Whether it is in the data centre of this node.
+    is_near: bool,
+    /// Whether it has not just refused a pull or failed to serve one.
+    is_askable: bool,
+}
+
+impl Reducer {
+    /// Returns whether the revisions of another node are newer than those of this node in any topic.
+    pub(super) fn is_behind(&self, revisions: &Revisions) -> bool {
+        revisions.iter().zip(&self.revisions).any(|(theirs, own)| theirs > own)
+    }
+
+    /// Pulls from a node that has newer data than this one, unless a pull is in progress. A node of another data centre
+    /// is asked only if the nodes of this data centre cannot help.
+    pub(super) fn pull_if_behind(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.pulls.in_progress.is_some() {
+            return;
+        }
+        let since = *self.pulls.behind_since.get_or_insert(now);
+        let Some(source) = self.choose_source(now, now.since(since)) else { return };
+        self.pulls.in_progress = Some(Some(source.id));
+        out.push(Effect::Pull(source.address));
+    }
+
+    /// Continues a pull that was delayed.
+    pub(super) fn continue_pull(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.pulls.behind_since.is_some() {
+            self.pull_if_behind(now, out);
+        }
+    }
+
+    /// Pulls from a node whose record this node lacks, if that node has newer data.
+    pub(super) fn pull_from_unknown(
+        &mut self,
+        now: Time,
+        revisions: &Revisions,
+        source: SocketAddr,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.is_behind(revisions) && self.pulls.in_progress.is_none() {
+            self.pulls.behind_since.get_or_insert(now);
+            self.pulls.in_progress = Some(None);
+            out.push(Effect::Pull(source));
+        }
+    }
+
+    /// Returns a random source, or `None` if no member can be asked now.
+    fn choose_source(&mut self, now: Time, lag: Duration) -> Option<Source> {
+        let sources = self.sources(now);
+        if sources.is_empty() {
+            self.pulls.behind_since = None;
+            return None;
+        }
+        let askable = sources.iter().filter(|source| source.is_askable);
+        let near = askable.clone().filter(|source| source.is_near);
+        if let Some(source) = near.choose(&mut self.rng) {
+            return Some(*source);
+        }
+        let has_near = sources.iter().any(|source| source.is_near);
+        let delay = if has_near { BUSY_CENTRE_PULL_DELAY } else { OTHER_CENTRE_PULL_DELAY };
+        askable.choose(&mut self.rng).filter(|_| lag >= delay).copied()
+    }
+
+    /// Returns the members that have newer data than this node.
+    fn sources(&self, now: Time) -> Vec<Source> {
+        let is_source = |member: &&Member| {
+            !self.is_local(member.record.id)
+                && self.is_behind(&member.revisions)
+                && !self.directory.is_silent(now, member)
+        };
+        let source = |member: &Member| Source {
+            id: member.record.id,
+            address: member.record.address,
+            is_near: member.record.centre == self.local.centre,
+            is_askable: member.pull_after.is_none_or(|after| after <= now),
+        };
+        let members = self.directory.iter().map(|(_, member)| member);
+        members.filter(is_source).map(source).collect()
+    }
+
+    /// Handles the end of a pull, and asks another node if this one is still behind.
+    pub(super) fn pull_ended(&mut self, now: Time, outcome: PullOutcome, out: &mut Vec<Effect>) {
+        let source = self.pulls.in_progress.take().flatten();
+        // A source that was just read is also paused, so that one that claims more than it sends causes no tight loop.
+        let pause = match outcome {
+            PullOutcome::Done | PullOutcome::Busy => {
+                BUSY_PAUSE.mul_f64(self.rng.random_range(0.5..1.5))
+            }
+            PullOutcome::Failed => FAILURE_PAUSE,
+        };
+        let key = source.and_then(|id| self.directory.key(id));
+        if let Some(member) = key.and_then(|key| self.directory.get_mut(key)) {
+            member.pull_after = Some(now + pause);
+        }
+        self.continue_pull(now, out);
+    }
+
+    pub(super) fn revisions_changed(
+        &mut self,
+        now: Time,
+        revisions: Revisions,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.revisions != revisions {
+            self.revisions = revisions;
+            self.pulls.behind_since = None;
+            self.send_status_now(now, out);
+        }
+    }
+}
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -3,6 +3,7 @@
 use slotmap::SlotMap;
 
 mod crashes;
+mod spread;
 mod stale_config;
 
 use super::{Limits, LocalNode, Reducer};
--- a/mesh/src/replica.rs
+++ b/mesh/src/replica.rs
@@ -67,6 +67,14 @@
     entries: Vec<Entry>,
 }
 
+impl Delta {
+    /// Returns the approximate size in bytes.
+    pub(crate) fn size(&self) -> usize {
+        let size = |entry: &Entry| entry.key.len() + entry.value.as_ref().map_or(0, Bytes::len);
+        self.entries.iter().map(size).sum()
+    }
+}
+
 /// A replica of one topic.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Replica {
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -2,6 +2,7 @@
 //! other nodes otherwise.
 
 use std::{
+    borrow::Cow,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -9,18 +10,20 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use http::{Request, Response, header};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use rand::Rng as _;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    sync::watch,
+    sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch},
     time::{self, Instant},
 };
 
 use crate::{
+    compression,
     driver::Driver,
-    event::Event,
+    event::{Event, PullOutcome},
+    headers,
     node::NodeHandle,
     payload::Body,
     pool::{Pool, SendError},
@@ -43,8 +46,18 @@
 /// The delay after the start before the members that started at the same time are listed.
 const STARTUP_DELAY: Duration = Duration::from_millis(500);
 
-/// The timeout of a pull from another node.
-const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The time without progress after which a pull from another node ends.
+const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The maximum time of a pull from another node.
+const MAX_PULL_TIME: Duration = Duration::from_secs(10);
+
+/// The maximum number of large responses to pulls that a node sends at the same time. Each node that has the data sends
+/// it on, so the number of sources grows by this factor in each round.
+pub(crate) const MAX_UPLOADS: usize = 2;
+
+/// The size in bytes before compression above which a response to a pull counts as large.
+const LARGE_RESPONSE_BYTES: usize = 64 << 10;
 
 /// The maximum size of a pull's response, which holds the configuration and all members.
 const MAX_PULL_BYTES: usize = 8 << 20;
@@ -54,14 +67,25 @@
 enum PullError {
     #[snafu(display("{source}"))]
     Send { source: SendError },
-    #[snafu(display("the response did not arrive within {PULL_TIMEOUT:?}"))]
-    TimedOut,
+    #[snafu(display("the node sends its data to as many others as it may"))]
+    Busy,
+    #[snafu(display("nothing arrived for {STALL_TIMEOUT:?}"))]
+    Stalled,
+    #[snafu(display("the response did not end within {MAX_PULL_TIME:?}"))]
+    TooSlow,
     #[snafu(display("the response is incomplete or larger than {MAX_PULL_BYTES} bytes"))]
     Incomplete,
     #[snafu(display("the response cannot be read"))]
     Unreadable,
 }
 
+/// How the response to a pull is encoded.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Encoding {
+    Plain,
+    Compressed,
+}
+
 /// Receives what operators write to the store, in the deployment's own format.
 pub trait UpdateHandler: Send + 'static {
     /// Handles an update of a topic other than the members.
@@ -92,6 +116,8 @@
 pub(crate) struct TopicReplicas {
     shared: Arc<Mutex<Shared>>,
     driver: Arc<Driver>,
+    /// Permits of [`MAX_UPLOADS`].
+    uploads: Arc<Semaphore>,
 }
 
 struct Shared {
@@ -108,7 +134,8 @@
     ) -> TopicReplicas {
         let handler = Box::new(handler);
         let shared = Shared { replicas: Default::default(), handler, node };
-        TopicReplicas { shared: Arc::new(Mutex::new(shared)), driver }
+        let uploads = Arc::new(Semaphore::new(MAX_UPLOADS));
+        TopicReplicas { shared: Arc::new(Mutex::new(shared)), driver, uploads }
     }
 
     /// Changes the replica of a topic and dispatches the update.
@@ -132,58 +159,112 @@
         self.lock().replicas[topic.index()].revision()
     }
 
-    /// Serves a pull of another node: returns the changes since the revisions in the query.
-    pub(crate) fn serve_pull(&self, query: Option<&str>) -> Response<Body> {
+    /// Serves a pull of another node: returns the changes since the revisions in the query, compressed if the other
+    /// node can read that, or status 503 while [`MAX_UPLOADS`] large responses are on their way.
+    pub(crate) fn serve_pull(&self, query: Option<&str>, is_compressed: bool) -> Response<Body> {
         let known = query.and_then(parse_revisions).unwrap_or_default();
+        let deltas = self.deltas_since(&known);
+        let size: usize = deltas.iter().map(Delta::size).sum();
+        let mut permit = None;
+        if size > LARGE_RESPONSE_BYTES {
+            let Ok(acquired) = self.uploads.clone().try_acquire_owned() else {
+                return busy_response();
+            };
+            permit = Some(acquired);
+        }
+        let bytes = postcard::to_stdvec(&deltas).unwrap_or_default();
+        let compressed = is_compressed.then(|| compression::compress(&bytes).ok()).flatten();
+        let encoding = compressed.as_ref().map(|_| compression::ENCODING);
+        let body = Body::from(Bytes::from(compressed.unwrap_or(bytes)));
+        let mut response = Response::new(match permit {
+            Some(permit) => body.on_end(hold_until_sent(permit)),
+            None => body,
+        });
+        if let Some(encoding) = encoding {
+            headers::set(response.headers_mut(), &header::CONTENT_ENCODING, encoding);
+        }
+        response
+    }
+
+    fn deltas_since(&self, known: &Revisions) -> Vec<Delta> {
         let shared = self.lock();
         let topics = Topic::ALL
             .into_iter()
             .filter(|topic| shared.replicas[topic.index()].revision() > known[topic.index()]);
         let delta =
             |topic: Topic| shared.replicas[topic.index()].delta_since(topic, known[topic.index()]);
-        let deltas: Vec<Delta> = topics.map(delta).collect();
-        let bytes = postcard::to_stdvec(&deltas).unwrap_or_default();
-        Response::new(Body::from(Bytes::from(bytes)))
+        topics.map(delta).collect()
     }
 
     /// Pulls what another node knows beyond this one.
     pub(crate) async fn pull(&self, source: SocketAddr, pool: Pool) {
         let started = Instant::now();
         let mut bytes = Vec::new();
-        let fetched = time::timeout(PULL_TIMEOUT, self.fetch(&pool, &mut bytes)).await;
-        let result = fetched.unwrap_or(Err(PullError::TimedOut)).and_then(|()| self.merge(&bytes));
+        let fetched = time::timeout(MAX_PULL_TIME, self.fetch(&pool, &mut bytes)).await;
+        let result = fetched
+            .unwrap_or(Err(PullError::TooSlow))
+            .and_then(|encoding| self.merge(&bytes, encoding));
         let (log, took_ms) = (self.driver.log(), started.elapsed().as_millis());
-        match result {
+        let outcome = match result {
             Ok(topics) => {
                 slog::info!(log, "pull"; "source" => %source, "topics" => topics.as_str(),
-                "bytes" => bytes.len(), "took_ms" => took_ms);
+                    "bytes" => bytes.len(), "took_ms" => took_ms);
+                PullOutcome::Done
             }
-            Err(error) => slog::warn!(log, "pull-failed"; "source" => %source, "error" => %error,
-                "bytes" => bytes.len(), "took_ms" => took_ms),
-        }
-        self.driver.dispatch(Event::PullEnded);
+            Err(PullError::Busy) => PullOutcome::Busy,
+            Err(error) => {
+                slog::warn!(log, "pull-failed"; "source" => %source, "error" => %error,
+                    "bytes" => bytes.len(), "took_ms" => took_ms);
+                PullOutcome::Failed
+            }
+        };
+        self.driver.dispatch(Event::PullEnded(outcome));
     }
 
     /// Reads the response of another node into `bytes`, which hold what has arrived if it fails.
-    async fn fetch(&self, pool: &Pool, bytes: &mut Vec<u8>) -> Result<(), PullError> {
+    ///
+    /// The timeout counts from the last progress: on a full link many pulls are slow together, and to begin again would
+    /// waste what has arrived.
+    async fn fetch(&self, pool: &Pool, bytes: &mut Vec<u8>) -> Result<Encoding, PullError> {
         let [members, orders, status] = Topic::ALL.map(|topic| self.revision(topic));
-        let path = format!("{PATH}?{members},{orders},{status}");
-        let req = Request::get(path).header(header::HOST, "node").body(Body::default());
+        let req = Request::get(format!("{PATH}?{members},{orders},{status}"))
+            .header(header::HOST, "node")
+            .header(header::ACCEPT_ENCODING, compression::ENCODING)
+            .body(Body::default());
         let req = req.map_err(|_| PullError::Unreadable)?;
-        let (response, conn) = pool.send(req).await.context(SendSnafu)?;
+        let sent = time::timeout(STALL_TIMEOUT, pool.send(req)).await;
+        let (response, conn) = sent.map_err(|_| PullError::Stalled)?.context(SendSnafu)?;
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            conn.release();
+            return Err(PullError::Busy);
+        }
+        let encoding = headers::text(response.headers(), &header::CONTENT_ENCODING);
+        let encoding = match encoding {
+            Some(compression::ENCODING) => Encoding::Compressed,
+            _ => Encoding::Plain,
+        };
         let mut body = Limited::new(response.into_body(), MAX_PULL_BYTES);
-        while let Some(frame) = body.frame().await {
+        loop {
+            let frame = time::timeout(STALL_TIMEOUT, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| PullError::Stalled)? else { break };
             let frame = frame.map_err(|_| PullError::Incomplete)?;
             bytes.extend(frame.into_data().unwrap_or_default());
         }
         conn.release();
-        Ok(())
+        Ok(encoding)
     }
 
     /// Merges the changes of another node and returns the names of their topics, separated by
     /// commas.
-    fn merge(&self, bytes: &[u8]) -> Result<CompactString, PullError> {
-        let deltas: Vec<Delta> = postcard::from_bytes(bytes).map_err(|_| PullError::Unreadable)?;
+    fn merge(&self, bytes: &[u8], encoding: Encoding) -> Result<CompactString, PullError> {
+        let bytes = match encoding {
+            Encoding::Plain => Cow::Borrowed(bytes),
+            Encoding::Compressed => {
+                let bytes = compression::decompress(bytes, MAX_PULL_BYTES);
+                Cow::Owned(bytes.map_err(|_| PullError::Unreadable)?)
+            }
+        };
+        let deltas: Vec<Delta> = postcard::from_bytes(&bytes).map_err(|_| PullError::Unreadable)?;
         let topics: Vec<&str> = deltas.iter().map(|delta| delta.topic.as_str()).collect();
         let topics = topics.join(",").into();
         for delta in deltas {
@@ -197,6 +278,24 @@
     }
 }
 
+fn busy_response() -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
+
+/// Holds the permit of an upload until the returned function is called, but no longer than a pull may take. A node that
+/// was suspended while it read would otherwise keep its permit.
+fn hold_until_sent(permit: OwnedSemaphorePermit) -> impl FnOnce() + Send + 'static {
+    let (sent, is_sent) = oneshot::channel::<()>();
+    tokio::spawn(async move {
+        // The outcome does not matter: the upload is over, or has taken too long.
+        let _ = time::timeout(MAX_PULL_TIME, is_sent).await;
+        drop(permit);
+    });
+    move || drop(sent)
+}
+
 fn parse_revisions(query: &str) -> Option<Revisions> {
     let mut parts = query.split(',').map(str::parse);
     let mut next = || parts.next()?.ok();
