Answer 503 where another node finds fault with a request

An entry node of one build and a target's node of another could not agree on the parameters of a request: the target's node refused it as `malformed`, and the entry node handed that reason to the caller as status 400. Callers do not retry a 400, although the request was in order and had not run.

Only the entry node can find fault with a caller's request. A target's node now refuses an envelope that it cannot read as `unreadable`, which earlier builds read as `overloaded`, and the entry node takes every reason that blames the caller as `unreadable`: it pauses the member, tries another target and otherwise answers 503, which is true as nothing has run.

--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -128,7 +128,7 @@
             return self.answer(AttemptOutcome::Failed(Failure::BodyCut), "");
         };
         let Some(Envelope { from, to, spec }) = envelope else {
-            return self.answer(refused(Reason::Malformed), "");
+            return self.answer(refused(Reason::Unreadable), "");
         };
         if to != self.local_id {
             return self.answer(refused(Reason::WrongMember), "");
@@ -186,13 +186,15 @@
     }
 }
 
-/// Parses an outcome. Unknown text yields `Lost`, which leaves open whether the request ran.
+/// Parses an outcome. Unknown text yields `Lost`, which leaves open whether the request ran. Earlier builds refuse an
+/// envelope that they cannot read as `malformed`, which is not the caller's fault.
 fn parse_outcome(text: &str) -> AttemptOutcome {
     let mut words = text.split(' ');
     match words.next() {
         Some("shed") => AttemptOutcome::Shed,
         Some("refused") => {
             let reason = words.next().and_then(Reason::parse).unwrap_or(Reason::Overloaded);
+            let reason = if reason.is_callers_fault() { Reason::Unreadable } else { reason };
             let wait = words.next().and_then(|us| us.parse().ok()).unwrap_or(0);
             AttemptOutcome::Refused { reason, wait: Duration::from_micros(wait) }
         }
--- a/mesh/src/peer_requests/tests.rs
+++ b/mesh/src/peer_requests/tests.rs
@@ -4,7 +4,11 @@
 
 use super::{Envelope, format_outcome, parse_outcome};
 use crate::{
-    effect::AttemptSpec, event::Failure, forwarder::AttemptOutcome, keys::MemberId, refusal::Reason,
+    effect::AttemptSpec,
+    event::Failure,
+    forwarder::AttemptOutcome,
+    keys::MemberId,
+    refusal::{Reason, Refusal},
 };
 
 /// Guards against an outcome that the entry node decodes as another one, such as "not run" for a lost answer.
@@ -30,6 +34,18 @@
     assert!(matches!(parse_outcome(text), AttemptOutcome::Failed(Failure::Lost)));
 }
 
+/// Guards against a refusal between nodes that the caller gets as an error of its own, which it does not retry.
+#[test]
+fn a_refusal_by_another_node_never_blames_the_caller() {
+    for reason in Reason::ALL {
+        let text = format_outcome(&AttemptOutcome::Refused { reason, wait: Duration::ZERO });
+        let outcome = parse_outcome(&text.expect("text"));
+        let AttemptOutcome::Refused { reason: parsed, .. } = outcome else { panic!("{reason:?}") };
+        let refusal = Refusal { reason: parsed, may_have_run: false, retry_after: None };
+        assert_eq!(refusal.status().as_u16(), 503, "{reason:?}");
+    }
+}
+
 /// Guards against an envelope that is not a valid header value, for instance because of a non-ASCII route name.
 #[test]
 fn envelope_round_trips_through_its_header() {
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -123,7 +123,7 @@
         out: &mut Vec<Effect>,
     ) {
         let member = self.close_attempt(now, key, attempt, load);
-        if reason == Reason::WrongMember
+        if matches!(reason, Reason::WrongMember | Reason::Unreadable)
             && let Some(member) = member
         {
             self.directory.pause(now, member);
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -30,6 +30,8 @@
     Stopping,
     /// The node at the address is not the intended member, but another process.
     WrongMember,
+    /// The target's node cannot read the parameters of the request, for instance because it is of another build.
+    Unreadable,
     /// The deadline of the caller or of the route has passed.
     Deadline,
     /// The request was sent, but its response was lost or did not come from the target.
@@ -40,7 +42,7 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub(crate) const ALL: [Reason; 13] = [
+    pub(crate) const ALL: [Reason; 14] = [
         Reason::Malformed,
         Reason::BodyTooLarge,
         Reason::BodyCut,
@@ -51,6 +53,7 @@
         Reason::OutOfService,
         Reason::Stopping,
         Reason::WrongMember,
+        Reason::Unreadable,
         Reason::Deadline,
         Reason::AnswerLost,
         Reason::CrashSuspect,
@@ -69,12 +72,19 @@
             Reason::OutOfService => "out-of-service",
             Reason::Stopping => "stopping",
             Reason::WrongMember => "wrong-member",
+            Reason::Unreadable => "unreadable",
             Reason::Deadline => "deadline",
             Reason::AnswerLost => "answer-lost",
             Reason::CrashSuspect => "crash-suspect",
         }
     }
 
+    /// Returns whether the reason is a fault of the caller's request. Only the entry node can find such a fault; callers do
+    /// not retry the request.
+    pub(crate) const fn is_callers_fault(self) -> bool {
+        matches!(self, Reason::Malformed | Reason::BodyTooLarge | Reason::BodyCut | Reason::NoRoute)
+    }
+
     /// Parses a name returned by [`Reason::as_str`].
     pub(crate) fn parse(text: &str) -> Option<Reason> {
         Reason::ALL.into_iter().find(|reason| reason.as_str() == text)
