Answer 502 for a body that broke off between two nodes

A request whose body did not reach the target's node whole was answered 400 `body-cut`, also if the body was complete and the connection between the two nodes had failed. The caller did not retry it, and 400 also hid that the request may have run.

The entry node now treats such an attempt like a lost answer: a buffered body of an idempotent request goes to another target within the retry budget, and all others end with 502. 400 `body-cut` is left for a body that the caller itself ended early, before anything was sent.

--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -170,20 +170,19 @@
                 }
                 self.place(now, key, out);
             }
-            Failure::Lost | Failure::NodeLost => {
+            Failure::Lost | Failure::NodeLost | Failure::BodyCut => {
                 call.may_have_run = true;
                 call.executions = call.executions.saturating_add(1);
-                call.last_reason = Reason::AnswerLost;
+                // A buffered body is complete, so it can only have been cut between the nodes.
+                let is_cut = failure == Failure::BodyCut && !call.can_resend;
+                let reason = if is_cut { Reason::BodyCut } else { Reason::AnswerLost };
+                call.last_reason = reason;
                 if self.try_take_retry(now, key)
                     && self.resend(now, key, attempt, failure.as_str(), out)
                 {
                     return;
                 }
-                self.give_up_unless_open(now, key, Reason::AnswerLost, out);
-            }
-            Failure::BodyCut => {
-                call.may_have_run = true;
-                self.give_up(now, key, Reason::BodyCut, out);
+                self.give_up_unless_open(now, key, reason, out);
             }
         }
     }
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -3,6 +3,7 @@
 use slotmap::SlotMap;
 
 mod crashes;
+mod denials;
 
 use super::{Limits, LocalNode, Reducer};
 use crate::{
@@ -129,12 +130,16 @@
     }
 
     fn call(&mut self, path: &str) -> (CallKey, Vec<Effect>) {
+        self.call_with_body(path, true)
+    }
+
+    fn call_with_body(&mut self, path: &str, can_resend: bool) -> (CallKey, Vec<Effect>) {
         let head = CallHead {
             id: "id".into(),
             host: "shop".into(),
             path: path.into(),
             timeout: Some(Duration::from_secs(1)),
-            can_resend: true,
+            can_resend,
             fingerprint: RequestHash::of([path.as_bytes()]),
         };
         let key = self.calls.insert(());
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -106,7 +106,8 @@
     /// Returns the HTTP status, which must not imply that the request has not run if it may have.
     pub(crate) const fn status(&self) -> StatusCode {
         match self.reason {
-            Reason::Malformed | Reason::BodyCut => StatusCode::BAD_REQUEST,
+            Reason::Malformed => StatusCode::BAD_REQUEST,
+            Reason::BodyCut if !self.may_have_run => StatusCode::BAD_REQUEST,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::NoRoute => StatusCode::NOT_FOUND,
             Reason::Deadline if self.may_have_run => StatusCode::GATEWAY_TIMEOUT,
--- a/mesh/src/refusal/tests.rs
+++ b/mesh/src/refusal/tests.rs
@@ -24,6 +24,20 @@
     assert_eq!(refusal.status().as_u16(), status);
 }
 
+/// Guards against a status that blames the caller, which does not retry, for a body that broke off between nodes.
+#[test]
+fn only_the_callers_faults_give_a_client_error() {
+    for reason in Reason::ALL {
+        for may_have_run in [false, true] {
+            let refusal = Refusal { reason, may_have_run, retry_after: None };
+            let is_client_error = refusal.status().is_client_error();
+            assert!(!is_client_error || reason.is_callers_fault(), "{reason:?} {may_have_run}");
+        }
+    }
+    let cut = Refusal { reason: Reason::BodyCut, may_have_run: true, retry_after: None };
+    assert_eq!(cut.status().as_u16(), 502);
+}
+
 /// A reason must survive transmission between nodes.
 #[test]
 fn a_reason_round_trips_through_its_text() {
