Answer 503 if a streamed request is refused by the node of its target

A body over 128 KiB is streamed, and the first attempt consumes it. If the target's node refused that attempt, for instance because its queue was full, the entry node started another attempt without a body, which failed at once as `body-cut`: the caller of an upload got 400 for a busy target.

A request whose body cannot be sent again now ends with the first refusal, with status 503 and a Retry-After time, as nothing has run.

The new test failed before the change: a second attempt was started.

--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -141,7 +141,9 @@
     pub(super) fn retry_refused(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) {
         let Some(call) = self.calls.get_mut(key) else { return };
         call.refusals += 1;
-        if call.refusals <= MAX_REFUSALS && self.try_place(now, key, out) {
+        // The first attempt consumed a body that is not buffered.
+        let can_resend = call.can_resend;
+        if can_resend && call.refusals <= MAX_REFUSALS && self.try_place(now, key, out) {
             return;
         }
         let Some(call) = self.calls.get_mut(key) else { return };
@@ -149,7 +151,7 @@
             return;
         }
         // No target can meet the objective. A late answer is better than none if a target has spare capacity.
-        if !call.is_late && call.last_reason == Reason::Overloaded {
+        if can_resend && !call.is_late && call.last_reason == Reason::Overloaded {
             call.is_late = true;
             call.tried.clear();
             call.refusals = MAX_REFUSALS;
--- a/mesh/src/reducer/tests/denials.rs
+++ b/mesh/src/reducer/tests/denials.rs
@@ -29,3 +29,20 @@
     let second = attempt(&node.apply(Event::Call(key, cut))).expect("another attempt");
     assert_ne!(member(&first), member(&second));
 }
+
+/// Guards against an upload that a busy target's node refuses and that is sent again without its body, which the first
+/// attempt has consumed: the caller got 400 for it.
+#[test_case(Reason::Overloaded; "overloaded")]
+#[test_case(Reason::NoTarget; "no target")]
+fn a_streamed_request_that_was_refused_has_not_run_and_ends(reason: Reason) {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    let (key, effects) = node.call_with_body("/pay/1", false);
+    let number = attempt(&effects).expect("an attempt").number;
+    let wait = Duration::from_millis(50);
+    let refused = CallEvent::Refused { attempt: number, reason, wait, load: None };
+    let effects = node.apply(Event::Call(key, refused));
+    assert!(attempt(&effects).is_none(), "{effects:?}");
+    let refusal = refusal(&effects).expect("a refusal");
+    assert_eq!((refusal.status().as_u16(), refusal.reason), (503, reason));
+    assert!(refusal.retry_after.is_some());
+}
