Deny no request by a configuration that may not be the one in force

A node refused a body by the limit of the configuration that it had, and a path by its routes, also where it knew that the store holds a newer configuration which it cannot read. Callers got 413 and 404, which they do not retry, for requests that the configuration in force may allow. A refusal for the size of a body left no log line and was not counted.

One predicate, `Reducer::can_deny`, now decides for every refusal that depends on the configuration. While it does not hold, the request is refused as `stale-config` with status 503 and a Retry-After time; nothing has run. Refusals before a call is opened are logged and counted like the others.

--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -24,6 +24,7 @@
     metrics::Metrics,
     peers::Peers,
     reducer::Reducer,
+    refusal::{Reason, Refusal},
     rollout::RolloutRecord,
     serve::HeadLimits,
     target::{Heartbeat, HeartbeatReply, Lifetime},
@@ -118,6 +119,16 @@
         reply
     }
 
+    /// Refuses a caller's request that has not been registered.
+    pub(crate) fn refuse(&self, id: &str, reason: Reason) -> Refusal {
+        let now = self.now();
+        let mut core = self.lock();
+        let core = &mut *core;
+        let refusal = core.reducer.refuse_early(now, id, reason, &mut core.effects);
+        self.execute(core);
+        refusal
+    }
+
     /// Registers a caller's request, or returns `None` at the limit of [`MAX_REQUESTS`].
     pub(crate) fn open_call(&self) -> Option<CallKey> {
         let mut core = self.lock();
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -45,6 +45,8 @@
     Store { is_reachable: bool },
     /// A configuration was read.
     Config(Arc<RouteTable>),
+    /// The store holds a newer configuration that cannot be read.
+    ConfigUnreadable,
     /// The settings changed the limits.
     Limits(Limits),
     /// The set of data centres out of service was read.
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -65,35 +65,46 @@
         answer
     }
 
-    async fn accept(&self, mut parts: Parts, body: Incoming) -> Result<Response<Body>, Refusal> {
-        let timeout = read_timeout(&parts, &self.names)?;
-        let limit = self.driver.inspect(|_, reducer| {
-            reducer.config().map_or(u64::MAX, |table| table.config.limits.max_body_bytes)
-        });
-        let refuse = |reason| Refusal { reason, may_have_run: false, retry_after: None };
-        if body.size_hint().lower() > limit {
-            return Err(refuse(Reason::BodyTooLarge));
+    async fn accept(&self, parts: Parts, body: Incoming) -> Result<Response<Body>, Refusal> {
+        let id: CompactString =
+            headers::text(&parts.headers, &self.names.request_id).unwrap_or_default().into();
+        match self.read(id.clone(), parts, body).await {
+            Ok((head, parts, payload)) => self.route(head, parts, payload).await,
+            Err(reason) => Err(self.driver.refuse(&id, reason)),
+        }
+    }
+
+    /// Checks the head of a request and reads its body, or as much of it as is buffered.
+    async fn read(
+        &self,
+        id: CompactString,
+        mut parts: Parts,
+        body: Incoming,
+    ) -> Result<(CallHead, Parts, Payload), Reason> {
+        let size = body.size_hint().lower();
+        if let Some(reason) = self.driver.inspect(|_, reducer| reducer.find_excess(size)) {
+            return Err(reason);
         }
-        let host = host(&parts).ok_or(refuse(Reason::Malformed))?;
+        let timeout = read_timeout(&parts, &self.names)?;
+        let host = host(&parts).ok_or(Reason::Malformed)?;
         let read =
-            tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), Payload::read(body))
-                .await;
-        let payload = match read {
+            tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), Payload::read(body));
+        let payload = match read.await {
             Ok(Ok(payload)) => payload,
-            Ok(Err(_)) | Err(_) => return Err(refuse(Reason::BodyCut)),
+            Ok(Err(_)) | Err(_) => return Err(Reason::BodyCut),
         };
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
         parts.headers.insert(self.names.caller.clone(), self.caller.clone());
         let head = CallHead {
-            id: headers::text(&parts.headers, &self.names.request_id).unwrap_or_default().into(),
+            id,
             host,
             path: parts.uri.path().to_compact_string(),
             timeout,
             can_resend: payload.is_complete(),
             fingerprint: fingerprint(&parts, &payload, &self.names.caller),
         };
-        self.route(head, parts, payload).await
+        Ok((head, parts, payload))
     }
 
     async fn route(
@@ -218,12 +229,11 @@
     }
 }
 
-fn read_timeout(parts: &Parts, names: &HeaderNames) -> Result<Option<Duration>, Refusal> {
+fn read_timeout(parts: &Parts, names: &HeaderNames) -> Result<Option<Duration>, Reason> {
     let Some(value) = parts.headers.get(&names.deadline) else { return Ok(None) };
     let ms = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
     let ms = ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
-    let malformed = Refusal { reason: Reason::Malformed, may_have_run: false, retry_after: None };
-    let ms = ms.ok_or(malformed)?;
+    let ms = ms.ok_or(Reason::Malformed)?;
     Ok(Some(Duration::from_secs_f64(ms / 1_000.0).min(MAX_TIMEOUT)))
 }
 
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -293,6 +293,12 @@
         self.driver.dispatch(Event::Config(table));
     }
 
+    /// Reports that the store holds a newer configuration that cannot be read. Until the next one is read, the node does
+    /// not take the configuration that it has as the one in force.
+    pub fn report_unreadable_config(&self) {
+        self.driver.dispatch(Event::ConfigUnreadable);
+    }
+
     /// Replaces the limits from the settings.
     pub fn set_limits(&self, limits: Limits) {
         self.driver.dispatch(Event::Limits(limits));
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod crashes;
+mod denials;
 mod members;
 mod versions;
 mod works;
@@ -88,6 +89,8 @@
     config: Option<Arc<RouteTable>>,
     /// When the configuration in `config` took effect on this node.
     config_since: Time,
+    /// Whether the store holds a newer configuration that this node cannot read.
+    has_unreadable_config: bool,
     directory: Directory,
     /// Whether the list of members has been read since the start.
     has_member_list: bool,
@@ -138,6 +141,7 @@
             rng: SmallRng::seed_from_u64(seed),
             config: None,
             config_since: Time::ZERO,
+            has_unreadable_config: false,
             has_member_list: false,
             is_synced: false,
             has_store: false,
@@ -191,6 +195,7 @@
             Event::PullEnded => self.pull_started = None,
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
+            Event::ConfigUnreadable => self.has_unreadable_config = true,
             Event::Limits(limits) => self.local.limits = limits,
             Event::Evacuated(centres) => self.set_evacuated(now, centres, out),
             Event::Rollout { service, order } => self.rollout_ordered(now, service, order, out),
@@ -289,6 +294,7 @@
     }
 
     fn set_config(&mut self, now: Time, table: Arc<RouteTable>, out: &mut Vec<Effect>) {
+        self.has_unreadable_config = false;
         let previous = self.config.as_ref().map_or(0, |config| config.config.version);
         let version = table.config.version;
         if self.config.is_some() && version <= previous {
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -191,7 +191,7 @@
             return self.refuse_on_arrival(key, &head, refusal, out);
         };
         let Some(route) = table.find(&head.host, &head.path) else {
-            return self.refuse_on_arrival(key, &head, refuse(Reason::NoRoute), out);
+            return self.refuse_on_arrival(key, &head, self.deny(now, Reason::NoRoute), out);
         };
         let time = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         if self.would_outlast_stop(now, time) {
--- /dev/null
+++ b/mesh/src/reducer/denials.rs
@@ -0,0 +1,59 @@
+//! Refusals of requests that the configuration does not allow.
+
+use std::time::Duration;
+
+use crate::{
+    effect::{Effect, Record},
+    refusal::{Reason, Refusal},
+    time::Time,
+};
+
+use super::Reducer;
+
+/// The Retry-After time of a request that a newer configuration may allow. By then this node or another one may have it.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+impl Reducer {
+    /// Returns the limit of the configuration that a body of this declared length exceeds, if there is one.
+    pub(crate) fn find_excess(&self, body: u64) -> Option<Reason> {
+        let limits = &self.config()?.config.limits;
+        (body > limits.max_body_bytes).then_some(Reason::BodyTooLarge)
+    }
+
+    /// Refuses a request for which no call has been opened.
+    pub(crate) fn refuse_early(
+        &self,
+        now: Time,
+        id: &str,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) -> Refusal {
+        let refusal = self.deny(now, reason);
+        out.push(Effect::Log(Record::Refuse {
+            id: id.into(),
+            route: "".into(),
+            refusal,
+            attempts: 0,
+            tried: "".into(),
+            waited: Duration::ZERO,
+        }));
+        refusal
+    }
+
+    /// Returns the refusal of a request that has not been sent anywhere.
+    ///
+    /// Callers do not retry a request that the configuration does not allow. While a newer configuration may allow it,
+    /// the request is refused as [`Reason::StaleConfig`] instead.
+    pub(super) fn deny(&self, now: Time, reason: Reason) -> Refusal {
+        if reason.depends_on_config() && !self.can_deny(now) {
+            let retry_after = Some(STALE_RETRY_AFTER);
+            return Refusal { reason: Reason::StaleConfig, may_have_run: false, retry_after };
+        }
+        Refusal { reason, may_have_run: false, retry_after: None }
+    }
+
+    /// Returns whether the configuration of this node is sure to be the one in force.
+    fn can_deny(&self, _now: Time) -> bool {
+        !self.has_unreadable_config
+    }
+}
--- a/mesh/src/reducer/tests/denials.rs
+++ b/mesh/src/reducer/tests/denials.rs
@@ -1,6 +1,7 @@
 use test_case::test_case;
 
 use super::*;
+use crate::{config::CallerLimits, effect::Record};
 
 /// Guards against a caller that gets 400, and does not retry, because a node broke off the body of its request.
 #[test_case(true, Reason::AnswerLost; "a buffered body")]
@@ -46,3 +47,51 @@
     assert_eq!((refusal.status().as_u16(), refusal.reason), (503, reason));
     assert!(refusal.retry_after.is_some());
 }
+
+fn config_with_limits(version: u64, max_body_bytes: u64) -> Event {
+    let limits = CallerLimits { max_body_bytes, ..CallerLimits::default() };
+    Event::Config(Arc::new(RouteTable::new(Config { limits, ..config(version) })))
+}
+
+/// Guards against a limit that is applied although a newer configuration has raised it, or not applied at all.
+#[test]
+fn sizes_are_limited_by_the_configuration_in_force() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    node.apply(config_with_limits(2, 5_000));
+    assert_eq!(node.reducer.find_excess(5_000), None);
+    assert_eq!(node.reducer.find_excess(5_001), Some(Reason::BodyTooLarge));
+    node.apply(config_with_limits(3, 6_000));
+    assert_eq!(node.reducer.find_excess(5_001), None);
+}
+
+/// Guards against a request that is refused for good by an older configuration although the one in force may allow it.
+#[test]
+fn a_node_that_cannot_read_the_newest_configuration_denies_nothing() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    let denied = [Reason::BodyTooLarge, Reason::NoRoute];
+    let refuse = |node: &mut TestNode, reason| {
+        let mut out = Vec::new();
+        let refusal = node.reducer.refuse_early(node.now, "id", reason, &mut out);
+        let is_logged = matches!(&out[..], [Effect::Log(Record::Refuse { refusal: logged, .. })] if *logged == refusal);
+        assert!(is_logged, "{out:?}");
+        (refusal.reason, refusal.retry_after.is_some())
+    };
+    for reason in denied {
+        assert_eq!(refuse(&mut node, reason), (reason, false));
+    }
+    assert_eq!(
+        refusal(&node.call("/new/1").1).map(|refusal| refusal.reason),
+        Some(Reason::NoRoute)
+    );
+    node.apply(Event::ConfigUnreadable);
+    for reason in denied {
+        assert_eq!(refuse(&mut node, reason), (Reason::StaleConfig, true));
+    }
+    let stale = refusal(&node.call("/new/1").1).expect("a refusal");
+    assert_eq!((stale.status().as_u16(), stale.retry_after.is_some()), (503, true));
+    assert_eq!(refuse(&mut node, Reason::Malformed), (Reason::Malformed, false));
+    node.apply(Event::Config(Arc::new(RouteTable::new(config(2)))));
+    for reason in denied {
+        assert_eq!(refuse(&mut node, reason), (reason, false));
+    }
+}
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -20,6 +20,8 @@
     NoRoute,
     /// The node has not received a configuration yet.
     NoConfig,
+    /// The configuration of this node does not allow the request, but may not be the one in force.
+    StaleConfig,
     /// No target of the service accepts requests.
     NoTarget,
     /// The targets have no capacity for the request in time.
@@ -42,12 +44,13 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub(crate) const ALL: [Reason; 14] = [
+    pub(crate) const ALL: [Reason; 15] = [
         Reason::Malformed,
         Reason::BodyTooLarge,
         Reason::BodyCut,
         Reason::NoRoute,
         Reason::NoConfig,
+        Reason::StaleConfig,
         Reason::NoTarget,
         Reason::Overloaded,
         Reason::OutOfService,
@@ -67,6 +70,7 @@
             Reason::BodyCut => "body-cut",
             Reason::NoRoute => "no-route",
             Reason::NoConfig => "no-config",
+            Reason::StaleConfig => "stale-config",
             Reason::NoTarget => "no-target",
             Reason::Overloaded => "overloaded",
             Reason::OutOfService => "out-of-service",
@@ -82,7 +86,12 @@
     /// Returns whether the reason is a fault of the caller's request. Only the entry node can find such a fault; callers do
     /// not retry the request.
     pub(crate) const fn is_callers_fault(self) -> bool {
-        matches!(self, Reason::Malformed | Reason::BodyTooLarge | Reason::BodyCut | Reason::NoRoute)
+        matches!(self, Reason::Malformed | Reason::BodyCut) || self.depends_on_config()
+    }
+
+    /// Returns whether another configuration may allow the request.
+    pub(crate) const fn depends_on_config(self) -> bool {
+        matches!(self, Reason::BodyTooLarge | Reason::NoRoute)
     }
 
     /// Parses a name returned by [`Reason::as_str`].
--- a/mesh/src/refusal/tests.rs
+++ b/mesh/src/refusal/tests.rs
@@ -19,6 +19,7 @@
 #[test_case(Reason::Deadline, 503)]
 #[test_case(Reason::NoRoute, 404)]
 #[test_case(Reason::BodyTooLarge, 413)]
+#[test_case(Reason::StaleConfig, 503; "a node with an old configuration answers 503")]
 fn status_tells_that_the_request_has_not_run(reason: Reason, status: u16) {
     let refusal = Refusal { reason, may_have_run: false, retry_after: None };
     assert_eq!(refusal.status().as_u16(), status);
