Apply the limit on heads of the configuration in force to kept connections

A connection took the limit on request heads from the configuration at the time when it was opened, and the HTTP parser answered 431 above it. Callers that keep their connections were refused by the old limit for as long as the connection lasted after an operator had raised it, and callers do not retry a 431. The parser also refused any head of more than 100 fields, and the server for other nodes had the same limits as the one for callers although a request grows on its way to it.

The parser now has a ceiling of 64 KiB and 1,000 fields, or 8 KiB above the limit if that is higher, and twice 64 KiB for other nodes. The node compares the size of the head with the configuration in force for each request. A thousand unfinished heads hold 64 MB at most, as before the first configuration until now.

--- a/mesh/src/headers.rs
+++ b/mesh/src/headers.rs
@@ -1,6 +1,6 @@
 //! Names of the HTTP headers used by callers and targets and between nodes, and functions to read and set headers.
 
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue, header, request::Parts};
 
 /// Names of the headers exchanged with callers and targets, which differ between deployments.
 #[derive(Clone, Debug)]
@@ -71,6 +71,14 @@
     }
 }
 
+/// Returns the size of a request head in bytes as RFC 9112 writes it, without optional whitespace.
+pub(crate) fn head_size(parts: &Parts) -> usize {
+    // Two spaces, the version and CRLF; then colon, space and CRLF of each field, and the last CRLF.
+    let line = parts.method.as_str().len() + parts.uri.to_string().len() + " HTTP/1.1\r\n ".len();
+    let field = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len() + 4;
+    line + parts.headers.iter().map(field).sum::<usize>() + 2
+}
+
 /// Returns a header value as text, or `None` if it is absent or not visible ASCII.
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/mesh/src/headers/tests.rs
+++ b/mesh/src/headers/tests.rs
@@ -1,6 +1,6 @@
-use http::{HeaderMap, HeaderValue, header};
+use http::{HeaderMap, HeaderValue, Request, header};
 
-use super::{ATTEMPT_ENVELOPE, strip_hop_by_hop, strip_internal};
+use super::{ATTEMPT_ENVELOPE, head_size, strip_hop_by_hop, strip_internal};
 
 fn headers() -> HeaderMap {
     let mut headers = HeaderMap::new();
@@ -28,3 +28,11 @@
     strip_internal(&mut headers);
     assert!(!headers.contains_key(ATTEMPT_ENVELOPE));
 }
+
+/// Guards against a head that counts as larger than the bytes that the caller sent.
+#[test]
+fn the_size_of_a_head_is_that_of_its_text() {
+    let text = "GET /a/?b=c HTTP/1.1\r\nhost: shop\r\nx-end: 1\r\n\r\n";
+    let req = Request::get("/a/?b=c").header("host", "shop").header("x-end", "1").body(());
+    assert_eq!(head_size(&req.expect("a request").into_parts().0), text.len());
+}
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -23,6 +23,7 @@
     payload::{Body, Payload},
     peer_requests::{self, Reply},
     peers::Peers,
+    reducer::RequestSize,
     refusal::{Reason, Refusal},
 };
 
@@ -81,7 +82,7 @@
         mut parts: Parts,
         body: Incoming,
     ) -> Result<(CallHead, Parts, Payload), Reason> {
-        let size = body.size_hint().lower();
+        let size = RequestSize { head: headers::head_size(&parts), body: body.size_hint().lower() };
         if let Some(reason) = self.driver.inspect(|_, reducer| reducer.find_excess(size)) {
             return Err(reason);
         }
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -40,6 +40,7 @@
     time::Time,
 };
 
+pub(crate) use self::denials::RequestSize;
 use self::{calls::Call, works::Work};
 
 /// The interval of [`Timer::Tick`].
--- a/mesh/src/reducer/denials.rs
+++ b/mesh/src/reducer/denials.rs
@@ -13,11 +13,23 @@
 /// The Retry-After time of a request that a newer configuration may allow. By then this node or another one may have it.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The size of a request, as far as it is known before its body has been read.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RequestSize {
+    /// The bytes of the head.
+    pub(crate) head: usize,
+    /// The declared length of the body in bytes, or 0.
+    pub(crate) body: u64,
+}
+
 impl Reducer {
-    /// Returns the limit of the configuration that a body of this declared length exceeds, if there is one.
-    pub(crate) fn find_excess(&self, body: u64) -> Option<Reason> {
+    /// Returns the limit of the configuration that a request exceeds, if there is one.
+    pub(crate) fn find_excess(&self, size: RequestSize) -> Option<Reason> {
         let limits = &self.config()?.config.limits;
-        (body > limits.max_body_bytes).then_some(Reason::BodyTooLarge)
+        if size.head > limits.max_head_bytes {
+            return Some(Reason::HeadTooLarge);
+        }
+        (size.body > limits.max_body_bytes).then_some(Reason::BodyTooLarge)
     }
 
     /// Refuses a request for which no call has been opened.
--- a/mesh/src/reducer/tests/denials.rs
+++ b/mesh/src/reducer/tests/denials.rs
@@ -1,7 +1,7 @@
 use test_case::test_case;
 
 use super::*;
-use crate::{config::CallerLimits, effect::Record};
+use crate::{config::CallerLimits, effect::Record, reducer::RequestSize};
 
 /// Guards against a caller that gets 400, and does not retry, because a node broke off the body of its request.
 #[test_case(true, Reason::AnswerLost; "a buffered body")]
@@ -48,8 +48,12 @@
     assert!(refusal.retry_after.is_some());
 }
 
-fn config_with_limits(version: u64, max_body_bytes: u64) -> Event {
-    let limits = CallerLimits { max_body_bytes, ..CallerLimits::default() };
+fn size(head: usize, body: u64) -> RequestSize {
+    RequestSize { head, body }
+}
+
+fn config_with_limits(version: u64, max_head_bytes: usize, max_body_bytes: u64) -> Event {
+    let limits = CallerLimits { max_head_bytes, max_body_bytes, ..CallerLimits::default() };
     Event::Config(Arc::new(RouteTable::new(Config { limits, ..config(version) })))
 }
 
@@ -57,18 +61,19 @@
 #[test]
 fn sizes_are_limited_by_the_configuration_in_force() {
     let mut node = TestNode::new(&THREE_MEMBERS);
-    node.apply(config_with_limits(2, 5_000));
-    assert_eq!(node.reducer.find_excess(5_000), None);
-    assert_eq!(node.reducer.find_excess(5_001), Some(Reason::BodyTooLarge));
-    node.apply(config_with_limits(3, 6_000));
-    assert_eq!(node.reducer.find_excess(5_001), None);
+    node.apply(config_with_limits(2, 1_000, 5_000));
+    assert_eq!(node.reducer.find_excess(size(1_000, 5_000)), None);
+    assert_eq!(node.reducer.find_excess(size(1_001, 0)), Some(Reason::HeadTooLarge));
+    assert_eq!(node.reducer.find_excess(size(100, 5_001)), Some(Reason::BodyTooLarge));
+    node.apply(config_with_limits(3, 2_000, 6_000));
+    assert_eq!(node.reducer.find_excess(size(1_001, 5_001)), None);
 }
 
 /// Guards against a request that is refused for good by an older configuration although the one in force may allow it.
 #[test]
 fn a_node_that_cannot_read_the_newest_configuration_denies_nothing() {
     let mut node = TestNode::new(&THREE_MEMBERS);
-    let denied = [Reason::BodyTooLarge, Reason::NoRoute];
+    let denied = [Reason::HeadTooLarge, Reason::BodyTooLarge, Reason::NoRoute];
     let refuse = |node: &mut TestNode, reason| {
         let mut out = Vec::new();
         let refusal = node.reducer.refuse_early(node.now, "id", reason, &mut out);
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -12,6 +12,8 @@
 pub(crate) enum Reason {
     /// The request head is invalid.
     Malformed,
+    /// The request head exceeds the limit.
+    HeadTooLarge,
     /// The body exceeds the limit.
     BodyTooLarge,
     /// The caller's body ended early.
@@ -44,8 +46,9 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub(crate) const ALL: [Reason; 15] = [
+    pub(crate) const ALL: [Reason; 16] = [
         Reason::Malformed,
+        Reason::HeadTooLarge,
         Reason::BodyTooLarge,
         Reason::BodyCut,
         Reason::NoRoute,
@@ -66,6 +69,7 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Reason::Malformed => "malformed",
+            Reason::HeadTooLarge => "head-too-large",
             Reason::BodyTooLarge => "body-too-large",
             Reason::BodyCut => "body-cut",
             Reason::NoRoute => "no-route",
@@ -91,7 +95,7 @@
 
     /// Returns whether another configuration may allow the request.
     pub(crate) const fn depends_on_config(self) -> bool {
-        matches!(self, Reason::BodyTooLarge | Reason::NoRoute)
+        matches!(self, Reason::HeadTooLarge | Reason::BodyTooLarge | Reason::NoRoute)
     }
 
     /// Parses a name returned by [`Reason::as_str`].
@@ -117,6 +121,7 @@
         match self.reason {
             Reason::Malformed => StatusCode::BAD_REQUEST,
             Reason::BodyCut if !self.may_have_run => StatusCode::BAD_REQUEST,
+            Reason::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::NoRoute => StatusCode::NOT_FOUND,
             Reason::Deadline if self.may_have_run => StatusCode::GATEWAY_TIMEOUT,
--- a/mesh/src/refusal/tests.rs
+++ b/mesh/src/refusal/tests.rs
@@ -18,6 +18,7 @@
 #[test_case(Reason::NoConfig, 503; "a node without configuration answers 503")]
 #[test_case(Reason::Deadline, 503)]
 #[test_case(Reason::NoRoute, 404)]
+#[test_case(Reason::HeadTooLarge, 431)]
 #[test_case(Reason::BodyTooLarge, 413)]
 #[test_case(Reason::StaleConfig, 503; "a node with an old configuration answers 503")]
 fn status_tells_that_the_request_has_not_run(reason: Reason, status: u16) {
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -14,11 +14,18 @@
 
 use crate::{config::CallerLimits, payload::Body, pool};
 
-/// Default for the largest request head in bytes.
-const DEFAULT_HEAD_BYTES: usize = 64 << 10;
+/// The bytes of a caller's request head that a connection buffers, whatever the limit of the configuration, which may
+/// rise while the connection is open. A thousand connections with unfinished heads hold 64 MB at most.
+const HEAD_BUFFER_BYTES: usize = 64 << 10;
 
-/// Smallest head limit in bytes that hyper accepts.
-const MIN_HEAD_BYTES: usize = 8 << 10;
+/// The bytes of a connection's buffer beyond the limit of the configuration: a head that fills the buffer is refused.
+const HEAD_BUFFER_RESERVE_BYTES: usize = 8 << 10;
+
+/// The most fields of a caller's request head. It bounds what the parser allocates for each head.
+const MAX_HEAD_FIELDS: usize = 1_000;
+
+/// The fields that a node adds to a request for another node, with a reserve for later builds.
+const ADDED_FIELDS: usize = 32;
 
 /// Default timeout for the next request head. It is longer than the idle timeout of any connection pool of a node.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(90);
@@ -26,33 +33,47 @@
 /// Delay before the next attempt to accept after an error, for instance when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Limits on the size and the arrival time of a request head.
+/// Limits on the size and the arrival time of a request head, which a connection keeps.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub struct HeadLimits {
-    /// The largest head in bytes; larger ones are answered with status 431.
-    max_bytes: usize,
+    /// The bytes of a head that are buffered. Larger heads are answered with status 431, whatever the configuration.
+    buffer_bytes: usize,
+    /// The most fields of a head. Heads with more are answered with status 431.
+    max_fields: usize,
     /// Timeout for the next head, counted from the end of the previous answer.
     timeout: Duration,
 }
 
 impl Default for HeadLimits {
     fn default() -> HeadLimits {
-        HeadLimits { max_bytes: DEFAULT_HEAD_BYTES, timeout: DEFAULT_HEAD_TIMEOUT }
+        HeadLimits {
+            buffer_bytes: HEAD_BUFFER_BYTES,
+            max_fields: MAX_HEAD_FIELDS,
+            timeout: DEFAULT_HEAD_TIMEOUT,
+        }
     }
 }
 
 impl From<&CallerLimits> for HeadLimits {
     fn from(limits: &CallerLimits) -> HeadLimits {
+        let needed = limits.max_head_bytes + HEAD_BUFFER_RESERVE_BYTES;
         HeadLimits {
-            max_bytes: limits.max_head_bytes.max(MIN_HEAD_BYTES),
+            buffer_bytes: needed.max(HEAD_BUFFER_BYTES),
             timeout: limits.idle_timeout + limits.head_timeout,
+            ..HeadLimits::default()
         }
     }
 }
 
-/// Returns a receiver of the default limits, for servers that callers cannot reach.
+/// Returns a receiver of the limits for servers that callers cannot reach. They leave room for what a node adds to a
+/// caller's request when it sends it to another node.
 pub fn default_head_limits() -> watch::Receiver<HeadLimits> {
-    watch::channel(HeadLimits::default()).1
+    let limits = HeadLimits {
+        buffer_bytes: 2 * HEAD_BUFFER_BYTES,
+        max_fields: MAX_HEAD_FIELDS + ADDED_FIELDS,
+        ..HeadLimits::default()
+    };
+    watch::channel(limits).1
 }
 
 /// Accepts connections until `stop` becomes true, then shuts them down gracefully. A connection keeps the limits that
@@ -104,7 +125,8 @@
         .auto_date_header(false)
         .timer(TokioTimer::new())
         .header_read_timeout(limits.timeout)
-        .max_buf_size(limits.max_bytes);
+        .max_buf_size(limits.buffer_bytes)
+        .max_headers(limits.max_fields);
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     // Errors are ignored: the requests on the connection observe them.
