--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod configuration;
 mod crashes;
+mod denials;
 mod members;
 mod pulls;
 mod versions;
@@ -41,6 +42,7 @@
     time::Time,
 };
 
+pub(crate) use self::denials::RequestSize;
 use self::{calls::Call, pulls::Pulls, works::Work};
 
 /// The interval of [`Timer::Tick`].
@@ -90,6 +92,8 @@
     config: Option<Arc<RouteTable>>,
     /// When the configuration in `config` took effect on this node.
     config_since: Time,
+    /// Whether the store holds a newer configuration that this node cannot read.
+    has_unreadable_config: bool,
     directory: Directory,
     /// Whether the list of members has been read since the start.
     has_member_list: bool,
@@ -137,6 +141,7 @@
             rng: SmallRng::seed_from_u64(seed),
             config: None,
             config_since: Time::ZERO,
+            has_unreadable_config: false,
             has_member_list: false,
             is_synced: false,
             has_store: false,
@@ -189,6 +194,7 @@
             Event::PullEnded(outcome) => self.pull_ended(now, outcome, out),
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
+            Event::ConfigUnreadable => self.has_unreadable_config = true,
             Event::Limits(limits) => self.local.limits = limits,
             Event::Evacuated(centres) => self.set_evacuated(now, centres, out),
             Event::Rollout { service, order } => self.rollout_ordered(now, service, order, out),
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -20,7 +20,7 @@
     time::Time,
 };
 
-use super::Reducer;
+use super::{Reducer, denials::CONFIG_RETRY_AFTER};
 
 /// The minimum share of a route's requests with the longest timeout at which a shorter timeout is taken as a sign of an
 /// earlier attempt.
@@ -32,9 +32,6 @@
 /// The Retry-After time that a stopping node gives. By then its successor may have started.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(800);
 
-/// The Retry-After time of a node without the configuration in force. It has arrived by then unless the store is away.
-const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// The service time assumed before one has been measured, as a fraction of the objective.
 const ASSUMED_OBJECTIVE_SHARE: f64 = 0.35;
 
@@ -194,13 +191,7 @@
             return self.refuse_on_arrival(key, &head, refusal, out);
         };
         let Some(route) = table.find(&head.host, &head.path) else {
-            let refusal = if self.is_config_current(now) {
-                refuse(Reason::NoRoute)
-            } else {
-                let retry_after = Some(CONFIG_RETRY_AFTER);
-                Refusal { retry_after, ..refuse(Reason::StaleConfig) }
-            };
-            return self.refuse_on_arrival(key, &head, refusal, out);
+            return self.refuse_on_arrival(key, &head, self.deny(now, Reason::NoRoute), out);
         };
         let time = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         if self.would_outlast_stop(now, time) {
--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -14,6 +14,7 @@
 
 impl Reducer {
     pub(super) fn set_config(&mut self, now: Time, table: Arc<RouteTable>, out: &mut Vec<Effect>) {
+        self.has_unreadable_config = false;
         let previous = self.config_version();
         let version = table.config.version;
         if self.config.is_some() && version <= previous {
@@ -41,8 +42,8 @@
         self.config.as_ref().map_or(0, |table| table.config.version)
     }
 
-    /// Returns whether no newer configuration can be in force as far as this node knows: no node that it hears has
-    /// newer orders, and it or one of them reaches the store.
+    /// Returns whether no newer configuration can be in force as far as this node knows: it could read the last one, no
+    /// node that it hears has newer orders, and it or one of them reaches the store.
     ///
     /// Only then is a request that the configuration does not allow refused for good. Otherwise the caller may come
     /// back, since the configuration that allows it may be on its way.
@@ -54,6 +55,6 @@
         let heard = || self.directory.iter().map(|(_, member)| member).filter(is_heard);
         let is_behind = heard().any(|member| member.revisions[orders] > self.revisions[orders]);
         let has_store = self.has_store || heard().any(|member| member.has_store);
-        !is_behind && has_store
+        !self.has_unreadable_config && !is_behind && has_store
     }
 }
--- /dev/null
+++ b/mesh/src/reducer/denials.rs
@@ -0,0 +1,67 @@
+//! Refusals of requests that the configuration does not allow.
+
+use std::time::Duration;
+
+use crate::{
+    effect::{Effect, Record},
+    refusal::{Reason, Refusal},
+    time::Time,
+};
+
+use super::Reducer;
+
+/// The Retry-After time of a node without the configuration in force. It has arrived by then unless the store is away.
+pub(super) const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// The size of a request, as far as it is known before its body has been read.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RequestSize {
+    /// The bytes of the head.
+    pub(crate) head: usize,
+    /// The declared length of the body in bytes, or 0.
+    pub(crate) body: u64,
+}
+
+impl Reducer {
+    /// Returns the limit of the configuration that a request exceeds, if there is one.
+    pub(crate) fn find_excess(&self, size: RequestSize) -> Option<Reason> {
+        let limits = &self.config()?.config.limits;
+        if size.head > limits.max_head_bytes {
+            return Some(Reason::HeadTooLarge);
+        }
+        (size.body > limits.max_body_bytes).then_some(Reason::BodyTooLarge)
+    }
+
+    /// Refuses a request for which no call has been opened.
+    pub(crate) fn refuse_early(
+        &self,
+        now: Time,
+        id: &str,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) -> Refusal {
+        let refusal = self.deny(now, reason);
+        out.push(Effect::Log(Record::Refuse {
+            id: id.into(),
+            route: "".into(),
+            refusal,
+            attempts: 0,
+            tried: "".into(),
+            waited: Duration::ZERO,
+            config: self.config_version(),
+        }));
+        refusal
+    }
+
+    /// Returns the refusal of a request that has not been sent anywhere.
+    ///
+    /// Callers do not retry a request that the configuration does not allow. While a newer configuration may allow it,
+    /// the request is refused as [`Reason::StaleConfig`] instead.
+    pub(super) fn deny(&self, now: Time, reason: Reason) -> Refusal {
+        if reason.depends_on_config() && !self.is_config_current(now) {
+            let retry_after = Some(CONFIG_RETRY_AFTER);
+            return Refusal { reason: Reason::StaleConfig, may_have_run: false, retry_after };
+        }
+        Refusal { reason, may_have_run: false, retry_after: None }
+    }
+}
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -12,6 +12,8 @@
 pub(crate) enum Reason {
     /// The request head is invalid.
     Malformed,
+    /// The request head exceeds the limit.
+    HeadTooLarge,
     /// The body exceeds the limit.
     BodyTooLarge,
     /// The caller's body ended early.
@@ -20,7 +22,7 @@
     NoRoute,
     /// The node has not received a configuration yet.
     NoConfig,
-    /// No route matches, but a newer configuration may be in force.
+    /// The configuration of this node does not allow the request, but may not be the one in force.
     StaleConfig,
     /// No target of the service accepts requests.
     NoTarget,
@@ -32,6 +34,8 @@
     Stopping,
     /// The node at the address is not the intended member, but another process.
     WrongMember,
+    /// The target's node cannot read the parameters of the request, for instance because it is of another build.
+    Unreadable,
     /// The deadline of the caller or of the route has passed.
     Deadline,
     /// The request was sent, but its response was lost or did not come from the target.
@@ -42,8 +46,9 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub(crate) const ALL: [Reason; 14] = [
+    pub(crate) const ALL: [Reason; 16] = [
         Reason::Malformed,
+        Reason::HeadTooLarge,
         Reason::BodyTooLarge,
         Reason::BodyCut,
         Reason::NoRoute,
@@ -54,6 +59,7 @@
         Reason::OutOfService,
         Reason::Stopping,
         Reason::WrongMember,
+        Reason::Unreadable,
         Reason::Deadline,
         Reason::AnswerLost,
         Reason::CrashSuspect,
@@ -63,6 +69,7 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Reason::Malformed => "malformed",
+            Reason::HeadTooLarge => "head-too-large",
             Reason::BodyTooLarge => "body-too-large",
             Reason::BodyCut => "body-cut",
             Reason::NoRoute => "no-route",
@@ -73,12 +80,24 @@
             Reason::OutOfService => "out-of-service",
             Reason::Stopping => "stopping",
             Reason::WrongMember => "wrong-member",
+            Reason::Unreadable => "unreadable",
             Reason::Deadline => "deadline",
             Reason::AnswerLost => "answer-lost",
             Reason::CrashSuspect => "crash-suspect",
         }
     }
 
+    /// Returns whether the reason is a fault of the caller's request. Only the entry node can find such a fault; callers do
+    /// not retry the request.
+    pub(crate) const fn is_callers_fault(self) -> bool {
+        matches!(self, Reason::Malformed | Reason::BodyCut) || self.depends_on_config()
+    }
+
+    /// Returns whether another configuration may allow the request.
+    pub(crate) const fn depends_on_config(self) -> bool {
+        matches!(self, Reason::HeadTooLarge | Reason::BodyTooLarge | Reason::NoRoute)
+    }
+
     /// Parses a name returned by [`Reason::as_str`].
     pub(crate) fn parse(text: &str) -> Option<Reason> {
         Reason::ALL.into_iter().find(|reason| reason.as_str() == text)
@@ -100,7 +119,9 @@
     /// Returns the HTTP status, which must not imply that the request has not run if it may have.
     pub(crate) const fn status(&self) -> StatusCode {
         match self.reason {
-            Reason::Malformed | Reason::BodyCut => StatusCode::BAD_REQUEST,
+            Reason::Malformed => StatusCode::BAD_REQUEST,
+            Reason::BodyCut if !self.may_have_run => StatusCode::BAD_REQUEST,
+            Reason::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::NoRoute => StatusCode::NOT_FOUND,
             Reason::Deadline if self.may_have_run => StatusCode::GATEWAY_TIMEOUT,
