Answer 408 for a body that does not arrive in time

A caller whose body did not arrive within its deadline got 400, as for a body that ended early, and did not retry. A slow link or a busy node is not a fault of the request, and nothing had been sent to a target.

Such a request is now refused as `body-timeout` with status 408, which promises that it has not run. A body that ends early and a malformed chunk still give 400.

--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -92,7 +92,8 @@
             tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), Payload::read(body));
         let payload = match read.await {
             Ok(Ok(payload)) => payload,
-            Ok(Err(_)) | Err(_) => return Err(Reason::BodyCut),
+            Ok(Err(_)) => return Err(Reason::BodyCut),
+            Err(_) => return Err(Reason::BodyTimeout),
         };
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -18,6 +18,8 @@
     BodyTooLarge,
     /// The caller's body ended early.
     BodyCut,
+    /// The caller's body did not arrive in time.
+    BodyTimeout,
     /// No route of the configuration matches.
     NoRoute,
     /// The node has not received a configuration yet.
@@ -46,11 +48,12 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub(crate) const ALL: [Reason; 16] = [
+    pub(crate) const ALL: [Reason; 17] = [
         Reason::Malformed,
         Reason::HeadTooLarge,
         Reason::BodyTooLarge,
         Reason::BodyCut,
+        Reason::BodyTimeout,
         Reason::NoRoute,
         Reason::NoConfig,
         Reason::StaleConfig,
@@ -72,6 +75,7 @@
             Reason::HeadTooLarge => "head-too-large",
             Reason::BodyTooLarge => "body-too-large",
             Reason::BodyCut => "body-cut",
+            Reason::BodyTimeout => "body-timeout",
             Reason::NoRoute => "no-route",
             Reason::NoConfig => "no-config",
             Reason::StaleConfig => "stale-config",
@@ -87,10 +91,11 @@
         }
     }
 
-    /// Returns whether the reason is a fault of the caller's request. Only the entry node can find such a fault; callers do
-    /// not retry the request.
+    /// Returns whether the reason lies between the caller and its entry node, which alone can find it. Callers do not
+    /// retry such requests, except after [`Reason::BodyTimeout`].
     pub(crate) const fn is_callers_fault(self) -> bool {
-        matches!(self, Reason::Malformed | Reason::BodyCut) || self.depends_on_config()
+        matches!(self, Reason::Malformed | Reason::BodyCut | Reason::BodyTimeout)
+            || self.depends_on_config()
     }
 
     /// Returns whether another configuration may allow the request.
@@ -122,6 +127,7 @@
             Reason::Malformed => StatusCode::BAD_REQUEST,
             Reason::BodyCut if !self.may_have_run => StatusCode::BAD_REQUEST,
             Reason::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Reason::BodyTimeout if !self.may_have_run => StatusCode::REQUEST_TIMEOUT,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::NoRoute => StatusCode::NOT_FOUND,
             Reason::Deadline if self.may_have_run => StatusCode::GATEWAY_TIMEOUT,
--- a/mesh/src/refusal/tests.rs
+++ b/mesh/src/refusal/tests.rs
@@ -17,6 +17,7 @@
 #[test_case(Reason::NoTarget, 503)]
 #[test_case(Reason::NoConfig, 503; "a node without configuration answers 503")]
 #[test_case(Reason::Deadline, 503)]
+#[test_case(Reason::BodyTimeout, 408)]
 #[test_case(Reason::NoRoute, 404)]
 #[test_case(Reason::HeadTooLarge, 431)]
 #[test_case(Reason::BodyTooLarge, 413)]
