Take no answer for that of a target unless a node passed it on

The entry node passed on whatever came from the address of another node. If another process listens there, or the node's HTTP parser refuses the head of the request, the caller got a 404, 400 or 431 that no target had given, and even a success without a signature would have passed.

Nodes of all builds put a load report into every answer to another node. An answer without one now counts as lost: the member is paused, an idempotent request goes to another target, and others end with 502, because another process may have done something with the request.

The new test failed before the change for 200, 404 and 431.

--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -77,6 +77,11 @@
         Ok((answer, conn)) => {
             let (mut parts, body) = answer.into_parts();
             let headers = &mut parts.headers;
+            if !headers.contains_key(&headers::LOAD_REPORT) {
+                // Every answer of a node has a load report. This one comes from another process at the address, or from
+                // the HTTP parser of the node.
+                return Reply::failed(Failure::NodeLost);
+            }
             let load = headers::text(headers, &headers::LOAD_REPORT).and_then(LoadReport::parse);
             let nominal_service =
                 headers::text(headers, &headers::NOMINAL_SERVICE).and_then(|us| us.parse().ok());
--- a/mesh/src/peer_requests/tests.rs
+++ b/mesh/src/peer_requests/tests.rs
@@ -1,16 +1,47 @@
 use std::time::Duration;
 
+use http::{Request, Response};
+use hyper::body::Incoming;
+use slog::{Discard, Logger, o};
 use test_case::test_case;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
+};
 
-use super::{Envelope, format_outcome, parse_outcome};
+use super::{Envelope, format_outcome, parse_outcome, send};
 use crate::{
     effect::AttemptSpec,
     event::Failure,
     forwarder::AttemptOutcome,
     keys::MemberId,
+    payload::{Body, Payload},
+    pool::{Pool, PoolConfig},
     refusal::{Reason, Refusal},
+    serve,
+};
+
+const POOL_CONFIG: PoolConfig = PoolConfig {
+    connect_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(5),
+    max_idle: 1,
 };
 
+fn spec() -> AttemptSpec {
+    AttemptSpec {
+        service: "stock".into(),
+        route: "näme".into(),
+        priority: 1,
+        is_idempotent: true,
+        objective: Duration::from_millis(300),
+        timeout: Duration::from_millis(800),
+        full_objective: Duration::from_millis(400),
+        nominal_service: Duration::from_millis(100),
+        is_late: false,
+    }
+}
+
 /// Guards against an outcome that the entry node decodes as another one, such as "not run" for a lost answer.
 #[test]
 fn outcome_round_trips_through_its_header() {
@@ -49,17 +80,7 @@
 /// Guards against an envelope that is not a valid header value, for instance because of a non-ASCII route name.
 #[test]
 fn envelope_round_trips_through_its_header() {
-    let spec = AttemptSpec {
-        service: "stock".into(),
-        route: "näme".into(),
-        priority: 1,
-        is_idempotent: true,
-        objective: Duration::from_millis(300),
-        timeout: Duration::from_millis(800),
-        full_objective: Duration::from_millis(400),
-        nominal_service: Duration::from_millis(100),
-        is_late: false,
-    };
+    let spec = spec();
     let text =
         Envelope { from: MemberId(6), to: MemberId(7), spec: spec.clone() }.encode().expect("text");
     assert!(text.is_ascii());
@@ -67,3 +88,43 @@
     assert_eq!((envelope.to, envelope.spec), (MemberId(7), spec));
     assert!(Envelope::decode("not an envelope").is_none());
 }
+
+/// Guards against an answer of another process at a node's address, or of the node's HTTP parser, that the caller gets as
+/// the target's.
+#[test_case(200; "success")]
+#[test_case(404; "not found")]
+#[test_case(431; "head too large")]
+#[tokio::test]
+async fn an_answer_that_no_node_gave_is_lost(status: u16) {
+    let other = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let pool = Pool::new(other.local_addr().expect("an address"), POOL_CONFIG);
+    tokio::spawn(async move {
+        let (mut stream, _) = other.accept().await.expect("a connection");
+        let _ = stream.read(&mut [0; 4_096]).await;
+        let answer = format!("HTTP/1.1 {status} Other\r\ncontent-length: 0\r\n\r\n");
+        stream.write_all(answer.as_bytes()).await.expect("the pool reads");
+        std::future::pending::<()>().await;
+    });
+    // A server of its own gives the body that is sent on.
+    let entry = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let mut caller =
+        TcpStream::connect(entry.local_addr().expect("an address")).await.expect("a connection");
+    let (outcomes, mut received) = mpsc::unbounded_channel();
+    let handle = move |req: Request<Incoming>| {
+        let (pool, outcomes) = (pool.clone(), outcomes.clone());
+        async move {
+            let (parts, body) = req.into_parts();
+            let payload = Payload::read(body).await.expect("a body");
+            let members = (MemberId(6), MemberId(7));
+            let reply = send(&pool, members, &spec(), parts, payload).await;
+            let is_lost = matches!(reply.outcome, AttemptOutcome::Failed(Failure::NodeLost));
+            outcomes.send(is_lost).expect("the test waits");
+            Response::new(Body::default())
+        }
+    };
+    let (_stop, is_stopping) = watch::channel(false);
+    let log = Logger::root(Discard, o!());
+    tokio::spawn(serve::serve(entry, is_stopping, serve::default_head_limits(), log, handle));
+    caller.write_all(b"GET / HTTP/1.1\r\nhost: shop\r\n\r\n").await.expect("the server reads");
+    assert_eq!(received.recv().await, Some(true));
+}
