Read every deadline that a caller may state

An empty deadline header and a number above the range of the parser were answered 400, which callers do not retry. A number of 44 digits made the task of the request panic, as the time exceeds the range of a duration, so that the connection closed without an answer. Of several values the first counted, which may leave a target more time than the caller waits.

A value states milliseconds up to an hour, however large it is; zero is a deadline that has passed, an empty value states none, and the shortest of several counts. Text that is not a number and negative values stay 400.

The new test failed before the change for empty, repeated and large values, one of them with a panic.

--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -1,5 +1,7 @@
 //! Serves callers' requests: sends attempts to the targets that the reducer selects and returns the answer.
 
+mod head;
+
 use std::{future::poll_fn, sync::Arc, time::Duration};
 
 use compact_str::{CompactString, ToCompactString};
@@ -27,9 +29,6 @@
     refusal::{Reason, Refusal},
 };
 
-/// Upper limit on the timeout in a caller's deadline header.
-const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
-
 /// Timeout for reading a request body when the caller sets no deadline.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -86,8 +85,8 @@
         if let Some(reason) = self.driver.inspect(|_, reducer| reducer.find_excess(size)) {
             return Err(reason);
         }
-        let timeout = read_timeout(&parts, &self.names)?;
-        let host = host(&parts).ok_or(Reason::Malformed)?;
+        let timeout = head::read_timeout(&parts.headers, &self.names.deadline)?;
+        let host = head::host(&parts).ok_or(Reason::Malformed)?;
         let read =
             tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), Payload::read(body));
         let payload = match read.await {
@@ -231,19 +230,6 @@
     }
 }
 
-fn read_timeout(parts: &Parts, names: &HeaderNames) -> Result<Option<Duration>, Reason> {
-    let Some(value) = parts.headers.get(&names.deadline) else { return Ok(None) };
-    let ms = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
-    let ms = ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
-    let ms = ms.ok_or(Reason::Malformed)?;
-    Ok(Some(Duration::from_secs_f64(ms / 1_000.0).min(MAX_TIMEOUT)))
-}
-
-fn host(parts: &Parts) -> Option<CompactString> {
-    let from_uri = parts.uri.host().map(CompactString::from);
-    from_uri.or_else(|| headers::text(&parts.headers, &header::HOST).map(CompactString::from))
-}
-
 fn refusal_response(refusal: &Refusal) -> Response<Body> {
     let mut answer = Response::new(Body::default());
     *answer.status_mut() = refusal.status();
