Find the route of a host with a trailing dot and of an IPv6 address

A host with a dot after its last label names the same host, and an IPv6 address without a port ends with a bracket after its colons. Requests for both were answered 404, which callers do not retry, since the table cut the host at its last colon and compared the rest letter for letter.

The new cases of the table's test failed before the change.

--- a/mesh/src/config.rs
+++ b/mesh/src/config.rs
@@ -114,9 +114,11 @@
 
     /// Returns the route of the host whose prefix is the longest that matches the path.
     ///
-    /// `host` may contain a port and upper-case letters.
+    /// `host` may contain a port, upper-case letters and a trailing dot.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = strip_port(host);
+        // The dot after the last label names the same host.
+        let name = name.strip_suffix('.').unwrap_or(name);
         let indexes = match self.hosts.get(name) {
             Some(indexes) => indexes,
             None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
@@ -131,5 +133,12 @@
     }
 }
 
+/// Removes the port of a host. An IPv6 address is in brackets and contains colons.
+fn strip_port(host: &str) -> &str {
+    host.rsplit_once(':')
+        .filter(|(name, _)| !name.starts_with('[') || name.ends_with(']'))
+        .map_or(host, |(name, _)| name)
+}
+
 #[cfg(test)]
 mod tests;
--- a/mesh/src/config/tests.rs
+++ b/mesh/src/config/tests.rs
@@ -23,6 +23,7 @@
         route("short", "shop.example", "/a/"),
         route("long", "shop.example", "/a/b/"),
         route("other", "pay.example", "/a/"),
+        route("address", "[::1]", "/a/"),
     ];
     RouteTable::new(Config { version: 1, routes, ..Config::default() })
 }
@@ -32,6 +33,11 @@
 #[test_case("shop.example", "/a/b/x", Some("long"); "longest prefix")]
 #[test_case("shop.example", "/a/b", Some("short"); "prefix ends with a slash")]
 #[test_case("SHOP.example:8080", "/a/x", Some("short"); "port and capitals")]
+#[test_case("shop.example.", "/a/x", Some("short"); "trailing dot")]
+#[test_case("Shop.example.:8080", "/a/x", Some("short"); "port after a trailing dot")]
+#[test_case("shop.example:", "/a/x", Some("short"); "empty port")]
+#[test_case("[::1]", "/a/x", Some("address"); "address")]
+#[test_case("[::1]:8080", "/a/x", Some("address"); "address and port")]
 #[test_case("pay.example", "/a/b/x", Some("other"); "other host")]
 #[test_case("shop.example", "/ab/", None; "no prefix of a segment")]
 #[test_case("unknown.example", "/a/x", None; "unknown host")]
