Send requests in absolute form to local targets in origin form

A request with a whole URI reached the target beside its entry node in that form, and without a `Host` header if the caller sent none, while a target of another node received the path. Targets need not know the absolute form, and a target's own 400 or 404 went to the caller.

The entry node now reduces such a request to its path and sets `Host` from the URI, as RFC 9112 asks of a gateway, before it is routed. Hosts are tested in every valid form through a running node.

The cases in absolute form failed before the change: the target received http://shop/own/1 and no host.

--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -86,7 +86,8 @@
             return Err(reason);
         }
         let timeout = head::read_timeout(&parts.headers, &self.names.deadline)?;
-        let host = head::host(&parts).ok_or(Reason::Malformed)?;
+        head::set_origin_form(&mut parts);
+        let host = headers::text(&parts.headers, &header::HOST).ok_or(Reason::Malformed)?.into();
         let read =
             tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), Payload::read(body));
         let payload = match read.await {
--- a/mesh/src/ingress/head.rs
+++ b/mesh/src/ingress/head.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use compact_str::CompactString;
 use http::{HeaderMap, HeaderName, header, request::Parts};
 
 use crate::{headers, refusal::Reason};
@@ -40,10 +39,16 @@
     Some(Duration::from_secs_f64((ms / 1_000.0).min(MAX_TIMEOUT.as_secs_f64())))
 }
 
-/// Returns the host of a request, with the port if one is stated in the `Host` header.
-pub(super) fn host(parts: &Parts) -> Option<CompactString> {
-    let from_uri = parts.uri.host().map(CompactString::from);
-    from_uri.or_else(|| headers::text(&parts.headers, &header::HOST).map(CompactString::from))
+/// Reduces a request in absolute form to origin form, in which targets expect it. The host of the URI then replaces the
+/// `Host` header (RFC 9112, section 3.2.2).
+pub(super) fn set_origin_form(parts: &mut Parts) {
+    let Some(authority) = parts.uri.authority() else { return };
+    let host = authority.as_str().rsplit_once('@').map_or(authority.as_str(), |(_, host)| host);
+    headers::set(&mut parts.headers, &header::HOST, host);
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    if let Ok(uri) = path.parse() {
+        parts.uri = uri;
+    }
 }
 
 #[cfg(test)]
