End a streamed answer with its call, and reuse only connections whose answer is complete

A target that sends a large body without end kept its caller reading beyond the deadline, and held a slot and a connection at the target's node all the while. An answer over 128 KiB is streamed, and its deadline ended with its head. Besides, a body that its reader dropped counted as a complete answer: the connection returned to the pool, and the answer counted as served.

A streamed body now fails at the deadline of its call, at the target's node and at the entry node, which breaks the caller's connection so that the answer does not look complete. The connection returns to its pool, and the request counts as answered, only after the last byte; otherwise the connection is closed and the request counts as cancelled. Idempotent requests at the target's node also get the time limit that other requests have, so that an entry node that vanished cannot hold them.

--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts, response};
 use http_body::Body as _;
 use hyper::body::Incoming;
+use tokio::time::{self, Instant};
 
 use crate::{
     driver::Driver,
@@ -87,14 +88,13 @@
             }
         };
         let exchange = self.clone().exchange(work, lifetime, timeout, parts, payload);
-        if spec.is_idempotent {
-            return exchange.await;
-        }
-        let exchange = tokio::time::timeout(timeout + ORPHAN_GRACE, exchange);
-        match tokio::spawn(exchange).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) | Err(_) => AttemptOutcome::Failed(Failure::Lost),
-        }
+        let exchange = time::timeout(timeout + ORPHAN_GRACE, exchange);
+        let outcome = if spec.is_idempotent {
+            exchange.await.ok()
+        } else {
+            tokio::spawn(exchange).await.ok().and_then(Result::ok)
+        };
+        outcome.unwrap_or(AttemptOutcome::Failed(Failure::Lost))
     }
 
     async fn exchange(
@@ -105,6 +105,7 @@
         parts: Parts,
         mut payload: Payload,
     ) -> AttemptOutcome {
+        let deadline = Instant::now() + timeout;
         let id = parts.headers.get(&self.names.request_id).cloned();
         let Some(req) = self.prepare_request(parts, &mut payload, &lifetime, timeout) else {
             work.close(WorkEvent::Failed(Failure::BodyCut));
@@ -153,15 +154,17 @@
             drain(answer, conn).await;
             return AttemptOutcome::Shed;
         }
-        self.accept_answer(work, answer, conn).await
+        self.accept_answer(work, answer, conn, deadline).await
     }
 
-    /// Buffers a small answer completely before it is returned, so that a truncated one is detected.
+    /// Buffers a small answer completely before it is returned, so that a truncated one is detected. A large one is
+    /// streamed until the deadline.
     async fn accept_answer(
         &self,
         mut work: WorkGuard,
         answer: Response<Incoming>,
         conn: PooledConnection,
+        deadline: Instant,
     ) -> AttemptOutcome {
         let (parts, body) = answer.into_parts();
         if !self.is_genuine(&parts) {
@@ -183,7 +186,7 @@
             work.close(WorkEvent::Answered { status });
             body
         } else {
-            body.on_end(move || {
+            body.fail_at(deadline).on_complete(move || {
                 conn.release();
                 work.close(WorkEvent::Answered { status });
             })
--- a/mesh/src/payload.rs
+++ b/mesh/src/payload.rs
@@ -1,6 +1,7 @@
 //! Message bodies. Small ones are buffered completely, so that they can be resent or checked; large ones are streamed.
 
 use std::{
+    future::Future,
     pin::Pin,
     task::{Context, Poll, ready},
 };
@@ -9,6 +10,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::{self, Instant, Sleep};
 
 /// Largest body in bytes that is buffered completely.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 128 << 10;
@@ -86,6 +88,8 @@
             buffered: Some(self.buffered.clone()),
             rest: Some(rest),
             length: self.length,
+            deadline: None,
+            is_failed: false,
             end: None,
         })
     }
@@ -97,28 +101,51 @@
     buffered: Option<Bytes>,
     rest: Option<Incoming>,
     length: Option<u64>,
-    /// Callback for when the body has been sent or dropped.
-    end: Option<Box<dyn FnOnce() + Send>>,
+    /// The time at which a body that has not ended fails.
+    deadline: Option<Pin<Box<Sleep>>>,
+    is_failed: bool,
+    /// Callback for when the body has been sent or dropped, with whether it was sent completely.
+    end: Option<Box<dyn FnOnce(bool) + Send>>,
 }
 
 impl Body {
     /// Adds a callback for when the body has been sent or dropped.
-    pub(crate) fn on_end(mut self, end: impl FnOnce() + Send + 'static) -> Body {
+    pub(crate) fn on_end(self, end: impl FnOnce() + Send + 'static) -> Body {
+        self.add_callback(move |_| end())
+    }
+
+    /// Adds a callback for when the body has been sent completely. It is dropped without a call if the body fails or is
+    /// dropped before its end.
+    pub(crate) fn on_complete(self, complete: impl FnOnce() + Send + 'static) -> Body {
+        self.add_callback(move |is_complete| {
+            if is_complete {
+                complete();
+            }
+        })
+    }
+
+    /// Makes the body fail at `deadline`, because its sender may never end it.
+    pub(crate) fn fail_at(mut self, deadline: Instant) -> Body {
+        self.deadline = Some(Box::pin(time::sleep_until(deadline)));
+        self
+    }
+
+    fn add_callback(mut self, end: impl FnOnce(bool) + Send + 'static) -> Body {
         match self.end.take() {
             None => self.end = Some(Box::new(end)),
             Some(first) => {
-                self.end = Some(Box::new(move || {
-                    first();
-                    end();
+                self.end = Some(Box::new(move |is_complete| {
+                    first(is_complete);
+                    end(is_complete);
                 }));
             }
         }
         self
     }
 
-    fn call_on_end(&mut self) {
+    fn call_on_end(&mut self, is_complete: bool) {
         if let Some(end) = self.end.take() {
-            end();
+            end(is_complete);
         }
     }
 }
@@ -127,7 +154,7 @@
     fn from(bytes: Bytes) -> Body {
         let length = Some(bytes.len() as u64);
         let buffered = (!bytes.is_empty()).then_some(bytes);
-        Body { buffered, rest: None, length, end: None }
+        Body { buffered, rest: None, length, deadline: None, is_failed: false, end: None }
     }
 }
 
@@ -142,15 +169,23 @@
         if let Some(start) = self.buffered.take() {
             return Poll::Ready(Some(Ok(Frame::data(start))));
         }
+        let is_due = |deadline: &mut Pin<Box<Sleep>>| deadline.as_mut().poll(cx).is_ready();
+        if self.is_failed || self.deadline.as_mut().is_some_and(is_due) {
+            self.is_failed = true;
+            return Poll::Ready(Some(Err(IncompleteBody)));
+        }
         let Some(rest) = &mut self.rest else {
-            self.call_on_end();
+            self.call_on_end(true);
             return Poll::Ready(None);
         };
         match ready!(Pin::new(rest).poll_frame(cx)) {
             Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
-            Some(Err(_)) => Poll::Ready(Some(Err(IncompleteBody))),
+            Some(Err(_)) => {
+                self.is_failed = true;
+                Poll::Ready(Some(Err(IncompleteBody)))
+            }
             None => {
-                self.call_on_end();
+                self.call_on_end(true);
                 Poll::Ready(None)
             }
         }
@@ -171,6 +206,8 @@
 
 impl Drop for Body {
     fn drop(&mut self) {
-        self.call_on_end();
+        // A body of known length is not polled again after its last byte.
+        let is_complete = !self.is_failed && self.is_end_stream();
+        self.call_on_end(is_complete);
     }
 }
--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header, request::Parts};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use crate::{
     driver::Driver,
@@ -64,6 +65,7 @@
     mut parts: Parts,
     mut payload: Payload,
 ) -> Reply {
+    let deadline = Instant::now() + spec.timeout;
     let envelope = Envelope { from, to, spec: spec.clone() };
     let Some(text) = envelope.encode() else { return Reply::failed(Failure::NotSent) };
     headers::set(&mut parts.headers, &headers::ATTEMPT_ENVELOPE, &text);
@@ -97,7 +99,7 @@
                 conn.release();
                 body
             } else {
-                body.on_end(move || conn.release())
+                body.fail_at(deadline).on_complete(move || conn.release())
             };
             let outcome = outcome
                 .unwrap_or_else(|| AttemptOutcome::Answer(Response::from_parts(parts, body)));
