Report a refusal without waiting for its body

Callers whose request a target had refused with a body without end got 504 at their deadline, which promises nothing, instead of a refusal with Retry-After, and a request that another target could serve was not sent there. The node read the body of a refusal before it passed the refusal on.

The head is the proof that the request did not run, so the outcome no longer waits for the body.

--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -23,6 +23,9 @@
 /// Extra time, beyond the caller's timeout, for a request that continues after its caller has gone away.
 const ORPHAN_GRACE: Duration = Duration::from_secs(1);
 
+/// The maximum time for reading the body of an answer that is discarded. A connection whose body takes longer is closed.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Safety margin before the target's keep-alive timeout. A connection is not reused within it, because the target could
 /// close it while a request is on its way.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(900);
@@ -146,12 +149,12 @@
             let is_other = headers::text(headers, &self.names.instance)
                 .is_none_or(|instance| instance != lifetime.as_str());
             work.close(if is_other { WorkEvent::Misdirected } else { WorkEvent::Shed });
-            drain(answer, conn).await;
+            drain(answer, conn);
             return AttemptOutcome::Refused { reason: Reason::NoTarget, wait: Duration::ZERO };
         }
         if is_shed {
             work.close(WorkEvent::Shed);
-            drain(answer, conn).await;
+            drain(answer, conn);
             return AttemptOutcome::Shed;
         }
         self.accept_answer(work, answer, conn, deadline).await
@@ -251,13 +254,18 @@
     timeout.parse().ok().map(Duration::from_secs)
 }
 
-/// Reads the rest of an answer that is discarded, so that its connection can be reused.
-async fn drain(answer: Response<Incoming>, conn: PooledConnection) {
-    if let Ok(payload) = Payload::read(answer.into_body()).await
-        && payload.is_complete()
-    {
-        conn.release();
+/// Reads the rest of an answer that is discarded, so that its connection can be reused. This does not delay the outcome,
+/// because the body may never end.
+fn drain(answer: Response<Incoming>, conn: PooledConnection) {
+    if answer.body().is_end_stream() {
+        return conn.release();
     }
+    tokio::spawn(async move {
+        let read = time::timeout(DRAIN_TIMEOUT, Payload::read(answer.into_body())).await;
+        if read.is_ok_and(|payload| payload.is_ok_and(|payload| payload.is_complete())) {
+            conn.release();
+        }
+    });
 }
 
 /// Guard of a registered request. Dropping it reports to the reducer that the request was cancelled, which has no
