Take only an answer that names its request as proof that the request did not run

A faulty target may write an earlier answer once more on a connection that is kept. A refusal without the id of a request was taken as the answer to whatever request was waiting there: a payment that ran was reported as not run (503 with Retry-After), and its caller, or the entry node, could send it to a second target. A 503, 429 or 408 without the target's statement that it did not run the request was passed on, too, although callers take these statuses as a promise; such an answer can be a health check's.

An answer now counts only if its id is that of the request, every one of them if there are several. Otherwise the response is lost: the caller gets 502, which promises nothing, and the connection is closed. The same holds for a status that promises without the statement behind it. Each such answer is logged as answer-rejected with its cause.

--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -3,7 +3,7 @@
 use std::{future::poll_fn, sync::Arc, time::Duration};
 
 use compact_str::CompactString;
-use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts, response};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use tokio::time::{self, Instant};
@@ -131,10 +131,11 @@
             }
         };
         let headers = answer.headers();
-        if let Some(id) = id
-            && headers.get(&self.names.request_id).is_some_and(|echo| *echo != id)
-        {
-            // This answers an earlier request: requests and answers on the connection are out of sync.
+        if let Err(cause) = check_answer(answer.status(), headers, id.as_ref(), &self.names) {
+            // Requests and answers on the connection may be out of sync, so it is closed.
+            slog::warn!(self.driver.log(), "answer-rejected"; "cause" => cause.as_str(),
+                "id" => id.as_ref().and_then(|id| id.to_str().ok()),
+                "status" => answer.status().as_u16());
             work.close(WorkEvent::Failed(Failure::Lost));
             return AttemptOutcome::Failed(Failure::Lost);
         }
@@ -170,10 +171,6 @@
         deadline: Instant,
     ) -> AttemptOutcome {
         let (parts, body) = answer.into_parts();
-        if !self.is_genuine(&parts) {
-            work.close(WorkEvent::Failed(Failure::Lost));
-            return AttemptOutcome::Failed(Failure::Lost);
-        }
         let Ok(mut payload) = Payload::read(body).await else {
             work.close(WorkEvent::Failed(Failure::Lost));
             return AttemptOutcome::Failed(Failure::Lost);
@@ -207,13 +204,6 @@
         AttemptOutcome::Answer(Response::from_parts(parts, body))
     }
 
-    /// Returns whether an answer can come from the target: successful ones must be signed and have no content encoding.
-    fn is_genuine(&self, parts: &response::Parts) -> bool {
-        let is_signed = parts.headers.contains_key(&self.names.signature);
-        let is_encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
-        !parts.status.is_success() || (is_signed && !is_encoded)
-    }
-
     fn prepare_request(
         &self,
         mut parts: Parts,
@@ -230,6 +220,64 @@
     }
 }
 
+/// The reason for which an answer is not taken as the target's answer to a request.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Mismatch {
+    /// It names no request.
+    MissingId,
+    /// It answers another request.
+    OtherId,
+    /// It succeeds without a signature, or with a content encoding.
+    NotSigned,
+    /// Its status promises that the request did not run, but the target does not state so.
+    UnprovenRefusal,
+}
+
+impl Mismatch {
+    /// Returns the name used in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Mismatch::MissingId => "missing-id",
+            Mismatch::OtherId => "other-id",
+            Mismatch::NotSigned => "not-signed",
+            Mismatch::UnprovenRefusal => "unproven-refusal",
+        }
+    }
+}
+
+/// Checks whether an answer can be the target's answer to the request with this id, and is proof of what it states.
+///
+/// Targets echo the id. An answer without it may belong to an earlier request or health check on the connection.
+fn check_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    id: Option<&HeaderValue>,
+    names: &HeaderNames,
+) -> Result<(), Mismatch> {
+    let id = id.filter(|id| !id.is_empty());
+    let mut echoes = headers.get_all(&names.request_id).iter().filter(|echo| !echo.is_empty());
+    if !echoes.all(|echo| Some(echo) == id) {
+        return Err(Mismatch::OtherId);
+    }
+    if id.is_some() && headers.get(&names.request_id).is_none_or(HeaderValue::is_empty) {
+        return Err(Mismatch::MissingId);
+    }
+    let is_signed = headers.contains_key(&names.signature);
+    if status.is_success() && (!is_signed || headers.contains_key(header::CONTENT_ENCODING)) {
+        return Err(Mismatch::NotSigned);
+    }
+    let is_promise = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    if is_promise && !headers.contains_key(&names.not_executed) {
+        return Err(Mismatch::UnprovenRefusal);
+    }
+    Ok(())
+}
+
 /// The load that a target reports in its answers.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) struct TargetLoad {
