--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -3,9 +3,10 @@
 use std::{future::poll_fn, sync::Arc, time::Duration};
 
 use compact_str::CompactString;
-use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts, response};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body::Body as _;
 use hyper::body::Incoming;
+use tokio::time::{self, Instant};
 
 use crate::{
     driver::Driver,
@@ -22,6 +23,9 @@
 /// Extra time, beyond the caller's timeout, for a request that continues after its caller has gone away.
 const ORPHAN_GRACE: Duration = Duration::from_secs(1);
 
+/// The maximum time for reading the body of an answer that is discarded. A connection whose body takes longer is closed.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Safety margin before the target's keep-alive timeout. A connection is not reused within it, because the target could
 /// close it while a request is on its way.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(900);
@@ -87,14 +91,13 @@
             }
         };
         let exchange = self.clone().exchange(work, lifetime, timeout, parts, payload);
-        if spec.is_idempotent {
-            return exchange.await;
-        }
-        let exchange = tokio::time::timeout(timeout + ORPHAN_GRACE, exchange);
-        match tokio::spawn(exchange).await {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(_)) | Err(_) => AttemptOutcome::Failed(Failure::Lost),
-        }
+        let exchange = time::timeout(timeout + ORPHAN_GRACE, exchange);
+        let outcome = if spec.is_idempotent {
+            exchange.await.ok()
+        } else {
+            tokio::spawn(exchange).await.ok().and_then(Result::ok)
+        };
+        outcome.unwrap_or(AttemptOutcome::Failed(Failure::Lost))
     }
 
     async fn exchange(
@@ -105,6 +108,7 @@
         parts: Parts,
         mut payload: Payload,
     ) -> AttemptOutcome {
+        let deadline = Instant::now() + timeout;
         let id = parts.headers.get(&self.names.request_id).cloned();
         let Some(req) = self.prepare_request(parts, &mut payload, &lifetime, timeout) else {
             work.close(WorkEvent::Failed(Failure::BodyCut));
@@ -127,10 +131,11 @@
             }
         };
         let headers = answer.headers();
-        if let Some(id) = id
-            && headers.get(&self.names.request_id).is_some_and(|echo| *echo != id)
-        {
-            // This answers an earlier request: requests and answers on the connection are out of sync.
+        if let Err(cause) = check_answer(answer.status(), headers, id.as_ref(), &self.names) {
+            // Requests and answers on the connection may be out of sync, so it is closed.
+            slog::warn!(self.driver.log(), "answer-rejected"; "cause" => cause.as_str(),
+                "id" => id.as_ref().and_then(|id| id.to_str().ok()),
+                "status" => answer.status().as_u16());
             work.close(WorkEvent::Failed(Failure::Lost));
             return AttemptOutcome::Failed(Failure::Lost);
         }
@@ -145,29 +150,27 @@
             let is_other = headers::text(headers, &self.names.instance)
                 .is_none_or(|instance| instance != lifetime.as_str());
             work.close(if is_other { WorkEvent::Misdirected } else { WorkEvent::Shed });
-            drain(answer, conn).await;
+            drain(answer, conn);
             return AttemptOutcome::Refused { reason: Reason::NoTarget, wait: Duration::ZERO };
         }
         if is_shed {
             work.close(WorkEvent::Shed);
-            drain(answer, conn).await;
+            drain(answer, conn);
             return AttemptOutcome::Shed;
         }
-        self.accept_answer(work, answer, conn).await
+        self.accept_answer(work, answer, conn, deadline).await
     }
 
-    /// Buffers a small answer completely before it is returned, so that a truncated one is detected.
+    /// Buffers a small answer completely before it is returned, so that a truncated one is detected. A large one is
+    /// streamed until the deadline.
     async fn accept_answer(
         &self,
         mut work: WorkGuard,
         answer: Response<Incoming>,
         conn: PooledConnection,
+        deadline: Instant,
     ) -> AttemptOutcome {
         let (parts, body) = answer.into_parts();
-        if !self.is_genuine(&parts) {
-            work.close(WorkEvent::Failed(Failure::Lost));
-            return AttemptOutcome::Failed(Failure::Lost);
-        }
         let Ok(mut payload) = Payload::read(body).await else {
             work.close(WorkEvent::Failed(Failure::Lost));
             return AttemptOutcome::Failed(Failure::Lost);
@@ -183,7 +186,7 @@
             work.close(WorkEvent::Answered { status });
             body
         } else {
-            body.on_end(move || {
+            body.fail_at(deadline).on_complete(move || {
                 conn.release();
                 work.close(WorkEvent::Answered { status });
             })
@@ -201,13 +204,6 @@
         AttemptOutcome::Answer(Response::from_parts(parts, body))
     }
 
-    /// Returns whether an answer can come from the target: successful ones must be signed and have no content encoding.
-    fn is_genuine(&self, parts: &response::Parts) -> bool {
-        let is_signed = parts.headers.contains_key(&self.names.signature);
-        let is_encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
-        !parts.status.is_success() || (is_signed && !is_encoded)
-    }
-
     fn prepare_request(
         &self,
         mut parts: Parts,
@@ -224,6 +220,64 @@
     }
 }
 
+/// The reason for which an answer is not taken as the target's answer to a request.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+enum Mismatch {
+    /// It names no request.
+    MissingId,
+    /// It answers another request.
+    OtherId,
+    /// It succeeds without a signature, or with a content encoding.
+    NotSigned,
+    /// Its status promises that the request did not run, but the target does not state so.
+    UnprovenRefusal,
+}
+
+impl Mismatch {
+    /// Returns the name used in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Mismatch::MissingId => "missing-id",
+            Mismatch::OtherId => "other-id",
+            Mismatch::NotSigned => "not-signed",
+            Mismatch::UnprovenRefusal => "unproven-refusal",
+        }
+    }
+}
+
+/// Checks whether an answer can be the target's answer to the request with this id, and is proof of what it states.
+///
+/// Targets echo the id. An answer without it may belong to an earlier request or health check on the connection.
+fn check_answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    id: Option<&HeaderValue>,
+    names: &HeaderNames,
+) -> Result<(), Mismatch> {
+    let id = id.filter(|id| !id.is_empty());
+    let mut echoes = headers.get_all(&names.request_id).iter().filter(|echo| !echo.is_empty());
+    if !echoes.all(|echo| Some(echo) == id) {
+        return Err(Mismatch::OtherId);
+    }
+    if id.is_some() && headers.get(&names.request_id).is_none_or(HeaderValue::is_empty) {
+        return Err(Mismatch::MissingId);
+    }
+    let is_signed = headers.contains_key(&names.signature);
+    if status.is_success() && (!is_signed || headers.contains_key(header::CONTENT_ENCODING)) {
+        return Err(Mismatch::NotSigned);
+    }
+    let is_promise = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    if is_promise && !headers.contains_key(&names.not_executed) {
+        return Err(Mismatch::UnprovenRefusal);
+    }
+    Ok(())
+}
+
 /// The load that a target reports in its answers.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) struct TargetLoad {
@@ -248,13 +302,18 @@
     timeout.parse().ok().map(Duration::from_secs)
 }
 
-/// Reads the rest of an answer that is discarded, so that its connection can be reused.
-async fn drain(answer: Response<Incoming>, conn: PooledConnection) {
-    if let Ok(payload) = Payload::read(answer.into_body()).await
-        && payload.is_complete()
-    {
-        conn.release();
+/// Reads the rest of an answer that is discarded, so that its connection can be reused. This does not delay the outcome,
+/// because the body may never end.
+fn drain(answer: Response<Incoming>, conn: PooledConnection) {
+    if answer.body().is_end_stream() {
+        return conn.release();
     }
+    tokio::spawn(async move {
+        let read = time::timeout(DRAIN_TIMEOUT, Payload::read(answer.into_body())).await;
+        if read.is_ok_and(|payload| payload.is_ok_and(|payload| payload.is_complete())) {
+            conn.release();
+        }
+    });
 }
 
 /// Guard of a registered request. Dropping it reports to the reducer that the request was cancelled, which has no
