Order what nodes know of the store by era and revision

Callers got 404 on routes of a confirmed configuration, and answers of older services, after the store had returned from a copy some seconds old. Each node ignored every list and every delta whose revision was not above its own; once revisions had gone back that was all of them, and the watchers went from 410 to a list and back without a pause.

A point in the store's history is now its era and its revision, in this order. A list of a newer era replaces a replica as a whole, answers of an older one have no effect, and a watch that is answered in a newer era leads to a fresh list, because its changes are not those since the replica's revision. The delay between a 410 and the list grows until a watch succeeds.

Nodes exchange the eras after the present fields of their messages, which earlier builds do not read. A node that states no era counts as being in the era in which this node first read the store: until the store returns from a copy, both builds work together as before; afterwards a node that cannot know of it no longer spreads what the store has lost.

--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -45,6 +45,7 @@
 mod peer_requests;
 mod peers;
 mod placement;
+mod pull;
 mod reducer;
 mod refusal;
 mod registry;
--- a/mesh/src/metered_store.rs
+++ b/mesh/src/metered_store.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     metrics::Metrics,
-    store::{Change, Freshness, Item, Lease, Result, Store, StoreError, Transaction},
+    store::{Change, Freshness, Item, Lease, Position, Result, Store, StoreError, Transaction},
 };
 
 /// Forwards calls to a store and counts them in the metrics.
@@ -26,19 +26,24 @@
 }
 
 impl<S: Store> Store for MeteredStore<S> {
-    async fn get(&self, key: &str) -> Result<Option<Item>> {
+    async fn get(&self, key: &str) -> Result<(Option<Item>, u64)> {
         self.count("get", self.store.get(key).await)
     }
 
-    async fn list(&self, prefix: &str, freshness: Freshness) -> Result<(Vec<Item>, u64)> {
+    async fn list(&self, prefix: &str, freshness: Freshness) -> Result<(Vec<Item>, Position)> {
         self.count("list", self.store.list(prefix, freshness).await)
     }
 
-    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<(Vec<Change>, u64)> {
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<(Vec<Change>, Position)> {
         self.count("watch", self.store.watch(prefix, after, wait).await)
     }
 
-    async fn commit(&self, transaction: Transaction) -> Result<u64> {
+    async fn commit(&self, transaction: Transaction) -> Result<Position> {
         self.count("commit", self.store.commit(transaction).await)
     }
 
@@ -46,7 +51,7 @@
         self.count("grant", self.store.grant(ttl).await)
     }
 
-    async fn renew(&self, lease: Lease) -> Result<()> {
+    async fn renew(&self, lease: Lease) -> Result<u64> {
         self.count("renew", self.store.renew(lease).await)
     }
 
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -315,7 +315,7 @@
 
     /// Returns the version of the configuration in force, or 0 if there is none.
     pub fn config_version(&self) -> u64 {
-        self.driver.inspect(|_, reducer| reducer.config().map_or(0, |table| table.config.version))
+        self.driver.inspect(|_, reducer| reducer.config_version())
     }
 
     /// Returns the number of members in the node's directory.
--- a/mesh/src/node_status.rs
+++ b/mesh/src/node_status.rs
@@ -9,7 +9,7 @@
     crash_guard::SuspectReport,
     directory::{MemberRecord, Tally},
     keys::MemberId,
-    replica::Revisions,
+    replica::{Position, Revisions},
     report::LoadReport,
     rollout::RolloutProgress,
 };
@@ -24,8 +24,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct NodeStatus {
     pub(crate) from: MemberId,
-    /// The store revisions up to which the node has data.
-    pub(crate) revisions: Revisions,
+    /// The store revisions up to which the node has data, by topic.
+    pub(crate) revisions: [u64; 3],
     /// Whether the node reaches the store.
     pub(crate) has_store: bool,
     /// Whether the node is stopping and takes no more requests.
@@ -41,12 +41,24 @@
     pub(crate) rollouts: Vec<RolloutProgress>,
     /// Requests that were in progress at recent crashes.
     pub(crate) suspects: Vec<SuspectReport>,
+    /// What follows the fields above, which nodes of earlier builds neither send nor read.
+    #[serde(skip)]
+    pub(crate) extension: Option<Extension>,
+}
+
+/// The part of a status that was added after the format was fixed.
+#[derive(Copy, Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Extension {
+    /// The eras of the store revisions, by topic.
+    pub(crate) eras: [u64; 3],
+    /// The version of the configuration in force, or 0 if there is none.
+    pub(crate) config_version: u64,
 }
 
 impl NodeStatus {
     pub(crate) fn encode(&self) -> Vec<u8> {
         let mut bytes = vec![FORMAT];
-        if let Ok(body) = postcard::to_stdvec(self) {
+        if let Ok(body) = postcard::to_stdvec(&(self, &self.extension.unwrap_or_default())) {
             bytes.extend(body);
         }
         bytes
@@ -55,7 +67,16 @@
     /// Decodes a datagram, or returns `None` if it is not in this format.
     pub(crate) fn decode(bytes: &[u8]) -> Option<NodeStatus> {
         let (&FORMAT, body) = bytes.split_first()? else { return None };
-        postcard::from_bytes(body).ok()
+        let (mut status, rest) = postcard::take_from_bytes::<NodeStatus>(body).ok()?;
+        status.extension = postcard::take_from_bytes(rest).ok().map(|(extension, _)| extension);
+        Some(status)
+    }
+
+    /// Returns the positions up to which the node has data. A node whose build does not know eras counts as being in
+    /// those given by `default_eras`.
+    pub(crate) fn positions(&self, default_eras: [u64; 3]) -> Revisions {
+        let eras = self.extension.map_or(default_eras, |extension| extension.eras);
+        std::array::from_fn(|topic| Position { era: eras[topic], revision: self.revisions[topic] })
     }
 }
 
--- a/mesh/src/node_status/tests.rs
+++ b/mesh/src/node_status/tests.rs
@@ -1,9 +1,10 @@
 use test_case::test_case;
 
-use super::{MAX_BYTES, NodeStatus};
+use super::{Extension, MAX_BYTES, NodeStatus};
 use crate::{
     directory::{MemberRecord, Tally},
     keys::MemberId,
+    replica::Position,
     report::LoadReport,
     rollout::RolloutProgress,
 };
@@ -32,6 +33,7 @@
             loaded_bad: u32::MAX,
         },
         suspects: Vec::new(),
+        extension: Some(Extension { eras: [u64::MAX; 3], config_version: u64::MAX }),
         rollouts: vec![
             RolloutProgress {
                 order_hash: u32::MAX,
@@ -52,6 +54,16 @@
     assert_eq!(NodeStatus::decode(&bytes), Some(status()));
 }
 
+/// Guards against nodes of two builds that cannot read each other's statuses.
+#[test]
+fn a_status_without_an_extension_is_read() {
+    let bytes = status().encode();
+    let earlier = &bytes[..bytes.len() - 40];
+    let decoded = NodeStatus::decode(earlier).expect("a status");
+    assert_eq!(decoded, NodeStatus { extension: None, ..status() });
+    assert_eq!(decoded.positions([7; 3]), [Position { era: 7, revision: u64::MAX }; 3]);
+}
+
 /// Guards against accepting a datagram of another program as a status.
 #[test_case(&[]; "empty")]
 #[test_case(&[9, 1, 2, 3]; "another format")]
--- /dev/null
+++ b/mesh/src/pull.rs
@@ -0,0 +1,101 @@
+//! The messages by which a node pulls what another one knows of the store.
+//!
+//! Nodes of earlier builds read the first three parts of a query and the deltas at the beginning of an answer, and
+//! ignore the rest. So whatever is added comes after them and may be missing.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::Config,
+    replica::{Delta, Position, Replica, Revisions, Topic},
+};
+
+/// What the pulling node knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PullQuery {
+    revisions: [u64; 3],
+    /// The eras of the revisions; `None` if the node's build does not know eras.
+    eras: Option<[u64; 3]>,
+    /// The version of the configuration in force, or 0 if there is none; `None` if the node's build does not state it.
+    pub(crate) config_version: Option<u64>,
+}
+
+impl PullQuery {
+    pub(crate) fn new(known: &Revisions, config_version: u64) -> PullQuery {
+        PullQuery {
+            revisions: known.map(|position| position.revision),
+            eras: Some(known.map(|position| position.era)),
+            config_version: Some(config_version),
+        }
+    }
+
+    /// Parses a query; parts that are missing or unreadable count as unknown.
+    pub(crate) fn parse(query: &str) -> PullQuery {
+        let parts: Vec<Option<u64>> = query.split(',').map(|part| part.parse().ok()).collect();
+        let part = |index: usize| parts.get(index).copied().flatten();
+        let triple = |first: usize| Some([part(first)?, part(first + 1)?, part(first + 2)?]);
+        PullQuery {
+            revisions: triple(0).unwrap_or_default(),
+            eras: triple(3),
+            config_version: part(6),
+        }
+    }
+
+    /// Returns the text that [`PullQuery::parse`] reads.
+    pub(crate) fn format(&self) -> String {
+        let eras = self.eras.unwrap_or_default();
+        let parts = self.revisions.iter().chain(&eras).chain(&self.config_version);
+        parts.map(u64::to_string).collect::<Vec<_>>().join(",")
+    }
+
+    /// Returns the position up to which the node knows a topic of which this node holds `replica`.
+    pub(crate) fn position(&self, topic: Topic, replica: &Replica) -> Position {
+        let era = replica.era_or_first(self.eras.map(|eras| eras[topic.index()]));
+        Position { era, revision: self.revisions[topic.index()] }
+    }
+}
+
+/// What a node returns to one that pulls.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct PullAnswer {
+    pub(crate) deltas: Vec<Delta>,
+    /// The configuration in force, if it is newer than that of the pulling node.
+    pub(crate) config: Option<Config>,
+}
+
+/// The part of an answer that follows the deltas.
+#[derive(Debug, Serialize, Deserialize)]
+struct Extension {
+    /// The eras of the deltas, by topic.
+    eras: [u64; 3],
+    config: Option<Config>,
+}
+
+impl PullAnswer {
+    pub(crate) fn encode(self) -> Vec<u8> {
+        let PullAnswer { deltas, config } = self;
+        let mut eras = [0; 3];
+        for delta in &deltas {
+            eras[delta.topic.index()] = delta.era.unwrap_or_default();
+        }
+        let encoded = postcard::to_stdvec(&deltas);
+        let encoded =
+            encoded.and_then(|bytes| postcard::to_extend(&Extension { eras, config }, bytes));
+        encoded.unwrap_or_default()
+    }
+
+    /// Decodes an answer, or returns `None` if it is invalid.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<PullAnswer> {
+        let (mut deltas, rest) = postcard::take_from_bytes::<Vec<Delta>>(bytes).ok()?;
+        let Ok((Extension { eras, config }, _)) = postcard::take_from_bytes(rest) else {
+            return Some(PullAnswer { deltas, config: None });
+        };
+        for delta in &mut deltas {
+            delta.era = Some(eras[delta.topic.index()]);
+        }
+        Some(PullAnswer { deltas, config })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod crashes;
+mod eras;
 mod members;
 mod versions;
 mod works;
@@ -117,6 +118,8 @@
     /// When a status was last sent and its load report: to this data centre, and to the others.
     last_status: [Option<(Time, LoadReport)>; 2],
     revisions: Revisions,
+    /// The era in which each topic was first read. Nodes of builds that do not know eras are assumed to be in it.
+    first_eras: [Option<u64>; 3],
     /// When the pull in progress began.
     pull_started: Option<Time>,
     /// A node of another data centre that has newer revisions, and since when this node has been behind it.
@@ -158,6 +161,7 @@
             fanouts: [Fanout::new(SAME_CENTRE_FANOUT), Fanout::new(OTHER_CENTRE_FANOUT)],
             last_status: [None, None],
             revisions: Revisions::default(),
+            first_eras: [None; 3],
             pull_started: None,
             pending_pull: None,
             is_watcher: false,
@@ -256,6 +260,11 @@
         self.config.as_ref()
     }
 
+    /// Returns the version of the configuration in force, or 0 if there is none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |table| table.config.version)
+    }
+
     /// Returns the current values of the gauge metrics.
     pub(crate) fn gauge_values(&self, now: Time) -> GaugeValues {
         let report = self.admission.report(now);
@@ -273,7 +282,7 @@
             silent: members().filter(|member| self.directory.is_silent(now, member)).count(),
             cold: members().filter(is_cold).count(),
             retries_left: self.retry_budgets.values().map(RetryBudget::remaining).sum(),
-            config_version: self.config.as_ref().map_or(0, |table| table.config.version),
+            config_version: self.config_version(),
             config_age: now.since(self.config_since),
             has_store: self.has_store,
         }
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -10,7 +10,7 @@
     effect::{Effect, Record},
     keys::MemberId,
     limits::Limits,
-    node_status::NodeStatus,
+    node_status::{Extension, NodeStatus},
     refusal::Reason,
     replica::Revisions,
     report::LoadReport,
@@ -135,7 +135,7 @@
         let key = self.directory.key(status.from);
         let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else {
             // The sender's record is newer than this node's replica of the store.
-            return self.pull_if_behind(now, &status.revisions, true, source, out);
+            return self.pull_if_behind(now, status, true, source, out);
         };
         member.update_load(now, status.load);
         member.tally = status.tally;
@@ -149,7 +149,7 @@
         for rollout in &status.rollouts {
             self.merge_rollout(now, rollout);
         }
-        self.pull_if_behind(now, &status.revisions, centre == self.local.centre, address, out);
+        self.pull_if_behind(now, status, centre == self.local.centre, address, out);
     }
 
     /// Adds a new node by the record in its own status, since the store may be slow or unavailable, and sends it the
@@ -171,13 +171,12 @@
     fn pull_if_behind(
         &mut self,
         now: Time,
-        revisions: &Revisions,
+        status: &NodeStatus,
         is_same_centre: bool,
         address: SocketAddr,
         out: &mut Vec<Effect>,
     ) {
-        let is_behind = revisions.iter().zip(&self.revisions).any(|(theirs, own)| theirs > own);
-        if !is_behind {
+        if !self.is_behind(status) {
             return;
         }
         if is_same_centre {
@@ -212,6 +211,7 @@
         out: &mut Vec<Effect>,
     ) {
         if self.revisions != revisions {
+            self.record_first_eras(&revisions);
             self.revisions = revisions;
             self.pending_pull = None;
             self.send_status_now(now, out);
@@ -329,7 +329,7 @@
         let is_new = now.since(Time::ZERO) < RECORD_SEND_TIME;
         NodeStatus {
             from: self.local.id,
-            revisions: self.revisions,
+            revisions: self.revisions.map(|position| position.revision),
             has_store: self.has_store,
             is_stopping: self.stopping_since.is_some(),
             record: is_new.then(|| self.local.record()),
@@ -338,6 +338,10 @@
             tally: self.tally,
             rollouts: self.rollout_progress(now),
             suspects,
+            extension: Some(Extension {
+                eras: self.revisions.map(|position| position.era),
+                config_version: self.config_version(),
+            }),
         }
     }
 
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -3,6 +3,7 @@
 use slotmap::SlotMap;
 
 mod crashes;
+mod eras;
 
 use super::{Limits, LocalNode, Reducer};
 use crate::{
@@ -15,6 +16,7 @@
     keys::{CallKey, MemberId, WorkKey},
     node_status::NodeStatus,
     refusal::{Reason, Refusal},
+    replica::{Position, Revisions},
     report::LoadReport,
     rollout::RolloutOrder,
     target::{Health, Heartbeat, Lifetime},
@@ -27,6 +29,11 @@
     Time::from_micros(ms * 1_000)
 }
 
+/// Returns positions with these revisions in the first era.
+fn revisions(revisions: [u64; 3]) -> Revisions {
+    revisions.map(|revision| Position { era: 1, revision })
+}
+
 fn address(id: u64) -> SocketAddr {
     ([127, 0, 0, 1], id as u16).into()
 }
@@ -199,6 +206,7 @@
     NodeStatus {
         from: MemberId(from),
         revisions: [0; 3],
+        extension: None,
         has_store: true,
         is_stopping: false,
         record: None,
@@ -462,7 +470,7 @@
     assert_eq!(node.reducer.member_count(), 5);
     let effects = node.apply(Event::Status { status: new, source: address(9) });
     assert!(!effects.iter().any(is_reply), "only the first status is replied to");
-    let sent = node.apply(Event::Revisions([1, 0, 0]));
+    let sent = node.apply(Event::Revisions(revisions([1, 0, 0])));
     let has_own_record = |effect: &Effect| matches!(effect, Effect::SendStatus { status, .. } if status.record == Some(local_node().record()));
     assert!(sent.iter().any(has_own_record), "this node has started recently as well");
 }
--- a/mesh/src/registry.rs
+++ b/mesh/src/registry.rs
@@ -77,7 +77,7 @@
     loop {
         time::sleep(interval).await;
         interval = match store.renew(lease).await {
-            Ok(()) => {
+            Ok(_) => {
                 driver.dispatch(Event::Store { is_reachable: true });
                 RENEW_INTERVAL
             }
--- a/mesh/src/replica.rs
+++ b/mesh/src/replica.rs
@@ -1,7 +1,9 @@
 //! This node's replica of what the store holds, by topic.
 //!
 //! A few nodes watch the store; the others pull changes from them. Every entry carries the revision
-//! of its last change, so that replicas from any source can be merged and never go back.
+//! of its last change, so that replicas from any source can be merged and never go back. When the
+//! store has returned from an earlier copy of its state, its era rises and the revisions start again
+//! from those of the copy; what a replica holds of an earlier era is then replaced as a whole.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,6 +11,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+pub(crate) use crate::store::Position;
 use crate::store::{Change, Item, Update};
 
 /// The maximum number of removed keys kept for nodes that are behind. A node that needs an older
@@ -45,8 +48,8 @@
     }
 }
 
-/// The revision up to which each topic is known.
-pub(crate) type Revisions = [u64; 3];
+/// The position up to which each topic is known.
+pub(crate) type Revisions = [Position; 3];
 
 /// A key with the revision of its last change, and its value unless it was removed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +65,10 @@
     pub(crate) topic: Topic,
     /// The revision up to which the changes are complete.
     pub(crate) revision: u64,
+    /// The era of all revisions; `None` if the sender's build does not know eras. It is sent apart
+    /// from the delta, because such a build cannot skip a field.
+    #[serde(skip)]
+    pub(crate) era: Option<u64>,
     /// Whether the delta holds the whole topic.
     is_full: bool,
     entries: Vec<Entry>,
@@ -70,7 +77,9 @@
 /// A replica of one topic.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Replica {
-    revision: u64,
+    position: Position,
+    /// The era of the first list. Other nodes that do not know eras are assumed to be in it.
+    first_era: Option<u64>,
     /// The revision and the value by key; the value is absent if the key was removed.
     entries: BTreeMap<CompactString, (u64, Option<Bytes>)>,
     /// Removed keys up to this revision may have been pruned.
@@ -78,36 +87,46 @@
 }
 
 impl Replica {
-    pub(crate) fn revision(&self) -> u64 {
-        self.revision
+    pub(crate) fn position(&self) -> Position {
+        self.position
     }
 
     /// Applies a full list of the store. A list that is not newer than the replica has no effect.
-    pub(crate) fn apply_list(&mut self, items: Vec<Item>, revision: u64) -> Option<Update> {
-        if self.revision > 0 && revision <= self.revision {
+    pub(crate) fn apply_list(&mut self, items: Vec<Item>, position: Position) -> Option<Update> {
+        if self.position.revision > 0 && position <= self.position {
             return None;
         }
         let entry =
             |item: Item| Entry { key: item.key, revision: item.revision, value: Some(item.value) };
-        self.replace_all(items.into_iter().map(entry).collect(), revision);
+        self.replace_all(items.into_iter().map(entry).collect(), position);
         Some(Update::Listed(self.items()))
     }
 
-    /// Applies the changes that a watch returned.
-    pub(crate) fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) -> Option<Update> {
+    /// Applies the changes that a watch returned. Changes of another era have no effect, because
+    /// they are not the changes since the replica's position.
+    pub(crate) fn apply_changes(
+        &mut self,
+        changes: Vec<Change>,
+        position: Position,
+    ) -> Option<Update> {
+        if position.era != self.position.era {
+            return None;
+        }
         let entry = |change| match change {
             Change::Put(Item { key, value, revision }) => {
                 Entry { key, revision, value: Some(value) }
             }
             Change::Removed { key, revision } => Entry { key, revision, value: None },
         };
-        self.apply_entries(changes.into_iter().map(entry).collect(), revision)
+        self.apply_entries(changes.into_iter().map(entry).collect(), position.revision)
     }
 
-    /// Returns the changes since a revision, or the whole topic if the changes are not known any
+    /// Returns the changes since a position, or the whole topic if the changes are not known any
     /// more.
-    pub(crate) fn delta_since(&self, topic: Topic, revision: u64) -> Delta {
-        let is_full = revision < self.pruned_revision || revision == 0;
+    pub(crate) fn delta_since(&self, topic: Topic, known: Position) -> Delta {
+        let revision = known.revision;
+        let is_full =
+            known.era != self.position.era || revision < self.pruned_revision || revision == 0;
         let is_wanted = |at: u64, value: &Option<Bytes>| {
             if is_full { value.is_some() } else { at > revision }
         };
@@ -117,22 +136,43 @@
             revision: *revision,
             value: value.clone(),
         };
-        Delta { topic, revision: self.revision, is_full, entries: wanted.map(entry).collect() }
+        let Position { era, revision } = self.position;
+        let entries = wanted.map(entry).collect();
+        Delta { topic, revision, era: Some(era), is_full, entries }
     }
 
-    /// Merges the changes that another node sent.
+    /// Merges the changes that another node sent. Changes since a position of another era have no
+    /// effect.
     pub(crate) fn merge(&mut self, delta: Delta) -> Option<Update> {
-        if delta.revision <= self.revision {
+        let era = self.era_or_first(delta.era);
+        let position = Position { era, revision: delta.revision };
+        if position <= self.position {
             return None;
         }
         if delta.is_full {
-            self.replace_all(delta.entries, delta.revision);
+            self.replace_all(delta.entries, position);
             return Some(Update::Listed(self.items()));
         }
+        if era != self.position.era {
+            return None;
+        }
         self.apply_entries(delta.entries, delta.revision)
     }
 
-    fn replace_all(&mut self, entries: Vec<Entry>, revision: u64) {
+    /// Returns the era that another node states, or the first one of this replica if it states none.
+    /// A node that does not know eras ignores a store that has returned from a copy.
+    pub(crate) fn era_or_first(&self, era: Option<u64>) -> u64 {
+        era.or(self.first_era).unwrap_or(self.position.era)
+    }
+
+    fn replace_all(&mut self, entries: Vec<Entry>, position: Position) {
+        let Position { era, revision } = position;
+        let is_first = self.first_era.replace(self.first_era.unwrap_or(era)).is_none();
+        if !is_first && era != self.position.era {
+            // The removed keys of the earlier era say nothing about keys of this one.
+            self.entries.clear();
+            self.pruned_revision = revision;
+        }
         let keys: BTreeSet<CompactString> = entries.iter().map(|entry| entry.key.clone()).collect();
         for (key, (at, value)) in &mut self.entries {
             if value.is_some() && !keys.contains(key) {
@@ -142,7 +182,7 @@
         for Entry { key, revision, value } in entries {
             self.entries.insert(key, (revision, value));
         }
-        self.revision = revision;
+        self.position = position;
         self.prune_removed();
     }
 
@@ -159,7 +199,7 @@
                 None => Change::Removed { key, revision },
             });
         }
-        self.revision = self.revision.max(revision);
+        self.position.revision = self.position.revision.max(revision);
         self.prune_removed();
         (!changes.is_empty()).then_some(Update::Changed(changes))
     }
--- a/mesh/src/store.rs
+++ b/mesh/src/store.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use rand::Rng as _;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::time;
 
@@ -16,6 +17,20 @@
 /// back.
 const MAX_BACKOFF: Duration = Duration::from_millis(900);
 
+/// A point in the history of the store.
+///
+/// The store may return from an earlier copy of its state. Then its era rises by one, and revisions
+/// that were lost are assigned again to other changes, so a revision alone does not order changes.
+#[derive(
+    Copy, Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// The number of returns from a copy so far; 0 if the store does not count them.
+    pub era: u64,
+    /// The revision within the era.
+    pub revision: u64,
+}
+
 /// A key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
@@ -57,6 +72,8 @@
     pub id: u64,
     /// The time after which the lease ends unless it is renewed.
     pub ttl: Duration,
+    /// The era in which it was granted. In a later era the id may denote another lease.
+    pub era: u64,
 }
 
 /// A set of writes and removals under conditions, applied atomically.
@@ -108,33 +125,35 @@
 
 /// A client of the store.
 pub trait Store: Clone + Send + Sync + 'static {
-    /// Reads one key.
-    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Item>>> + Send;
+    /// Reads one key, and returns it with the era of the answer.
+    fn get(&self, key: &str) -> impl Future<Output = Result<(Option<Item>, u64)>> + Send;
 
-    /// Lists all keys below a prefix, and returns a revision from which to watch them.
+    /// Lists all keys below a prefix, and returns a position from which to watch them.
     fn list(
         &self,
         prefix: &str,
         freshness: Freshness,
-    ) -> impl Future<Output = Result<(Vec<Item>, u64)>> + Send;
+    ) -> impl Future<Output = Result<(Vec<Item>, Position)>> + Send;
 
     /// Waits up to `wait` for changes below a prefix since a revision, and returns them with the
-    /// revision from which to continue.
+    /// position from which to continue. If its era is not that of the revision, the changes are not
+    /// those since the revision.
     fn watch(
         &self,
         prefix: &str,
         after: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Vec<Change>, u64)>> + Send;
+    ) -> impl Future<Output = Result<(Vec<Change>, Position)>> + Send;
 
-    /// Applies a transaction as a whole or not at all, and returns the revision of the write.
-    fn commit(&self, transaction: Transaction) -> impl Future<Output = Result<u64>> + Send;
+    /// Applies a transaction as a whole or not at all, and returns the position of the write.
+    fn commit(&self, transaction: Transaction) -> impl Future<Output = Result<Position>> + Send;
 
     /// Creates a lease.
     fn grant(&self, ttl: Duration) -> impl Future<Output = Result<Lease>> + Send;
 
-    /// Renews a lease.
-    fn renew(&self, lease: Lease) -> impl Future<Output = Result<()>> + Send;
+    /// Renews a lease, and returns the era of the answer. If it is not that of the lease, the lease
+    /// is lost.
+    fn renew(&self, lease: Lease) -> impl Future<Output = Result<u64>> + Send;
 
     /// Ends a lease and removes its keys.
     fn revoke(&self, lease: Lease) -> impl Future<Output = Result<()>> + Send;
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -18,8 +18,9 @@
     node::NodeHandle,
     payload::Body,
     pool::Pool,
+    pull::{PullAnswer, PullQuery},
     registry,
-    replica::{Delta, Replica, Revisions, Topic},
+    replica::{Delta, Position, Replica, Topic},
     store::{Backoff, Freshness, Store, StoreError, Update},
 };
 
@@ -105,26 +106,26 @@
                 }
             }
         }
-        let revisions = shared.replicas.each_ref().map(Replica::revision);
+        let revisions = shared.replicas.each_ref().map(Replica::position);
         self.driver.dispatch(Event::Revisions(revisions));
     }
 
-    fn revision(&self, topic: Topic) -> u64 {
-        self.lock().replicas[topic.index()].revision()
+    fn position(&self, topic: Topic) -> Position {
+        self.lock().replicas[topic.index()].position()
     }
 
-    /// Serves a pull of another node: returns the changes since the revisions in the query.
+    /// Serves a pull of another node: returns the changes since the positions in the query.
     pub(crate) fn serve_pull(&self, query: Option<&str>) -> Response<Body> {
-        let known = query.and_then(parse_revisions).unwrap_or_default();
+        let query = PullQuery::parse(query.unwrap_or_default());
         let shared = self.lock();
-        let topics = Topic::ALL
-            .into_iter()
-            .filter(|topic| shared.replicas[topic.index()].revision() > known[topic.index()]);
-        let delta =
-            |topic: Topic| shared.replicas[topic.index()].delta_since(topic, known[topic.index()]);
-        let deltas: Vec<Delta> = topics.map(delta).collect();
-        let bytes = postcard::to_stdvec(&deltas).unwrap_or_default();
-        Response::new(Body::from(Bytes::from(bytes)))
+        let delta = |topic: Topic| {
+            let replica = &shared.replicas[topic.index()];
+            let known = query.position(topic, replica);
+            (replica.position() > known).then(|| replica.delta_since(topic, known))
+        };
+        let deltas: Vec<Delta> = Topic::ALL.into_iter().filter_map(delta).collect();
+        let answer = PullAnswer { deltas, config: None };
+        Response::new(Body::from(Bytes::from(answer.encode())))
     }
 
     /// Pulls what another node knows beyond this one.
@@ -137,14 +138,14 @@
     }
 
     async fn try_pull(&self, pool: &Pool) -> Option<()> {
-        let [members, orders, status] = Topic::ALL.map(|topic| self.revision(topic));
-        let path = format!("{PATH}?{members},{orders},{status}");
+        let known = Topic::ALL.map(|topic| self.position(topic));
+        let path = format!("{PATH}?{}", PullQuery::new(&known, 0).format());
         let req = Request::get(path).header(header::HOST, "node").body(Body::default()).ok()?;
         let (response, conn) = pool.send(req).await.ok()?;
         let body =
             Limited::new(response.into_body(), MAX_PULL_BYTES).collect().await.ok()?.to_bytes();
         conn.release();
-        let deltas: Vec<Delta> = postcard::from_bytes(&body).ok()?;
+        let PullAnswer { deltas, config: _ } = PullAnswer::decode(&body)?;
         for delta in deltas {
             self.apply(delta.topic, |replica| replica.merge(delta));
         }
@@ -156,12 +157,6 @@
     }
 }
 
-fn parse_revisions(query: &str) -> Option<Revisions> {
-    let mut parts = query.split(',').map(str::parse);
-    let mut next = || parts.next()?.ok();
-    Some([next()?, next()?, next()?])
-}
-
 /// Synchronises one topic with the store: lists it at the start, and watches it while this node is
 /// a watcher.
 pub(crate) async fn follow<S: Store>(
@@ -175,10 +170,13 @@
     load_initial(&store, topic, prefix, &replicas).await;
     let mut freshness = None;
     let mut backoff = Backoff::new();
+    // A list does not end this delay: a store whose lists do not help is not called without a pause.
+    let mut relist_backoff = Backoff::new();
     loop {
         if is_watcher.wait_for(|is_watcher| *is_watcher).await.is_err() {
             return;
         }
+        let is_watch = freshness.is_none();
         let result = match freshness.take() {
             Some(freshness) => apply_list(&store, topic, prefix, freshness, &replicas).await,
             None => apply_watch(&store, topic, prefix, &replicas).await,
@@ -187,11 +185,15 @@
         match result {
             Ok(()) => {
                 backoff = Backoff::new();
+                if is_watch {
+                    relist_backoff = Backoff::new();
+                }
                 replicas.driver.dispatch(Event::Store { is_reachable: true });
             }
             Err(StoreError::Compacted) => {
                 slog::info!(log, "store-compacted"; "topic" => topic.as_str());
                 freshness = Some(Freshness::Latest);
+                relist_backoff.wait().await;
             }
             Err(error) => {
                 slog::warn!(log, "store-call-failed"; "topic" => topic.as_str(),
@@ -236,8 +238,8 @@
     freshness: Freshness,
     replicas: &TopicReplicas,
 ) -> crate::store::Result<()> {
-    let (items, revision) = store.list(prefix, freshness).await?;
-    replicas.apply(topic, |replica| replica.apply_list(items, revision));
+    let (items, position) = store.list(prefix, freshness).await?;
+    replicas.apply(topic, |replica| replica.apply_list(items, position));
     Ok(())
 }
 
@@ -247,10 +249,14 @@
     prefix: &str,
     replicas: &TopicReplicas,
 ) -> crate::store::Result<()> {
-    let after = replicas.revision(topic);
-    let (changes, revision) = store.watch(prefix, after, WATCH_TIMEOUT).await?;
+    let after = replicas.position(topic);
+    let (changes, position) = store.watch(prefix, after.revision, WATCH_TIMEOUT).await?;
+    if position.era > after.era {
+        // The revision was one of an earlier era, so other changes may be missing.
+        return Err(StoreError::Compacted);
+    }
     let is_changed = !changes.is_empty();
-    replicas.apply(topic, |replica| replica.apply_changes(changes, revision));
+    replicas.apply(topic, |replica| replica.apply_changes(changes, position));
     if is_changed {
         time::sleep(BATCH_DELAY).await;
     }
