Write member records again when the store has lost them

After a return of the store from a copy, the records of nodes that had started since were missing until their next renewal, up to 6 s later; a node that started meanwhile did not know them. Since lease ids are assigned again, a renewal can also succeed for another node's lease, and then the record stayed away for good. Where the copy held the record of an ended process, its address was taken from the live process.

A lease carries the era in which it was granted. A node that learns of a later era, from the store or from another node's status, writes its record under a new lease within a second (random, for the write rate). A grant and a write of two eras are repeated. In the first list of a new era a record does not replace a member that still speaks at the same address, and a record of an earlier process at a node's own address is ignored always; until now it removed the node from its own directory.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -198,11 +198,20 @@
             return false;
         }
         // A new process at an address replaces the earlier one.
-        let earlier =
-            self.members.iter().find(|(_, member)| member.record.address == record.address);
-        if let Some(id) = earlier.map(|(_, member)| member.record.id) {
+        let earlier: Vec<MemberId> =
+            self.members_at(record.address).map(|member| member.record.id).collect();
+        for id in earlier {
             self.remove(id);
         }
+        self.insert(record);
+        true
+    }
+
+    fn members_at(&self, address: SocketAddr) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |member| member.record.address == address)
+    }
+
+    fn insert(&mut self, record: MemberRecord) {
         let (id, service) = (record.id, record.service.clone());
         let member = Member {
             record,
@@ -221,7 +230,6 @@
         let key = self.members.insert(member);
         self.ids.insert(id, key);
         self.services.entry(service).or_default().push(key);
-        true
     }
 
     /// Returns whether a member has sent no load report for longer than the limit, or has never sent one.
@@ -271,6 +279,27 @@
         for record in records {
             self.upsert(record);
         }
+        self.mark_missing(now, &listed);
+    }
+
+    /// Applies the list of members of a store that has returned from an earlier copy of its state. The copy may hold
+    /// the record of a process that has ended and lack that of the process which has taken its address since. So a
+    /// record replaces no member that still speaks; it receives no requests until its process is heard.
+    pub(crate) fn restore(&mut self, now: Time, records: Vec<MemberRecord>) {
+        let listed: Vec<MemberId> = records.iter().map(|record| record.id).collect();
+        for record in records {
+            let is_address_in_use =
+                self.members_at(record.address).any(|member| !self.is_silent(now, member));
+            if !self.ids.contains_key(&record.id) && is_address_in_use {
+                self.insert(record);
+            } else {
+                self.upsert(record);
+            }
+        }
+        self.mark_missing(now, &listed);
+    }
+
+    fn mark_missing(&mut self, now: Time, listed: &[MemberId]) {
         let missing: Vec<MemberId> =
             self.ids.keys().filter(|id| !listed.contains(id)).copied().collect();
         for id in missing {
--- a/mesh/src/directory/tests.rs
+++ b/mesh/src/directory/tests.rs
@@ -36,6 +36,38 @@
     assert_eq!(directory.members_of("stock").count(), 1);
 }
 
+/// Guards against losing a live member to the record of the process before it, which a restored store holds again.
+#[test]
+fn a_restored_record_does_not_replace_a_live_member() {
+    let mut directory = Directory::new("a".into());
+    directory.upsert(record(2, 80));
+    directory.upsert(record(3, 80));
+    report_load(&mut directory, at(0), 3);
+    directory.restore(at(100), vec![record(2, 80)]);
+    let open = |directory: &Directory| -> Vec<MemberId> {
+        let members = directory.members_of("stock").filter(|(_, member)| member.is_open());
+        members.map(|(_, member)| member.record.id).collect()
+    };
+    assert_eq!(open(&directory), [MemberId(3)]);
+    directory.upsert(record(3, 80));
+    report_load(&mut directory, at(1_000), 3);
+    directory.mark_removed(at(1_000), MemberId(2));
+    let expired = directory.expire(at(1_100), LOCAL);
+    assert_eq!(expired.len(), 1);
+    assert_eq!(open(&directory), [MemberId(3)]);
+}
+
+/// Guards against keeping an ended member whose successor at its address registered after the store's return.
+#[test]
+fn a_restored_record_replaces_a_silent_member() {
+    let mut directory = Directory::new("a".into());
+    directory.upsert(record(2, 80));
+    report_load(&mut directory, at(0), 2);
+    directory.restore(at(10_000), vec![record(3, 80)]);
+    assert!(directory.key(MemberId(2)).is_none());
+    assert!(directory.key(MemberId(3)).is_some());
+}
+
 /// Guards against sending requests to ended processes whose records are still in the store when all nodes restart.
 #[test]
 fn member_without_load_report_gets_no_requests() {
--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -48,6 +48,7 @@
 pub(crate) struct EffectSinks {
     pub(crate) status_socket: Arc<UdpSocket>,
     pub(crate) is_watcher: watch::Sender<bool>,
+    pub(crate) store_era: watch::Sender<u64>,
     pub(crate) pulls: mpsc::UnboundedSender<SocketAddr>,
     pub(crate) rollout_records: mpsc::UnboundedSender<RolloutRecord>,
     pub(crate) health_path: watch::Sender<Option<CompactString>>,
@@ -238,6 +239,9 @@
             Effect::Pull(address) => {
                 let _ = self.pulls.send(address);
             }
+            Effect::RenewRecord { era } => {
+                self.store_era.send_replace(era);
+            }
             Effect::SaveRollout(record) => {
                 // The receiver is dropped only at shutdown.
                 let _ = self.rollout_records.send(record);
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -28,6 +28,8 @@
     WatchStore(bool),
     /// Pulls the store data that another node has and this one lacks.
     Pull(SocketAddr),
+    /// Writes this node's record again, because the store has returned from an earlier copy of its state in this era.
+    RenewRecord { era: u64 },
     /// Writes the state of a rollout to the store, unless an outcome is recorded there.
     SaveRollout(RolloutRecord),
     /// Applies new limits for callers' requests.
@@ -157,6 +159,8 @@
     Watcher { is_watcher: bool },
     /// The store became reachable or unreachable.
     Store { is_reachable: bool },
+    /// The store returned from an earlier copy of its state.
+    StoreEra { previous: u64, era: u64 },
     /// A new configuration was applied.
     Config { version: u64, routes: usize, previous: u64 },
     /// The data centres out of service changed.
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -31,6 +31,8 @@
     Slowdown(u32),
     /// The list of all members was read from the store.
     Members(Vec<MemberRecord>),
+    /// The list of all members was read after the store returned from an earlier copy of its state.
+    MembersRestored(Vec<MemberRecord>),
     /// The record of a member was written to the store.
     MemberPut(MemberRecord),
     /// The record of a member was deleted from the store, or its lease expired.
@@ -39,6 +41,8 @@
     Synced,
     /// The store revisions known to this node changed.
     Revisions(Revisions),
+    /// The store gave an answer of this era.
+    StoreEra(u64),
     /// A pull from another node completed or failed.
     PullEnded,
     /// The store became reachable or unreachable for this node.
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -95,6 +95,8 @@
         Record::Store { is_reachable } => {
             info!(log, "store"; "change" => if *is_reachable { "regained" } else { "lost" });
         }
+        Record::StoreEra { previous, era } => info!(log, "store-era";
+            "era" => era, "previous" => previous),
         Record::Config { version, routes, previous } => info!(log, "config";
             "version" => version, "routes" => routes, "previous" => previous),
         Record::Evacuated { centres } => info!(log, "evacuated"; "centres" => centres.as_str()),
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -250,6 +250,7 @@
         Record::Watcher { .. } => ("seats", "given_up"),
         Record::Store { is_reachable: true } => ("store", "regained"),
         Record::Store { .. } => ("store", "lost"),
+        Record::StoreEra { .. } => ("store", "restored"),
         Record::Config { .. } => ("orders", "configuration"),
         Record::Evacuated { .. } => ("orders", "evacuation"),
         Record::Rollout { stage, .. } => ("orders", *stage),
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -130,6 +130,7 @@
         let driver = Arc::new(Driver::new(reducer, log.clone(), metrics.clone()));
         let stop = watch::Sender::new(false);
         let (watcher_sender, is_watcher) = watch::channel(false);
+        let (store_era_sender, store_era) = watch::channel(0);
         let (pulls, pull_requests) = mpsc::unbounded_channel();
         let (health_path_sender, health_path) = watch::channel(None);
         let (head_limits_sender, head_limits) = watch::channel(HeadLimits::default());
@@ -152,7 +153,7 @@
             let (prefixes, replicas) = (settings.prefixes.clone(), replicas.clone());
             tasks.spawn(sync::follow(store.clone(), topic, prefixes, replicas, is_watcher.clone()));
         }
-        tasks.spawn(registry::publish(store, record, driver.clone()));
+        tasks.spawn(registry::publish(store, record, driver.clone(), store_era));
         tasks.spawn(receive(status_socket.clone(), driver.clone()));
 
         let peer_pools = Peers::default();
@@ -226,6 +227,7 @@
         driver.start(EffectSinks {
             status_socket,
             is_watcher: watcher_sender,
+            store_era: store_era_sender,
             pulls,
             rollout_records: record_sender,
             health_path: health_path_sender,
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -40,7 +40,7 @@
     time::Time,
 };
 
-use self::{calls::Call, works::Work};
+use self::{calls::Call, eras::Eras, works::Work};
 
 /// The interval of [`Timer::Tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -118,8 +118,7 @@
     /// When a status was last sent and its load report: to this data centre, and to the others.
     last_status: [Option<(Time, LoadReport)>; 2],
     revisions: Revisions,
-    /// The era in which each topic was first read. Nodes of builds that do not know eras are assumed to be in it.
-    first_eras: [Option<u64>; 3],
+    eras: Eras,
     /// When the pull in progress began.
     pull_started: Option<Time>,
     /// A node of another data centre that has newer revisions, and since when this node has been behind it.
@@ -161,7 +160,7 @@
             fanouts: [Fanout::new(SAME_CENTRE_FANOUT), Fanout::new(OTHER_CENTRE_FANOUT)],
             last_status: [None, None],
             revisions: Revisions::default(),
-            first_eras: [None; 3],
+            eras: Eras::default(),
             pull_started: None,
             pending_pull: None,
             is_watcher: false,
@@ -188,10 +187,12 @@
             Event::Health(health) => self.apply_health(now, health, out),
             Event::Slowdown(percent) => self.apply_slowdown(now, percent, out),
             Event::Members(records) => self.members_listed(now, records, out),
+            Event::MembersRestored(records) => self.members_restored(now, records, out),
             Event::MemberPut(record) => self.member_put(record, out),
             Event::MemberRemoved(id) => self.directory.mark_removed(now, id),
             Event::Synced => self.members_synced(now, out),
             Event::Revisions(revisions) => self.revisions_changed(now, revisions, out),
+            Event::StoreEra(era) => self.era_seen(era, out),
             Event::PullEnded => self.pull_started = None,
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -65,9 +65,10 @@
     pub(super) fn members_listed(
         &mut self,
         now: Time,
-        records: Vec<MemberRecord>,
+        mut records: Vec<MemberRecord>,
         out: &mut Vec<Effect>,
     ) {
+        records.retain(|record| !self.is_earlier_local(record));
         for record in &records {
             self.log_if_new(record, out);
         }
@@ -79,14 +80,14 @@
     }
 
     pub(super) fn member_put(&mut self, record: MemberRecord, out: &mut Vec<Effect>) {
-        if record.id == self.local.id {
+        if record.id == self.local.id || self.is_earlier_local(&record) {
             return;
         }
         self.log_if_new(&record, out);
         self.directory.upsert(record);
     }
 
-    fn log_if_new(&self, record: &MemberRecord, out: &mut Vec<Effect>) {
+    pub(super) fn log_if_new(&self, record: &MemberRecord, out: &mut Vec<Effect>) {
         if self.directory.key(record.id).is_none() {
             let (id, service) = (record.id, record.service.clone());
             out.push(Effect::Log(Record::Member { id, service, change: "joined" }));
@@ -129,6 +130,7 @@
         source: SocketAddr,
         out: &mut Vec<Effect>,
     ) {
+        self.status_eras_seen(status, out);
         if let Some(record) = status.record.as_ref().filter(|record| record.id == status.from) {
             self.register_sender(now, record, out);
         }
@@ -211,7 +213,7 @@
         out: &mut Vec<Effect>,
     ) {
         if self.revisions != revisions {
-            self.record_first_eras(&revisions);
+            self.record_eras(&revisions, out);
             self.revisions = revisions;
             self.pending_pull = None;
             self.send_status_now(now, out);
--- a/mesh/src/reducer/tests/eras.rs
+++ b/mesh/src/reducer/tests/eras.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::node_status::Extension;
+use crate::{effect::Record, node_status::Extension};
 
 /// Returns positions with these eras and revisions.
 fn positions(eras: [u64; 3], revisions: [u64; 3]) -> Revisions {
@@ -38,3 +38,40 @@
     node.apply(Event::Revisions(positions([2; 3], [4; 3])));
     assert!(!pulls(&mut node, status_with(None, [10, 9, 9], 1)));
 }
+
+/// Returns the eras in which this node writes its record again.
+fn renewals(effects: &[Effect]) -> Vec<u64> {
+    let era = |effect: &Effect| match effect {
+        Effect::RenewRecord { era } => Some(*era),
+        _ => None,
+    };
+    effects.iter().filter_map(era).collect()
+}
+
+/// Guards against nodes whose records are missing from a restored store until their next renewals, so that a node that
+/// starts knows none of them.
+#[test]
+fn a_new_era_renews_the_record_once() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    assert!(renewals(&node.apply(Event::StoreEra(3))).is_empty(), "the first era is no return");
+    node.apply(Event::Revisions(positions([3; 3], [9; 3])));
+    let status = status_with(Some([3, 4, 3]), [9, 2, 9], 1);
+    let effects = node.apply(Event::Status { status, source: address(2) });
+    assert_eq!(renewals(&effects), [4]);
+    assert!(effects.contains(&Effect::Log(Record::StoreEra { previous: 3, era: 4 })));
+    assert!(renewals(&node.apply(Event::StoreEra(4))).is_empty());
+    assert!(renewals(&node.apply(Event::Revisions(positions([4; 3], [2; 3])))).is_empty());
+    assert!(renewals(&node.apply(Event::StoreEra(3))).is_empty());
+}
+
+/// Guards against a node that loses its own entry to the record of an earlier process at its address.
+#[test]
+fn the_record_of_an_earlier_process_does_not_replace_this_node() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    let earlier = MemberRecord { id: MemberId(99), ..local_node().record() };
+    node.apply(Event::Members(vec![earlier.clone()]));
+    node.apply(Event::MembersRestored(vec![earlier.clone()]));
+    node.apply(Event::MemberPut(earlier));
+    assert!(node.reducer.directory.key(MemberId(LOCAL_ID)).is_some());
+    assert!(node.reducer.directory.key(MemberId(99)).is_none());
+}
--- a/mesh/src/registry.rs
+++ b/mesh/src/registry.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use tokio::time;
+use rand::Rng as _;
+use tokio::{sync::watch, time};
 
 use crate::{
     directory::MemberRecord,
@@ -27,11 +28,21 @@
 /// The interval of lease renewal after a failure.
 const RENEW_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Dispatches an update of the member records to the reducer.
-pub(crate) fn apply_update(driver: &Driver, update: Update) {
+/// The maximum delay before the record is written again after the store has returned from an earlier
+/// copy of its state, so that the writes of all nodes do not exceed the store's rate limit.
+const MAX_REWRITE_DELAY: Duration = Duration::from_secs(1);
+
+/// Dispatches an update of the member records to the reducer. `is_restored` tells whether the store
+/// has returned from an earlier copy of its state since the last update.
+pub(crate) fn apply_update(driver: &Driver, update: Update, is_restored: bool) {
     match update {
         Update::Listed(items) => {
-            driver.dispatch(Event::Members(items.iter().filter_map(parse_record).collect()));
+            let records = items.iter().filter_map(parse_record).collect();
+            driver.dispatch(if is_restored {
+                Event::MembersRestored(records)
+            } else {
+                Event::Members(records)
+            });
         }
         Update::Changed(changes) => {
             for change in changes {
@@ -52,15 +63,22 @@
     }
 }
 
-/// Keeps this node's record in the store under a lease until the task is cancelled.
-pub(crate) async fn publish<S: Store>(store: S, record: MemberRecord, driver: Arc<Driver>) {
+/// Keeps this node's record in the store under a lease until the task is cancelled. `store_era` is the
+/// era of the last return of the store from an earlier copy of its state.
+pub(crate) async fn publish<S: Store>(
+    store: S,
+    record: MemberRecord,
+    driver: Arc<Driver>,
+    mut store_era: watch::Receiver<u64>,
+) {
     let mut backoff = Backoff::new();
     loop {
         match write_record(&store, &record).await {
             Ok(lease) => {
                 backoff = Backoff::new();
                 driver.dispatch(Event::Store { is_reachable: true });
-                renew_until_lost(&store, lease, &driver).await;
+                driver.dispatch(Event::StoreEra(lease.era));
+                renew_until_lost(&store, lease, &mut store_era, &driver).await;
             }
             Err(error) => {
                 slog::warn!(driver.log(), "record-unwritten"; "error" => %error);
@@ -71,13 +89,29 @@
     }
 }
 
-/// Renews the lease until the store reports that it has ended.
-async fn renew_until_lost<S: Store>(store: &S, lease: Lease, driver: &Driver) {
+/// Renews the lease until the store reports that it has ended, or has lost it.
+async fn renew_until_lost<S: Store>(
+    store: &S,
+    lease: Lease,
+    store_era: &mut watch::Receiver<u64>,
+    driver: &Driver,
+) {
     let mut interval = RENEW_INTERVAL;
     loop {
-        time::sleep(interval).await;
+        let is_era_over = async { store_era.wait_for(|era| *era > lease.era).await.is_ok() };
+        tokio::select! {
+            () = time::sleep(interval) => {}
+            true = is_era_over => {
+                // The id may denote another node's lease by now, so a renewal would prove nothing.
+                slog::warn!(driver.log(), "lease-lost"; "lease" => lease.id, "era" => lease.era);
+                let delay = MAX_REWRITE_DELAY.mul_f64(rand::rng().random());
+                time::sleep(delay).await;
+                return;
+            }
+        }
         interval = match store.renew(lease).await {
-            Ok(_) => {
+            Ok(era) => {
+                driver.dispatch(Event::StoreEra(era));
                 driver.dispatch(Event::Store { is_reachable: true });
                 RENEW_INTERVAL
             }
@@ -99,7 +133,10 @@
     let value = serde_json::to_vec(record).map(Bytes::from).map_err(encode_error)?;
     let lease = store.grant(LEASE_TTL).await?;
     let writes = vec![(record_key(record), value, Some(lease))];
-    store.commit(Transaction { writes, ..Transaction::default() }).await?;
+    let position = store.commit(Transaction { writes, ..Transaction::default() }).await?;
+    if position.era != lease.era {
+        return Err(StoreError::NoLease);
+    }
     Ok(lease)
 }
 
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -97,10 +97,19 @@
     fn apply(&self, topic: Topic, change: impl FnOnce(&mut Replica) -> Option<Update>) {
         let mut shared = self.lock();
         let shared = &mut *shared;
-        let update = change(&mut shared.replicas[topic.index()]);
+        let replica = &mut shared.replicas[topic.index()];
+        let before = replica.position();
+        let update = change(replica);
+        let Position { era, revision } = replica.position();
+        let is_restored = before.revision > 0 && era > before.era;
+        if is_restored {
+            slog::info!(self.driver.log(), "store-relisted"; "topic" => topic.as_str(),
+                "era" => era, "revision" => revision, "previous" => before.revision);
+            self.driver.dispatch(Event::StoreEra(era));
+        }
         if let Some(update) = update {
             match topic {
-                Topic::Members => registry::apply_update(&self.driver, update),
+                Topic::Members => registry::apply_update(&self.driver, update, is_restored),
                 Topic::Orders | Topic::Status => {
                     shared.handler.handle_update(&shared.node, topic, update);
                 }
