--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod crashes;
 mod denials;
+mod eras;
 mod members;
 mod pulls;
 mod versions;
@@ -43,7 +44,7 @@
 };
 
 pub(crate) use self::denials::RequestSize;
-use self::{calls::Call, pulls::Pulls, works::Work};
+use self::{calls::Call, eras::Eras, pulls::Pulls, works::Work};
 
 /// The interval of [`Timer::Tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -123,6 +124,7 @@
     /// When a status was last sent and its load report: to this data centre, and to the others.
     last_status: [Option<(Time, LoadReport)>; 2],
     revisions: Revisions,
+    eras: Eras,
     pulls: Pulls,
     /// Whether this node watches the store for the other nodes.
     is_watcher: bool,
@@ -162,6 +164,7 @@
             fanouts: [Fanout::new(SAME_CENTRE_FANOUT), Fanout::new(OTHER_CENTRE_FANOUT)],
             last_status: [None, None],
             revisions: Revisions::default(),
+            eras: Eras::default(),
             pulls: Pulls::default(),
             is_watcher: false,
             is_ready: false,
@@ -187,10 +190,12 @@
             Event::Health(health) => self.apply_health(now, health, out),
             Event::Slowdown(percent) => self.apply_slowdown(now, percent, out),
             Event::Members(records) => self.members_listed(now, records, out),
+            Event::MembersRestored(records) => self.members_restored(now, records, out),
             Event::MemberPut(record) => self.member_put(record, out),
             Event::MemberRemoved(id) => self.directory.mark_removed(now, id),
             Event::Synced => self.members_synced(now, out),
             Event::Revisions(revisions) => self.revisions_changed(now, revisions, out),
+            Event::StoreEra(era) => self.era_seen(era, out),
             Event::PullEnded(outcome) => self.pull_ended(now, outcome, out),
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -10,7 +10,7 @@
     effect::{Effect, Record},
     keys::MemberId,
     limits::Limits,
-    node_status::NodeStatus,
+    node_status::{Extension, NodeStatus},
     refusal::Reason,
     report::LoadReport,
     target::{Health, TargetChange},
@@ -57,9 +57,10 @@
     pub(super) fn members_listed(
         &mut self,
         now: Time,
-        records: Vec<MemberRecord>,
+        mut records: Vec<MemberRecord>,
         out: &mut Vec<Effect>,
     ) {
+        records.retain(|record| !self.is_earlier_local(record));
         for record in &records {
             self.log_if_new(record, out);
         }
@@ -71,14 +72,14 @@
     }
 
     pub(super) fn member_put(&mut self, record: MemberRecord, out: &mut Vec<Effect>) {
-        if record.id == self.local.id {
+        if record.id == self.local.id || self.is_earlier_local(&record) {
             return;
         }
         self.log_if_new(&record, out);
         self.directory.upsert(record);
     }
 
-    fn log_if_new(&self, record: &MemberRecord, out: &mut Vec<Effect>) {
+    pub(super) fn log_if_new(&self, record: &MemberRecord, out: &mut Vec<Effect>) {
         if self.directory.key(record.id).is_none() {
             let (id, service) = (record.id, record.service.clone());
             out.push(Effect::Log(Record::Member { id, service, change: "joined" }));
@@ -121,19 +122,21 @@
         source: SocketAddr,
         out: &mut Vec<Effect>,
     ) {
+        self.status_eras_seen(status, out);
+        let positions = self.positions_of(status);
         if let Some(record) = status.record.as_ref().filter(|record| record.id == status.from) {
             self.register_sender(now, record, out);
         }
         let key = self.directory.key(status.from);
         let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else {
             // The sender's record is newer than this node's replica of the store.
-            return self.pull_from_unknown(now, &status.revisions, source, out);
+            return self.pull_from_unknown(now, &positions, source, out);
         };
         member.update_load(now, status.load);
         member.tally = status.tally;
         member.version = status.version.clone();
         member.has_store = status.has_store;
-        member.revisions = status.revisions;
+        member.revisions = positions;
         if status.is_stopping {
             self.directory.mark_removed(now, status.from);
         }
@@ -141,7 +144,7 @@
         for rollout in &status.rollouts {
             self.merge_rollout(now, rollout);
         }
-        if self.is_behind(&status.revisions) {
+        if self.is_behind(&positions) {
             self.pull_if_behind(now, out);
         }
     }
@@ -271,7 +274,7 @@
         let is_new = now.since(Time::ZERO) < RECORD_SEND_TIME;
         NodeStatus {
             from: self.local.id,
-            revisions: self.revisions,
+            revisions: self.revisions.map(|position| position.revision),
             has_store: self.has_store,
             is_stopping: self.stopping_since.is_some(),
             record: is_new.then(|| self.local.record()),
@@ -280,6 +283,10 @@
             tally: self.tally,
             rollouts: self.rollout_progress(now),
             suspects,
+            extension: Some(Extension {
+                eras: self.revisions.map(|position| position.era),
+                config_version: self.config_version(),
+            }),
         }
     }
 
--- /dev/null
+++ b/mesh/src/reducer/tests/eras.rs
@@ -0,0 +1,79 @@
+use super::*;
+use crate::{effect::Record, event::PullOutcome, node_status::Extension};
+
+/// Returns positions with these eras and revisions.
+fn positions(eras: [u64; 3], revisions: [u64; 3]) -> Revisions {
+    std::array::from_fn(|n| Position { era: eras[n], revision: revisions[n] })
+}
+
+fn status_with(eras: Option<[u64; 3]>, revisions: [u64; 3], config_version: u64) -> NodeStatus {
+    let extension = eras.map(|eras| Extension { eras, config_version });
+    NodeStatus { revisions, extension, ..status_from(2, idle_load()) }
+}
+
+fn pulls(node: &mut TestNode, status: NodeStatus) -> bool {
+    node.apply(Event::PullEnded(PullOutcome::Done));
+    // After the pause that follows a pull from the same node.
+    node.now += Duration::from_millis(200);
+    let effects = node.apply(Event::Status { status, source: address(2) });
+    effects.iter().any(|effect| matches!(effect, Effect::Pull(_)))
+}
+
+/// Guards against a node that ignores what others know since the store has returned from a copy.
+#[test]
+fn a_node_of_a_newer_era_is_ahead() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    node.apply(Event::Revisions(positions([1; 3], [9; 3])));
+    assert!(!pulls(&mut node, status_with(Some([1; 3]), [9; 3], 1)));
+    assert!(pulls(&mut node, status_with(Some([1, 2, 1]), [9, 4, 9], 1)));
+    node.apply(Event::Revisions(positions([2; 3], [4; 3])));
+    assert!(!pulls(&mut node, status_with(Some([1; 3]), [9; 3], 1)));
+    assert!(pulls(&mut node, status_with(Some([2; 3]), [4, 4, 5], 1)));
+}
+
+/// Guards against pulls from a node whose build does not know eras and which holds what the store has lost.
+#[test]
+fn a_status_without_eras_is_of_the_first_one() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    node.apply(Event::Revisions(positions([1; 3], [9; 3])));
+    assert!(pulls(&mut node, status_with(None, [10, 9, 9], 1)));
+    node.apply(Event::Revisions(positions([2; 3], [4; 3])));
+    assert!(!pulls(&mut node, status_with(None, [10, 9, 9], 1)));
+}
+
+/// Returns the eras in which this node writes its record again.
+fn renewals(effects: &[Effect]) -> Vec<u64> {
+    let era = |effect: &Effect| match effect {
+        Effect::RenewRecord { era } => Some(*era),
+        _ => None,
+    };
+    effects.iter().filter_map(era).collect()
+}
+
+/// Guards against nodes whose records are missing from a restored store until their next renewals, so that a node that
+/// starts knows none of them.
+#[test]
+fn a_new_era_renews_the_record_once() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    assert!(renewals(&node.apply(Event::StoreEra(3))).is_empty(), "the first era is no return");
+    node.apply(Event::Revisions(positions([3; 3], [9; 3])));
+    let status = status_with(Some([3, 4, 3]), [9, 2, 9], 1);
+    let effects = node.apply(Event::Status { status, source: address(2) });
+    assert_eq!(renewals(&effects), [4]);
+    assert!(effects.contains(&Effect::Log(Record::StoreEra { previous: 3, era: 4 })));
+    assert!(renewals(&node.apply(Event::StoreEra(4))).is_empty());
+    assert!(renewals(&node.apply(Event::Revisions(positions([4; 3], [2; 3])))).is_empty());
+    assert!(renewals(&node.apply(Event::StoreEra(3))).is_empty());
+}
+
+/// Guards against a node that loses its own entry to the record of an earlier process at its address.
+#[test]
+fn the_record_of_an_earlier_process_does_not_replace_this_node() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    let earlier = MemberRecord { id: MemberId(99), ..local_node().record() };
+    node.apply(Event::Members(vec![earlier.clone()]));
+    node.apply(Event::MembersRestored(vec![earlier.clone()]));
+    node.apply(Event::MemberPut(earlier));
+    assert!(node.reducer.directory.key(MemberId(LOCAL_ID)).is_some());
+    assert!(node.reducer.directory.key(MemberId(99)).is_none());
+}
--- a/mesh/src/reducer/tests/spread.rs
+++ b/mesh/src/reducer/tests/spread.rs
@@ -96,7 +96,7 @@
     fn read(&mut self, index: usize) {
         self.received[index].get_or_insert(self.now_ms);
         let mut revisions = self.nodes[index].revisions;
-        revisions[Topic::Orders.index()] = 5;
+        revisions[Topic::Orders.index()] = Position { era: 1, revision: 5 };
         self.apply(index, Event::Revisions(revisions));
     }
 
--- a/mesh/src/reducer/tests/stale_config.rs
+++ b/mesh/src/reducer/tests/stale_config.rs
@@ -14,7 +14,7 @@
     status.revisions[Topic::Orders.index()] = 5;
     node.apply(Event::Status { status, source: address(2) });
     assert_eq!(status_of_unknown_route(&mut node), Some(503));
-    node.apply(Event::Revisions([0, 5, 0]));
+    node.apply(Event::Revisions(revisions([0, 5, 0])));
     assert_eq!(status_of_unknown_route(&mut node), Some(404));
 }
 
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -27,8 +27,9 @@
     node::NodeHandle,
     payload::Body,
     pool::{Pool, SendError},
+    pull::{PullAnswer, PullQuery},
     registry,
-    replica::{Delta, Replica, Revisions, Topic},
+    replica::{Delta, Position, Replica, Topic},
     store::{Backoff, Freshness, Store, StoreError, Update},
 };
 
@@ -142,28 +143,37 @@
     fn apply(&self, topic: Topic, change: impl FnOnce(&mut Replica) -> Option<Update>) {
         let mut shared = self.lock();
         let shared = &mut *shared;
-        let update = change(&mut shared.replicas[topic.index()]);
+        let replica = &mut shared.replicas[topic.index()];
+        let before = replica.position();
+        let update = change(replica);
+        let Position { era, revision } = replica.position();
+        let is_restored = before.revision > 0 && era > before.era;
+        if is_restored {
+            slog::info!(self.driver.log(), "store-relisted"; "topic" => topic.as_str(),
+                "era" => era, "revision" => revision, "previous" => before.revision);
+            self.driver.dispatch(Event::StoreEra(era));
+        }
         if let Some(update) = update {
             match topic {
-                Topic::Members => registry::apply_update(&self.driver, update),
+                Topic::Members => registry::apply_update(&self.driver, update, is_restored),
                 Topic::Orders | Topic::Status => {
                     shared.handler.handle_update(&shared.node, topic, update);
                 }
             }
         }
-        let revisions = shared.replicas.each_ref().map(Replica::revision);
+        let revisions = shared.replicas.each_ref().map(Replica::position);
         self.driver.dispatch(Event::Revisions(revisions));
     }
 
-    fn revision(&self, topic: Topic) -> u64 {
-        self.lock().replicas[topic.index()].revision()
+    fn position(&self, topic: Topic) -> Position {
+        self.lock().replicas[topic.index()].position()
     }
 
     /// Serves a pull of another node: returns the changes since the revisions in the query, compressed if the other
     /// node can read that, or status 503 while [`MAX_UPLOADS`] large responses are on their way.
     pub(crate) fn serve_pull(&self, query: Option<&str>, is_compressed: bool) -> Response<Body> {
-        let known = query.and_then(parse_revisions).unwrap_or_default();
-        let deltas = self.deltas_since(&known);
+        let query = PullQuery::parse(query.unwrap_or_default());
+        let deltas = self.deltas_since(&query);
         let size: usize = deltas.iter().map(Delta::size).sum();
         let mut permit = None;
         if size > LARGE_RESPONSE_BYTES {
@@ -172,7 +182,7 @@
             };
             permit = Some(acquired);
         }
-        let bytes = postcard::to_stdvec(&deltas).unwrap_or_default();
+        let bytes = PullAnswer { deltas, config: None }.encode();
         let compressed = is_compressed.then(|| compression::compress(&bytes).ok()).flatten();
         let encoding = compressed.as_ref().map(|_| compression::ENCODING);
         let body = Body::from(Bytes::from(compressed.unwrap_or(bytes)));
@@ -186,14 +196,14 @@
         response
     }
 
-    fn deltas_since(&self, known: &Revisions) -> Vec<Delta> {
+    fn deltas_since(&self, query: &PullQuery) -> Vec<Delta> {
         let shared = self.lock();
-        let topics = Topic::ALL
-            .into_iter()
-            .filter(|topic| shared.replicas[topic.index()].revision() > known[topic.index()]);
-        let delta =
-            |topic: Topic| shared.replicas[topic.index()].delta_since(topic, known[topic.index()]);
-        topics.map(delta).collect()
+        let delta = |topic: Topic| {
+            let replica = &shared.replicas[topic.index()];
+            let known = query.position(topic, replica);
+            (replica.position() > known).then(|| replica.delta_since(topic, known))
+        };
+        Topic::ALL.into_iter().filter_map(delta).collect()
     }
 
     /// Pulls what another node knows beyond this one.
@@ -226,8 +236,8 @@
     /// The timeout counts from the last progress: on a full link many pulls are slow together, and to begin again would
     /// waste what has arrived.
     async fn fetch(&self, pool: &Pool, bytes: &mut Vec<u8>) -> Result<Encoding, PullError> {
-        let [members, orders, status] = Topic::ALL.map(|topic| self.revision(topic));
-        let req = Request::get(format!("{PATH}?{members},{orders},{status}"))
+        let known = Topic::ALL.map(|topic| self.position(topic));
+        let req = Request::get(format!("{PATH}?{}", PullQuery::new(&known, 0).format()))
             .header(header::HOST, "node")
             .header(header::ACCEPT_ENCODING, compression::ENCODING)
             .body(Body::default());
@@ -264,7 +274,8 @@
                 Cow::Owned(bytes.map_err(|_| PullError::Unreadable)?)
             }
         };
-        let deltas: Vec<Delta> = postcard::from_bytes(&bytes).map_err(|_| PullError::Unreadable)?;
+        let answer = PullAnswer::decode(&bytes).ok_or(PullError::Unreadable)?;
+        let PullAnswer { deltas, config: _ } = answer;
         let topics: Vec<&str> = deltas.iter().map(|delta| delta.topic.as_str()).collect();
         let topics = topics.join(",").into();
         for delta in deltas {
@@ -296,12 +307,6 @@
     move || drop(sent)
 }
 
-fn parse_revisions(query: &str) -> Option<Revisions> {
-    let mut parts = query.split(',').map(str::parse);
-    let mut next = || parts.next()?.ok();
-    Some([next()?, next()?, next()?])
-}
-
 /// Synchronises one topic with the store: lists it at the start, and watches it while this node is
 /// a watcher.
 pub(crate) async fn follow<S: Store>(
@@ -315,10 +320,13 @@
     load_initial(&store, topic, prefix, &replicas).await;
     let mut freshness = None;
     let mut backoff = Backoff::new();
+    // The delay before a list that follows another one without a successful watch in between.
+    let mut relist_backoff = None;
     loop {
         if is_watcher.wait_for(|is_watcher| *is_watcher).await.is_err() {
             return;
         }
+        let is_watch = freshness.is_none();
         let result = match freshness.take() {
             Some(freshness) => apply_list(&store, topic, prefix, freshness, &replicas).await,
             None => apply_watch(&store, topic, prefix, &replicas).await,
@@ -327,11 +335,18 @@
         match result {
             Ok(()) => {
                 backoff = Backoff::new();
+                if is_watch {
+                    relist_backoff = None;
+                }
                 replicas.driver.dispatch(Event::Store { is_reachable: true });
             }
             Err(StoreError::Compacted) => {
                 slog::info!(log, "store-compacted"; "topic" => topic.as_str());
                 freshness = Some(Freshness::Latest);
+                if let Some(relist_backoff) = &mut relist_backoff {
+                    Backoff::wait(relist_backoff).await;
+                }
+                relist_backoff.get_or_insert_with(Backoff::new);
             }
             Err(error) => {
                 slog::warn!(log, "store-call-failed"; "topic" => topic.as_str(),
@@ -376,8 +391,8 @@
     freshness: Freshness,
     replicas: &TopicReplicas,
 ) -> crate::store::Result<()> {
-    let (items, revision) = store.list(prefix, freshness).await?;
-    replicas.apply(topic, |replica| replica.apply_list(items, revision));
+    let (items, position) = store.list(prefix, freshness).await?;
+    replicas.apply(topic, |replica| replica.apply_list(items, position));
     Ok(())
 }
 
@@ -387,10 +402,14 @@
     prefix: &str,
     replicas: &TopicReplicas,
 ) -> crate::store::Result<()> {
-    let after = replicas.revision(topic);
-    let (changes, revision) = store.watch(prefix, after, WATCH_TIMEOUT).await?;
+    let after = replicas.position(topic);
+    let (changes, position) = store.watch(prefix, after.revision, WATCH_TIMEOUT).await?;
+    if position.era > after.era {
+        // The revision was one of an earlier era, so other changes may be missing.
+        return Err(StoreError::Compacted);
+    }
     let is_changed = !changes.is_empty();
-    replicas.apply(topic, |replica| replica.apply_changes(changes, revision));
+    replicas.apply(topic, |replica| replica.apply_changes(changes, position));
     if is_changed {
         time::sleep(BATCH_DELAY).await;
     }
