End only the lifetime to which a misdirected request was sent

A target's node that got 421 for a request ended the lifetime that was current at that moment. If the target had restarted while the request was on its way and its first heartbeat came before the 421, the node ended the new lifetime: it refused every further heartbeat of that lifetime with 409, the health check could not bring it back, and all requests for the target were refused until its next start or that of the node.

A request now remembers the lifetime to which it was sent, and a 421 ends only that one.

The new test failed before the change: the second heartbeat of the new lifetime was refused.

--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -4,6 +4,7 @@
 
 mod crashes;
 mod denials;
+mod lifetimes;
 
 use super::{Limits, LocalNode, Reducer};
 use crate::{
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -25,6 +25,8 @@
     route: CompactString,
     arrived: Time,
     deadline: Time,
+    /// The id of the lifetime to which the request was sent.
+    lifetime: CompactString,
     /// When the request was sent to the target.
     pub(super) started: Option<Time>,
     /// Identifies the request over repeated sends.
@@ -53,7 +55,10 @@
             }
             WorkEvent::Shed => self.work_ended(now, key, WorkOutcome::Shed, ("shed", 0), out),
             WorkEvent::Misdirected => {
-                self.target.end_current();
+                // A later lifetime may have become the current one while the request was on its way.
+                if let Some(work) = self.works.get(key) {
+                    self.target.end_lifetime(&work.lifetime);
+                }
                 self.work_ended(now, key, WorkOutcome::Cancelled, ("misdirected", 0), out);
                 self.update_admission(now, out);
             }
@@ -109,6 +114,7 @@
             route: head.route.clone(),
             arrived: now,
             deadline: request.deadline,
+            lifetime: CompactString::default(),
             started: None,
             fingerprint: head.fingerprint,
             is_suspected: self.crash_guard.standing(now, head.fingerprint) != Standing::Clear,
@@ -147,6 +153,7 @@
             out.push(Effect::Work(key, WorkStep::Refuse { reason, wait }));
             return self.apply_dequeued(now, dequeued, out);
         };
+        work.lifetime = lifetime.id.clone();
         work.started = Some(now);
         work.was_busy = self.admission.is_busy();
         self.tally.sent += 1;
--- a/mesh/src/target.rs
+++ b/mesh/src/target.rs
@@ -205,9 +205,9 @@
         std::mem::replace(&mut self.is_reachable, false)
     }
 
-    /// Ends the current lifetime, because another one answered at its address.
-    pub(crate) fn end_current(&mut self) {
-        if let Some(current) = self.current.take() {
+    /// Ends the lifetime with this id if it is the current one, because another one answered at its address.
+    pub(crate) fn end_lifetime(&mut self, id: &str) {
+        if let Some(current) = self.current.take_if(|current| current.lifetime.id == id) {
             self.end(current.lifetime);
         }
     }
