Close idle connections by the timeout of the configuration in force

A connection kept the idle timeout with which it was opened, or 90 s if it was opened before the first configuration. After an operator had raised the timeout, a node still closed such connections at the old one, while callers use idle connections up to four fifths of the new one: their requests met a connection that was being closed.

The server now measures the idle time of each connection itself and compares it with the limits at that moment. As before, the time for a head counts from the end of the previous answer, so that an unfinished head ends the connection as well.

--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -1,6 +1,11 @@
 //! The HTTP server of a node, with graceful shutdown of its connections.
 
-use std::{convert::Infallible, future::Future, time::Duration};
+use std::{
+    convert::Infallible,
+    future::Future,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -9,7 +14,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time,
+    time::{self, Instant},
 };
 
 use crate::{config::CallerLimits, payload::Body, pool};
@@ -33,10 +38,14 @@
 /// Delay before the next attempt to accept after an error, for instance when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Limits on the size and the arrival time of a request head, which a connection keeps.
+/// Time for an idle connection to close, after which it is dropped.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Limits on the size and the arrival time of a request head.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub struct HeadLimits {
-    /// The bytes of a head that are buffered. Larger heads are answered with status 431, whatever the configuration.
+    /// The bytes of a head that are buffered. Larger heads are answered with status 431, whatever the configuration. A
+    /// connection keeps the limits on the size with which it was accepted.
     buffer_bytes: usize,
     /// The most fields of a head. Heads with more are answered with status 431.
     max_fields: usize,
@@ -76,8 +85,7 @@
     watch::channel(limits).1
 }
 
-/// Accepts connections until `stop` becomes true, then shuts them down gracefully. A connection keeps the limits that
-/// were in force when it was accepted.
+/// Accepts connections until `stop` becomes true, then shuts them down gracefully.
 pub async fn serve<H, F>(
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
@@ -95,8 +103,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let limits = *limits.borrow();
-                tokio::spawn(serve_connection(stream, stop.clone(), limits, handle.clone()));
+                let (stop, limits) = (stop.clone(), limits.clone());
+                tokio::spawn(serve_connection(stream, stop, limits, handle.clone()));
             }
             Err(error) => {
                 slog::warn!(log, "accept-failed"; "error" => %error);
@@ -109,32 +117,92 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
-    limits: HeadLimits,
+    limits: watch::Receiver<HeadLimits>,
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     pool::set_socket_options(&stream);
+    let activity = Activity::new();
+    let requests = activity.clone();
     let service = service_fn(move |req: Request<Incoming>| {
+        let guard = requests.start();
         let answer = handle(req);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { Ok::<_, Infallible>(answer.await.map(|body| body.on_end(move || drop(guard)))) }
     });
+    let HeadLimits { buffer_bytes, max_fields, .. } = *limits.borrow();
     let mut builder = http1::Builder::new();
+    // The timeout of the builder would be the one in force when the connection was accepted.
     builder
         .auto_date_header(false)
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.timeout)
-        .max_buf_size(limits.buffer_bytes)
-        .max_headers(limits.max_fields);
+        .header_read_timeout(None)
+        .max_buf_size(buffer_bytes)
+        .max_headers(max_fields);
     let conn = builder.serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
     // Errors are ignored: the requests on the connection observe them.
     tokio::select! {
+        biased;
         _ = conn.as_mut() => {}
         _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => {
             conn.as_mut().graceful_shutdown();
             let _ = conn.await;
         }
+        () = activity.wait_until_idle(&limits) => {
+            conn.as_mut().graceful_shutdown();
+            let _ = time::timeout(CLOSE_TIMEOUT, conn).await;
+        }
+    }
+}
+
+/// The requests in progress on a connection, or since when there has been none.
+#[derive(Clone)]
+struct Activity(Arc<Mutex<Requests>>);
+
+struct Requests {
+    running: usize,
+    idle_since: Instant,
+}
+
+impl Activity {
+    fn new() -> Activity {
+        Activity(Arc::new(Mutex::new(Requests { running: 0, idle_since: Instant::now() })))
+    }
+
+    fn start(&self) -> ActivityGuard {
+        self.lock().running += 1;
+        ActivityGuard(self.clone())
+    }
+
+    /// Waits until the connection has been idle for the timeout that is then in force.
+    async fn wait_until_idle(&self, limits: &watch::Receiver<HeadLimits>) {
+        loop {
+            let timeout = limits.borrow().timeout;
+            let idle = {
+                let requests = self.lock();
+                if requests.running > 0 { Duration::ZERO } else { requests.idle_since.elapsed() }
+            };
+            let Some(left) = timeout.checked_sub(idle).filter(|left| !left.is_zero()) else {
+                return;
+            };
+            time::sleep(left).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Requests> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Guard of a request in progress; dropping it records the end of its answer.
+struct ActivityGuard(Activity);
+
+impl Drop for ActivityGuard {
+    fn drop(&mut self) {
+        let mut requests = self.0.lock();
+        requests.running -= 1;
+        requests.idle_since = Instant::now();
     }
 }
