--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod denials;
 mod eras;
+mod lifetimes;
 mod spread;
 mod stale_config;
 
