Do not send a refused request again on the connection that refused it

A node may get the same request twice, with the same id, after a first attempt was refused. If the second attempt used the same connection to the target, a faulty target that wrote its earlier refusal once more was believed, because the id is right, while the request ran. The caller was told that it did not run, or it ran at a second target.

Each connection now remembers the requests that were refused on it, as hashes of their ids, and a request is sent on a connection only if it was not refused there. After 64 refusals a connection is closed, so that the memory is bounded and a refusal costs a sixty-fourth of a new connection; to close a connection after each refusal would cost one each.

--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -16,7 +16,7 @@
     headers::{self, HeaderNames},
     keys::{MemberId, WorkKey},
     payload::{Body, Payload},
-    pool::{Pool, PooledConnection, SendError},
+    pool::{IdHash, Pool, PooledConnection, SendError},
     refusal::Reason,
 };
 
@@ -114,7 +114,9 @@
             work.close(WorkEvent::Failed(Failure::BodyCut));
             return AttemptOutcome::Failed(Failure::BodyCut);
         };
-        let (answer, mut conn) = match self.pool.send(req).await {
+        let id_hash = IdHash::of(id.as_ref().map_or(b"", HeaderValue::as_bytes));
+        let sent = self.pool.send_unless_refused(req, Some(id_hash)).await;
+        let (answer, mut conn) = match sent {
             Ok(sent) => sent,
             Err(SendError::Unreachable) => {
                 work.close(WorkEvent::Failed(Failure::NotSent));
@@ -146,6 +148,9 @@
             conn.limit_idle(idle.saturating_sub(IDLE_TIMEOUT_MARGIN));
         }
         let is_shed = headers.contains_key(&self.names.not_executed);
+        if is_shed || answer.status() == StatusCode::MISDIRECTED_REQUEST {
+            conn.mark_refused(id_hash);
+        }
         if answer.status() == StatusCode::MISDIRECTED_REQUEST {
             let is_other = headers::text(headers, &self.names.instance)
                 .is_none_or(|instance| instance != lifetime.as_str());
--- a/mesh/src/pool.rs
+++ b/mesh/src/pool.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::VecDeque,
+    hash::{DefaultHasher, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -37,6 +38,10 @@
 /// Time for which sent data may stay unacknowledged before TCP closes the connection.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The maximum number of refused requests that a connection remembers. It is closed at this number, which costs one new
+/// connection for as many refusals.
+const MAX_REFUSED_IDS: usize = 64;
+
 /// A request failed before the response head arrived.
 #[derive(Copy, Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum SendError {
@@ -77,10 +82,25 @@
 
 struct Connection {
     sender: SendRequest<Body>,
+    /// The requests that were refused on it. A faulty server may send a refusal again, which must not be taken as the
+    /// response when the same request is sent again.
+    refused: Vec<IdHash>,
     /// The time after which the connection is not reused.
     expires: Instant,
 }
 
+/// A hash of the id of a request. Two requests with the same hash are only kept on separate connections.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) struct IdHash(u64);
+
+impl IdHash {
+    pub(crate) fn of(id: &[u8]) -> IdHash {
+        let mut hasher = DefaultHasher::new();
+        hasher.write(id);
+        IdHash(hasher.finish())
+    }
+}
+
 /// A connection checked out of its pool for one request.
 pub struct PooledConnection {
     pool: Arc<Inner>,
@@ -100,18 +120,27 @@
     /// Fails if there is no connection, or it breaks before the response head; the error tells whether the server may
     /// have received the request.
     pub async fn send(
+        &self,
+        req: Request<Body>,
+    ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
+        self.send_unless_refused(req, None).await
+    }
+
+    /// Sends a request as [`send`](Self::send) does, but not on a connection on which it was refused before.
+    pub(crate) async fn send_unless_refused(
         &self,
         mut req: Request<Body>,
+        id: Option<IdHash>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
         loop {
-            let (mut conn, is_reused) = match self.take_idle() {
+            let (mut conn, is_reused) = match self.take_idle(id) {
                 Some(conn) => (conn, true),
                 None => (self.connect().await.ok_or(SendError::Unreachable)?, false),
             };
             match conn.sender.try_send_request(req).await {
                 Ok(answer) => {
                     let expires = Instant::now() + self.inner.config.idle_timeout;
-                    let conn = Connection { sender: conn.sender, expires };
+                    let conn = Connection { expires, ..conn };
                     return Ok((answer, PooledConnection { pool: self.inner.clone(), conn }));
                 }
                 Err(mut failed) => match failed.take_message() {
@@ -131,11 +160,12 @@
 
     /// Takes the least recently used connection. This rotates through all connections, and lets surplus bytes after
     /// an answer be detected before the connection's next request.
-    fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self, id: Option<IdHash>) -> Option<Connection> {
         let mut idle = self.inner.lock();
         let now = Instant::now();
         idle.retain(|conn| !conn.sender.is_closed() && now < conn.expires);
-        let ready = idle.iter().position(|conn| conn.sender.is_ready())?;
+        let is_refused = |conn: &Connection| id.is_some_and(|id| conn.refused.contains(&id));
+        let ready = idle.iter().position(|conn| conn.sender.is_ready() && !is_refused(conn))?;
         idle.remove(ready)
     }
 
@@ -149,7 +179,7 @@
             let _ = conn.await;
         });
         let expires = Instant::now() + self.inner.config.idle_timeout;
-        Some(Connection { sender, expires })
+        Some(Connection { sender, refused: Vec::new(), expires })
     }
 }
 
@@ -165,10 +195,16 @@
         self.conn.expires = self.conn.expires.min(Instant::now() + idle);
     }
 
+    /// Records that the server refused a request on this connection.
+    pub(crate) fn mark_refused(&mut self, id: IdHash) {
+        self.conn.refused.push(id);
+    }
+
     /// Returns the connection to its pool, which reuses it once the response has been read.
     pub fn release(self) {
         let mut idle = self.pool.lock();
-        if idle.len() < self.pool.config.max_idle {
+        let is_usable = self.conn.refused.len() < MAX_REFUSED_IDS;
+        if is_usable && idle.len() < self.pool.config.max_idle {
             idle.push_back(self.conn);
         }
     }
