Do not take the answer to a request as the state of the target

Health checks share the connections of requests, so an answer that arrives late or twice can be read as that of a health check. It could make another lifetime the current one, mark the target as healthy or not, or report a cold start that it does not have.

A health check sends no request id, so an answer with one belongs to a request: the check counts as unanswered and its connection is closed.

--- a/mesh/src/health.rs
+++ b/mesh/src/health.rs
@@ -86,6 +86,10 @@
             SendError::NotSent | SendError::Lost => CheckError::NoAnswer,
         })?;
         let (parts, body) = answer.into_parts();
+        if parts.headers.get(&names.request_id).is_some_and(|id| !id.is_empty()) {
+            // This answers a request that was sent on the connection earlier.
+            return Err(CheckError::NoAnswer);
+        }
         let payload = Payload::read(body).await.map_err(|_| CheckError::NoAnswer)?;
         if payload.is_complete() {
             conn.release();
