Accept any number in a target's headers without a panic

Three headers of a target could do harm with a number beyond all limits. A cold start of 1e300 ms ended the task of the health checks with a panic, so that the node never saw the target change again. A keep-alive timeout of 2^64 - 1 s made the request's task panic: the caller got 502 or a closed connection for a request that had been answered. A slowdown of 1e300 per cent was taken as the highest one that counts, and requests were refused as too slow to serve.

Each is now read as what it is: a cold start over an hour and a slowdown over 10,000 per cent are ignored as errors of the target, and a keep-alive timeout that no clock can hold does not shorten the pool's own.

--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -225,6 +225,9 @@
     }
 }
 
+/// The highest slowdown that is taken from a target, as a percentage of the nominal service time.
+const MAX_SLOWDOWN_PERCENT: f64 = 10_000.0;
+
 /// The reason for which an answer is not taken as the target's answer to a request.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 enum Mismatch {
@@ -295,8 +298,9 @@
     let text = headers::text(headers, &names.load)?;
     let mut parts = text.split(',').map(str::trim).skip(2);
     let slots = parts.next().and_then(|slots| slots.parse().ok());
-    let slowdown =
-        parts.next().and_then(|value| value.parse::<f64>().ok()).map(|percent| percent as u32);
+    let slowdown = parts.next().and_then(|value| value.parse::<f64>().ok());
+    let slowdown = slowdown.filter(|percent| (1.0..=MAX_SLOWDOWN_PERCENT).contains(percent));
+    let slowdown = slowdown.map(|percent| percent as u32);
     Some(TargetLoad { slots, slowdown })
 }
 
--- a/mesh/src/health.rs
+++ b/mesh/src/health.rs
@@ -31,6 +31,9 @@
 /// Number of consecutive unanswered health checks after which the target is considered unreachable.
 const MAX_UNANSWERED: u32 = 3;
 
+/// The longest cold start that is taken for one. A longer one is an error of the target.
+const MAX_COLD: Duration = Duration::from_secs(3_600);
+
 /// Why a health check failed. A refused connection marks the target as unreachable at once.
 enum CheckError {
     Refused,
@@ -104,12 +107,12 @@
 fn parse(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> Health {
     let load = read_load(headers, names);
     let cold = headers::text(headers, &names.cold).and_then(|ms| ms.parse::<f64>().ok());
-    let cold = cold.filter(|ms| ms.is_finite() && *ms >= 0.0).unwrap_or(0.0);
+    let cold = cold.and_then(|ms| Duration::try_from_secs_f64(ms / 1_000.0).ok());
     Health {
         is_healthy: status.is_success(),
         id: headers::text(headers, &names.instance).map(CompactString::from),
         slowdown: load.and_then(|load| load.slowdown),
         slots: load.and_then(|load| load.slots),
-        cold_left: Duration::from_secs_f64(cold / 1_000.0),
+        cold_left: cold.filter(|cold| *cold <= MAX_COLD).unwrap_or_default(),
     }
 }
--- a/mesh/src/pool.rs
+++ b/mesh/src/pool.rs
@@ -192,7 +192,8 @@
 impl PooledConnection {
     /// Shortens the idle timeout to the one that the server announced.
     pub fn limit_idle(&mut self, idle: Duration) {
-        self.conn.expires = self.conn.expires.min(Instant::now() + idle);
+        let expires = Instant::now().checked_add(idle);
+        self.conn.expires = expires.map_or(self.conn.expires, |at| self.conn.expires.min(at));
     }
 
     /// Records that the server refused a request on this connection.
