Accept any deadline of a caller without a panic

A caller that stated a deadline of 1e300 ms had its connection closed without an answer, because the conversion to a duration panicked before the upper limit was applied. Such a deadline is now the longest one that counts.

Test: a_request_with_an_odd_deadline_gets_a_response; before, the form 1e300 got no byte.

--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -224,7 +224,8 @@
     let ms = ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
     let malformed = Refusal { reason: Reason::Malformed, may_have_run: false, retry_after: None };
     let ms = ms.ok_or(malformed)?;
-    Ok(Some(Duration::from_secs_f64(ms / 1_000.0).min(MAX_TIMEOUT)))
+    let timeout = Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(MAX_TIMEOUT);
+    Ok(Some(timeout.min(MAX_TIMEOUT)))
 }
 
 fn host(parts: &Parts) -> Option<CompactString> {
