--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -16,7 +16,7 @@
     headers::{self, HeaderNames},
     keys::{MemberId, WorkKey},
     payload::{Body, Payload},
-    pool::{Pool, PooledConnection, SendError},
+    pool::{IdHash, Pool, PooledConnection, SendError},
     refusal::Reason,
 };
 
@@ -114,7 +114,9 @@
             work.close(WorkEvent::Failed(Failure::BodyCut));
             return AttemptOutcome::Failed(Failure::BodyCut);
         };
-        let (answer, mut conn) = match self.pool.send(req).await {
+        let id_hash = IdHash::of(id.as_ref().map_or(b"", HeaderValue::as_bytes));
+        let sent = self.pool.send_unless_refused(req, Some(id_hash)).await;
+        let (answer, mut conn) = match sent {
             Ok(sent) => sent,
             Err(SendError::Unreachable) => {
                 work.close(WorkEvent::Failed(Failure::NotSent));
@@ -146,6 +148,9 @@
             conn.limit_idle(idle.saturating_sub(IDLE_TIMEOUT_MARGIN));
         }
         let is_shed = headers.contains_key(&self.names.not_executed);
+        if is_shed || answer.status() == StatusCode::MISDIRECTED_REQUEST {
+            conn.mark_refused(id_hash);
+        }
         if answer.status() == StatusCode::MISDIRECTED_REQUEST {
             let is_other = headers::text(headers, &self.names.instance)
                 .is_none_or(|instance| instance != lifetime.as_str());
@@ -220,6 +225,9 @@
     }
 }
 
+/// The highest slowdown that is taken from a target, as a percentage of the nominal service time.
+const MAX_SLOWDOWN_PERCENT: f64 = 10_000.0;
+
 /// The reason for which an answer is not taken as the target's answer to a request.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 enum Mismatch {
@@ -290,8 +298,9 @@
     let text = headers::text(headers, &names.load)?;
     let mut parts = text.split(',').map(str::trim).skip(2);
     let slots = parts.next().and_then(|slots| slots.parse().ok());
-    let slowdown =
-        parts.next().and_then(|value| value.parse::<f64>().ok()).map(|percent| percent as u32);
+    let slowdown = parts.next().and_then(|value| value.parse::<f64>().ok());
+    let slowdown = slowdown.filter(|percent| (1.0..=MAX_SLOWDOWN_PERCENT).contains(percent));
+    let slowdown = slowdown.map(|percent| percent as u32);
     Some(TargetLoad { slots, slowdown })
 }
 
