Deny no route in the second after a suspension of the process

What callers could see: 404 for a route that was added while the process of their node was suspended (SIGSTOP, or no processor time): requests that arrived meanwhile are handled before any status that tells of the newer configuration. Result: the new test fails before (404) and passes now. A suspension of the whole machine, which the steady clock does not count, is not noticed.

--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -132,6 +132,8 @@
     has_queue_timer: bool,
     /// When the last tick was handled.
     last_tick: Time,
+    /// When a suspension of this process was last noticed.
+    resumed_at: Option<Time>,
     stopping_since: Option<Time>,
     has_exited: bool,
 }
@@ -170,6 +172,7 @@
             is_ready: false,
             has_queue_timer: false,
             last_tick: Time::ZERO,
+            resumed_at: None,
             stopping_since: None,
             has_exited: false,
             local,
@@ -344,6 +347,7 @@
         let gap = now.since(self.last_tick);
         self.last_tick = now;
         if gap > PAUSE_THRESHOLD {
+            self.resumed_at = Some(now);
             self.directory.extend_last_heard(gap);
             out.push(Effect::Log(Record::Paused { time: gap }));
         }
--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration in force on this node, and whether a newer one may be in force elsewhere.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     config::RouteTable,
@@ -10,7 +10,10 @@
     time::Time,
 };
 
-use super::Reducer;
+use super::{PAUSE_THRESHOLD, Reducer};
+
+/// The time after a suspension in which the nodes of the own data centre send their status at least twice.
+const RESUME_TIME: Duration = Duration::from_secs(1);
 
 impl Reducer {
     pub(super) fn set_config(&mut self, now: Time, table: Arc<RouteTable>, out: &mut Vec<Effect>) {
@@ -42,8 +45,8 @@
         self.config.as_ref().map_or(0, |table| table.config.version)
     }
 
-    /// Returns whether no newer configuration can be in force as far as this node knows: it could read the last one, no
-    /// node that it hears has newer orders, and it or one of them reaches the store.
+    /// Returns whether no newer configuration can be in force as far as this node knows: it could read the last one, it
+    /// has not just been suspended, no node that it hears has newer orders, and it or one of them reaches the store.
     ///
     /// Only then is a request that the configuration does not allow refused for good. Otherwise the caller may come
     /// back, since the configuration that allows it may be on its way.
@@ -55,6 +58,13 @@
         let heard = || self.directory.iter().map(|(_, member)| member).filter(is_heard);
         let is_behind = heard().any(|member| member.revisions[orders] > self.revisions[orders]);
         let has_store = self.has_store || heard().any(|member| member.has_store);
-        !self.has_unreadable_config && !is_behind && has_store
+        !self.has_unreadable_config && !self.was_suspended(now) && !is_behind && has_store
+    }
+
+    /// Returns whether this process was suspended so recently that other nodes may not have told it of changes since.
+    fn was_suspended(&self, now: Time) -> bool {
+        // Requests that arrived meanwhile may be handled before the tick that is due.
+        let is_tick_missed = now.since(self.last_tick) > PAUSE_THRESHOLD;
+        is_tick_missed || self.resumed_at.is_some_and(|at| now.since(at) < RESUME_TIME)
     }
 }
--- a/mesh/src/reducer/tests/stale_config.rs
+++ b/mesh/src/reducer/tests/stale_config.rs
@@ -30,3 +30,21 @@
     node.apply(Event::Store { is_reachable: true });
     assert_eq!(status_of_unknown_route(&mut node), Some(404));
 }
+
+/// Guards against a final 404 from a process that was suspended and has not heard since what changed in that time.
+#[test]
+fn a_node_that_was_suspended_does_not_deny_a_route() {
+    let mut node = TestNode::new(&[(2, "stock", "a")]);
+    node.now = at_ms(100);
+    node.apply(Event::Timer(Timer::Tick));
+    node.now = at_ms(3_000);
+    assert_eq!(status_of_unknown_route(&mut node), Some(503), "before the tick that is due");
+    node.apply(Event::Timer(Timer::Tick));
+    assert_eq!(status_of_unknown_route(&mut node), Some(503), "after it");
+    for ms in (3_100..=4_100).step_by(100) {
+        node.now = at_ms(ms);
+        node.apply(Event::Timer(Timer::Tick));
+    }
+    node.receive_status(2, idle_load());
+    assert_eq!(status_of_unknown_route(&mut node), Some(404));
+}
