Accept only replies of nodes as replies of a target's node

After a node has ended, another process may listen at its address, and the HTTP server of a node answers some requests, such as one with a head over its limit, before the node sees them. The entry node passed such an answer on as the target's, or took its outcome header as proof.

A reply without a load report now counts as lost with its node: the request may have run.

Test: only_a_reply_of_a_node_is_accepted, of the new function that reads a reply's head; before, there was no such check and nothing to call, so the fault is shown by the code only.

--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -79,17 +79,16 @@
         Ok((answer, conn)) => {
             let (mut parts, body) = answer.into_parts();
             let headers = &mut parts.headers;
-            let load = headers::text(headers, &headers::LOAD_REPORT).and_then(LoadReport::parse);
-            let nominal_service =
-                headers::text(headers, &headers::NOMINAL_SERVICE).and_then(|us| us.parse().ok());
-            let nominal_service = nominal_service.map(Duration::from_micros);
-            let outcome = headers::text(headers, &headers::ATTEMPT_OUTCOME).map(parse_outcome);
+            let Some(ReplyHead { load, nominal_service, outcome }) = read_reply_head(headers)
+            else {
+                return Reply::failed(Failure::NodeLost);
+            };
             headers::strip_internal(headers);
             headers::strip_hop_by_hop(headers);
             let Ok(mut payload) = Payload::read(body).await else {
                 return Reply {
                     outcome: AttemptOutcome::Failed(Failure::NodeLost),
-                    load,
+                    load: Some(load),
                     nominal_service,
                 };
             };
@@ -103,13 +102,31 @@
             };
             let outcome = outcome
                 .unwrap_or_else(|| AttemptOutcome::Answer(Response::from_parts(parts, body)));
-            Reply { outcome, load, nominal_service }
+            Reply { outcome, load: Some(load), nominal_service }
         }
         Err(SendError::Unreachable | SendError::NotSent) => Reply::failed(Failure::NotSent),
         Err(SendError::Lost) => Reply::failed(Failure::NodeLost),
     }
 }
 
+/// What a node adds to the head of its reply.
+struct ReplyHead {
+    load: LoadReport,
+    nominal_service: Option<Duration>,
+    /// The outcome of an attempt without an answer of the target.
+    outcome: Option<AttemptOutcome>,
+}
+
+/// Reads the head of a reply. Every node reports its load, so a reply without it comes from another process that listens
+/// at the node's address, or was made by the HTTP server before the request reached the node; `None` is returned then.
+fn read_reply_head(headers: &HeaderMap) -> Option<ReplyHead> {
+    let load = LoadReport::parse(headers::text(headers, &headers::LOAD_REPORT)?)?;
+    let nominal_service = headers::text(headers, &headers::NOMINAL_SERVICE);
+    let nominal_service = nominal_service.and_then(|us| us.parse().ok());
+    let outcome = headers::text(headers, &headers::ATTEMPT_OUTCOME).map(parse_outcome);
+    Some(ReplyHead { load, nominal_service: nominal_service.map(Duration::from_micros), outcome })
+}
+
 /// The server for requests of other nodes.
 #[derive(Clone)]
 pub(crate) struct PeerServer {
--- a/mesh/src/peer_requests/tests.rs
+++ b/mesh/src/peer_requests/tests.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
+use http::{HeaderMap, HeaderValue};
 use test_case::test_case;
 
-use super::{Envelope, format_outcome, parse_outcome};
+use super::{Envelope, format_outcome, parse_outcome, read_reply_head};
 use crate::{
     effect::AttemptSpec, event::Failure, forwarder::AttemptOutcome, keys::MemberId, refusal::Reason,
 };
@@ -30,6 +31,20 @@
     assert!(matches!(parse_outcome(text), AttemptOutcome::Failed(Failure::Lost)));
 }
 
+/// Guards against the answer of another process, at the address of a node that is gone, that is taken as the target's.
+#[test_case(None; "no load report")]
+#[test_case(Some("unreadable"); "an unreadable load report")]
+fn only_a_reply_of_a_node_is_accepted(load: Option<&'static str>) {
+    let mut headers = HeaderMap::new();
+    headers.insert("poplarbarrow-ending", HeaderValue::from_static("shed"));
+    if let Some(load) = load {
+        headers.insert("poplarbarrow-report", HeaderValue::from_static(load));
+    }
+    assert!(read_reply_head(&headers).is_none());
+    headers.insert("poplarbarrow-report", HeaderValue::from_static("1,0,8,100,900,0,1"));
+    assert!(read_reply_head(&headers).is_some_and(|head| head.outcome.is_some()));
+}
+
 /// Guards against an envelope that is not a valid header value, for instance because of a non-ASCII route name.
 #[test]
 fn envelope_round_trips_through_its_header() {
