Accept a target that restarts after its clock was set back

A heartbeat whose lifetime reports an earlier start than the current one was refused for good, as one that a partition had delayed. A target that restarts under its id after its clock was set back was therefore never acknowledged. If the earlier lifetime had been leaving, the node also kept the target out of service, so that its requests were refused without end.

Such a lifetime is now accepted after three heartbeats with growing sequence numbers over at least 5 s in which the current lifetime has been silent. Delayed heartbeats arrive in a shorter time, and lifetimes that are known to have ended stay refused.

--- a/mesh/src/target.rs
+++ b/mesh/src/target.rs
@@ -10,6 +10,14 @@
 /// The most ended lifetimes that are remembered, so that a delayed heartbeat does not revive one.
 const MAX_ENDED: usize = 16;
 
+/// The time after which a lifetime that reports an earlier start than the current one is accepted, if the current one has
+/// been silent all the while: the clock was set back before the target started. Heartbeats that a partition delayed arrive
+/// within a shorter time.
+const CLOCK_SET_BACK_TIME: Duration = Duration::from_secs(5);
+
+/// The fewest heartbeats of such a lifetime.
+const MIN_SET_BACK_HEARTBEATS: u32 = 3;
+
 /// One lifetime of a target, from its start to its end. The same id may start again later.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lifetime {
@@ -96,6 +104,8 @@
 pub(crate) struct Target {
     current: Option<Current>,
     ended: Vec<Lifetime>,
+    /// The lifetime refused last for its earlier start, unless the current one has spoken since.
+    refused: Option<RefusedLifetime>,
     is_reachable: bool,
 }
 
@@ -109,6 +119,14 @@
     cold_until: Time,
 }
 
+#[derive(Clone, Debug)]
+struct RefusedLifetime {
+    lifetime: Lifetime,
+    since: Time,
+    sequence: u64,
+    heartbeats: u32,
+}
+
 impl Target {
     /// Applies a heartbeat of the target.
     pub(crate) fn apply_heartbeat(
@@ -119,13 +137,15 @@
         if self.ended.contains(&heartbeat.lifetime) {
             return (HeartbeatReply::Refused, TargetChange::Unchanged);
         }
+        let is_before = |current: &Current| heartbeat.lifetime.is_before(&current.lifetime);
+        if self.current.as_ref().is_some_and(is_before) && !self.is_clock_set_back(now, heartbeat) {
+            return (HeartbeatReply::Refused, TargetChange::Unchanged);
+        }
+        self.refused = None;
         let Some(current) = &mut self.current else {
             self.current = Some(Current::new(now, heartbeat));
             return (HeartbeatReply::Accepted, TargetChange::Started);
         };
-        if heartbeat.lifetime.is_before(&current.lifetime) {
-            return (HeartbeatReply::Refused, TargetChange::Unchanged);
-        }
         if !current.lifetime.may_equal(&heartbeat.lifetime) {
             let ended = std::mem::replace(current, Current::new(now, heartbeat));
             self.end(ended.lifetime);
@@ -147,6 +167,28 @@
         )
     }
 
+    /// Records a heartbeat of a lifetime with an earlier start than the current one, and returns whether that start is due
+    /// to a clock that was set back.
+    fn is_clock_set_back(&mut self, now: Time, heartbeat: &Heartbeat) -> bool {
+        if let Some(refused) = &mut self.refused
+            && refused.lifetime == heartbeat.lifetime
+        {
+            if heartbeat.sequence > refused.sequence {
+                refused.sequence = heartbeat.sequence;
+                refused.heartbeats += 1;
+            }
+            return refused.heartbeats >= MIN_SET_BACK_HEARTBEATS
+                && now.since(refused.since) >= CLOCK_SET_BACK_TIME;
+        }
+        self.refused = Some(RefusedLifetime {
+            lifetime: heartbeat.lifetime.clone(),
+            since: now,
+            sequence: heartbeat.sequence,
+            heartbeats: 1,
+        });
+        false
+    }
+
     /// Records that a lifetime deregistered. It may serve running requests for some seconds but takes no new ones.
     pub(crate) fn mark_leaving(&mut self, lifetime: &Lifetime) -> (HeartbeatReply, TargetChange) {
         match &mut self.current {
--- a/mesh/src/target/tests.rs
+++ b/mesh/src/target/tests.rs
@@ -139,3 +139,35 @@
     target.apply_health(NOW, &Health { cold_left: Duration::from_secs(1), ..healthy("a") });
     assert!(!target.is_cold(NOW + Duration::from_secs(2)));
 }
+
+/// Guards against a target that is refused for good because its clock was set back before it restarted under its id.
+#[test]
+fn a_lifetime_that_started_with_an_earlier_clock_is_accepted_in_the_end() {
+    let mut target = Target::default();
+    target.apply_heartbeat(NOW, &leaving(heartbeat("a", 9_000, 50)));
+    let replies = (1..=10).map(|sequence| {
+        let now = NOW + Duration::from_secs(sequence);
+        target.apply_heartbeat(now, &heartbeat("a", 5_000, sequence)).0
+    });
+    assert_eq!(replies.last(), Some(HeartbeatReply::Accepted));
+    target.apply_health(NOW, &healthy("a"));
+    assert_eq!(available_id(&target), Some("a"));
+}
+
+/// Guards against a burst of heartbeats that a partition delayed and that revives an earlier lifetime.
+#[test]
+fn delayed_heartbeats_of_an_earlier_lifetime_are_refused_while_the_current_one_speaks() {
+    let mut target = Target::default();
+    target.apply_heartbeat(NOW, &heartbeat("a", 9_000, 1));
+    for sequence in 1..=20 {
+        let now = NOW + Duration::from_secs(sequence);
+        let delayed = heartbeat("a", 5_000, 100 + sequence);
+        assert_eq!(target.apply_heartbeat(now, &delayed).0, HeartbeatReply::Refused);
+        target.apply_heartbeat(now, &heartbeat("a", 9_000, 1 + sequence));
+    }
+    for sequence in 1..=20 {
+        let now = NOW + Duration::from_secs(20) + Duration::from_millis(sequence);
+        let delayed = heartbeat("a", 5_000, 200 + sequence);
+        assert_eq!(target.apply_heartbeat(now, &delayed).0, HeartbeatReply::Refused);
+    }
+}
