Let events, log lines and remote services import no module that acts

Cause: events took the type of a presented identity from the reducer, the log took a limit from the remote services, and the reducer and the remote services took the number of watchers from the task that talks to the platform, which imports the driver and so the reducer. Change: RequestIdentity is defined beside the events that carry it, the record of a full subscription table carries its limit, and WATCHERS_PER_CENTRE is defined beside the contacts that it bounds. Result: no behaviour changes.

--- a/src/bench/slopes/scale/figures.rs
+++ b/src/bench/slopes/scale/figures.rs
@@ -8,7 +8,8 @@
     bench::slopes::Slope,
     identity::{FLEET_CLAIMS_PER_S, MAX_ENTRIES, MAX_STORED_ANSWER_BYTES},
     membership::{GOSSIP_BYTES_PER_S, MAX_TABLE_RECORDS},
-    platform_watcher::{CONTACT_INTERVAL, WATCH_TIMEOUT, WATCHERS_PER_CENTRE},
+    platform_watcher::{CONTACT_INTERVAL, WATCH_TIMEOUT},
+    remote::WATCHERS_PER_CENTRE,
     store::{COMMITS_PER_COLLECTION, PART_COUNT},
 };
 
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -157,7 +157,7 @@
     Region { region: CompactString, service: CompactString, members: usize, is_confirmed: bool },
     /// Calls were for services to which this node does not subscribe in other regions, because it has reached the
     /// maximum number of such subscriptions.
-    RemoteServicesFull { calls: u64 },
+    RemoteServicesFull { calls: u64, limit: usize },
     /// This node became a watcher, or ceased to be one.
     Watcher { rank: Option<usize> },
     /// A newer configuration document is being pulled from a member.
--- a/src/event.rs
+++ b/src/event.rs
@@ -9,12 +9,11 @@
     body::BodyEnd,
     crash_guard::{RequestHash, SuspectReport},
     document::Document,
-    identity::{Answer, AttemptTag, ClaimEvent, Fingerprint},
+    identity::{Answer, AttemptTag, ClaimEvent, Fingerprint, PresentedIdentity, Stamp},
     keys::{CallKey, MemberId, WorkKey},
     load::{Health, LoadReport},
     membership::{Contact, Message, Source},
     pool::Reachability,
-    reducer::RequestIdentity,
     refusal::Refusal,
     rollout::VerdictRecord,
     time::WallTime,
@@ -113,6 +112,15 @@
     pub(crate) crash_fingerprint: RequestHash,
 }
 
+/// The identity that a request presents, and the forwarding data that came with it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RequestIdentity {
+    /// The identity or key presented by the caller.
+    pub(crate) presented: Option<PresentedIdentity>,
+    /// The stamp of the forwarding node, if the request was forwarded.
+    pub(crate) relay_stamp: Option<Stamp>,
+}
+
 /// A step of a request at the target's node.
 #[derive(Clone, Debug)]
 pub(crate) enum WorkEvent {
--- a/src/ingress.rs
+++ b/src/ingress.rs
@@ -26,7 +26,7 @@
     driver::Driver,
     effect::{Attempt, AttemptKind, CallStep, Hop},
     envelope::Envelope,
-    event::{CallEvent, CallHead, Event, Failure, WorkHead},
+    event::{CallEvent, CallHead, Event, Failure, RequestIdentity, WorkHead},
     forwarder::{ForwardError, Forwarder},
     headers::{self, InvalidHeader},
     identity::{Answer, Fingerprint, Identity, MAX_ANSWER_BYTES, PresentedIdentity, Stamp},
@@ -35,7 +35,6 @@
     metrics::RequestStage,
     peer::Peers,
     pool::SendError,
-    reducer::RequestIdentity,
     refusal::{Outcome, Reason, Refusal},
 };
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -100,8 +100,8 @@
         Record::Region { region, service, members, is_confirmed } => info!(log, "region";
             "region" => region.as_str(), "service" => service.as_str(), "members" => members,
             "change" => if *is_confirmed { "confirmed" } else { "unconfirmed" }),
-        Record::RemoteServicesFull { calls } => {
-            warn!(log, "remote-services-full"; "calls" => calls, "limit" => crate::remote::MAX_REMOTE_SERVICES);
+        Record::RemoteServicesFull { calls, limit } => {
+            warn!(log, "remote-services-full"; "calls" => calls, "limit" => limit);
         }
         Record::Watcher { rank: Some(rank) } => {
             info!(log, "seat"; "change" => "taken", "seat" => rank);
--- a/src/platform_watcher.rs
+++ b/src/platform_watcher.rs
@@ -19,9 +19,6 @@
     store::{self, StoreError},
 };
 
-/// The number of watchers in each data centre, of which two may fail at once.
-pub(crate) const WATCHERS_PER_CENTRE: usize = 3;
-
 /// The prefix of contact keys.
 const CONTACT_PREFIX: &str = "contact/";
 
--- a/src/reducer.rs
+++ b/src/reducer.rs
@@ -36,8 +36,6 @@
     time::{Time, WallTime},
 };
 
-pub(crate) use self::identities::RequestIdentity;
-
 use self::{calls::Call, health::TargetHealth, members::Pull, works::Work};
 
 /// The interval of periodic work.
--- a/src/reducer/identities.rs
+++ b/src/reducer/identities.rs
@@ -6,10 +6,10 @@
 
 use crate::{
     effect::{Attempt, AttemptKind, CallStep, ClaimIo, Effect, Hop, Record},
-    event::Timer,
+    event::{RequestIdentity, Timer},
     identity::{
         Answer, AttemptResult, BeginDecision, CLAIM_TIMEOUT, Claim, ClaimAction, ClaimEvent,
-        Delivery, Handover, IdempotencyKey, Identity, PresentedIdentity, Stamp,
+        Delivery, Handover, IdempotencyKey, Identity, PresentedIdentity,
     },
     keys::{CallKey, MemberId},
     membership::{Member, Membership, State},
@@ -23,15 +23,6 @@
 /// The prefix of claim keys in the platform.
 const CLAIM_PREFIX: &str = "claim/";
 
-/// The identity that a request presents, and the forwarding data that came with it.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct RequestIdentity {
-    /// The identity or key presented by the caller.
-    pub(crate) presented: Option<PresentedIdentity>,
-    /// The stamp of the forwarding node, if the request was forwarded.
-    pub(crate) relay_stamp: Option<Stamp>,
-}
-
 impl Reducer {
     /// Issues an identity for a caller.
     pub(crate) fn issue_identity(&mut self) -> Identity {
--- a/src/reducer/members.rs
+++ b/src/reducer/members.rs
@@ -10,7 +10,7 @@
     effect::{Effect, Record},
     keys::MemberId,
     membership::{Body, Contact, LossReason, Member, Message, Output, Source, State},
-    platform_watcher::WATCHERS_PER_CENTRE,
+    remote::WATCHERS_PER_CENTRE,
     time::Time,
 };
 
--- a/src/reducer/remote.rs
+++ b/src/reducer/remote.rs
@@ -12,8 +12,7 @@
     effect::{Effect, Record},
     keys::{CallKey, ServiceKey},
     membership::{CrossRegion, Member, Output, Source, State},
-    platform_watcher::WATCHERS_PER_CENTRE,
-    remote::{Action, MIN_LOCAL_MEMBERS},
+    remote::{Action, MAX_REMOTE_SERVICES, MIN_LOCAL_MEMBERS, WATCHERS_PER_CENTRE},
     time::Time,
 };
 
@@ -109,7 +108,8 @@
                 Action::Send { to, message } => self.send_cross_region(now, to, message, out),
                 Action::AskContacts => self.request_contacts(now, out),
                 Action::Full { calls } => {
-                    out.push(Effect::Log(Record::RemoteServicesFull { calls }));
+                    let limit = MAX_REMOTE_SERVICES;
+                    out.push(Effect::Log(Record::RemoteServicesFull { calls, limit }));
                 }
                 Action::Seen(member) => self.upsert_member(member, out),
                 Action::Gone(id) => self.remove_member(id, "unsubscribed", false, out),
--- a/src/reducer/remote/tests.rs
+++ b/src/reducer/remote/tests.rs
@@ -4,12 +4,12 @@
 use slotmap::SlotMap;
 use test_case::test_case;
 
-use super::super::{LocalNode, Reducer, RequestIdentity};
+use super::super::{LocalNode, Reducer};
 use super::*;
 use crate::{
     crash_guard::RequestHash,
     effect::{CallStep, Hop},
-    event::{CallEvent, CallHead, Event, Timer},
+    event::{CallEvent, CallHead, Event, RequestIdentity, Timer},
     identity::Fingerprint,
     keys::MemberId,
     membership::{Body, Contact, Message},
--- a/src/reducer/tests.rs
+++ b/src/reducer/tests.rs
@@ -10,7 +10,7 @@
     crash_guard::{self, RequestHash, SuspectReport},
     document::{Centre, CentreState, Route, Service, Version},
     effect::{Attempt, CallStep, WorkStep},
-    event::{CallEvent, CallHead, Failure, WorkEvent, WorkHead},
+    event::{CallEvent, CallHead, Failure, RequestIdentity, WorkEvent, WorkHead},
     identity::Fingerprint,
     keys::MemberId,
     membership::{Body, Message, Source, Update},
--- a/src/remote.rs
+++ b/src/remote.rs
@@ -26,6 +26,9 @@
 /// 130 bytes every 20 s they cost 830 B/s of [`CROSS_REGION_BYTES_PER_S`](crate::membership::CROSS_REGION_BYTES_PER_S).
 pub(crate) const MAX_REMOTE_SERVICES: usize = 16;
 
+/// The number of watchers in each data centre, of which two may fail at once.
+pub(crate) const WATCHERS_PER_CENTRE: usize = 3;
+
 /// The maximum number of members kept per service and region. A routing decision compares no more candidates.
 pub(crate) const MAX_REMOTE_MEMBERS: usize = crate::routing::MAX_CANDIDATES;
 
--- a/src/remote/contacts.rs
+++ b/src/remote/contacts.rs
@@ -7,9 +7,10 @@
 use crate::{
     keys::MemberId,
     membership::{Contact, CrossRegion, MAX_MESSAGE_BYTES, encoded_bytes},
-    platform_watcher::WATCHERS_PER_CENTRE,
 };
 
+use super::WATCHERS_PER_CENTRE;
+
 /// The maximum number of data centres with stored contacts: 60 contacts at three per data centre.
 const MAX_CENTRES: usize = 20;
 
--- a/src/remote/tests.rs
+++ b/src/remote/tests.rs
@@ -6,7 +6,7 @@
     serve::{MAX_SUBSCRIPTIONS, SUBSCRIPTION_TTL},
     *,
 };
-use crate::{membership::MAX_NAME_BYTES, platform_watcher::WATCHERS_PER_CENTRE};
+use crate::membership::MAX_NAME_BYTES;
 
 const NOW: Time = Time::from_micros(1_000_000);
 const CONTACT: MemberId = MemberId(100);
