Keep the final state of a rollout that the store has lost

A store that returns from an earlier copy can hold a rollout as running that has been completed or rolled back since. Nodes took that state over: a rollout began again although its old targets had stopped with its completion, and its outcome was missing in the store for good.

A final state that a node knows stays, and is recorded again in turns until the store holds it, for 10 s at most and only while the order is for the same version.

--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -192,7 +192,7 @@
             Event::MemberRemoved(id) => self.directory.mark_removed(now, id),
             Event::Synced => self.members_synced(now, out),
             Event::Revisions(revisions) => self.revisions_changed(now, revisions, out),
-            Event::StoreEra(era) => self.era_seen(era, out),
+            Event::StoreEra(era) => self.era_seen(now, era, out),
             Event::PullEnded => self.pull_started = None,
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
@@ -352,6 +352,7 @@
         self.update_watcher(now, out);
         self.pull_from_other_centre(now, out);
         self.evaluate_rollouts(now, out);
+        self.save_lost_records(now, out);
         self.resend_suspects(now, out);
         self.update_admission(now, out);
         self.send_due_statuses(now, out);
--- a/mesh/src/reducer/eras.rs
+++ b/mesh/src/reducer/eras.rs
@@ -1,15 +1,24 @@
 //! Eras of the store, which rise each time it returns from an earlier copy of its state.
 
+use std::{collections::BTreeMap, time::Duration};
+
+use compact_str::CompactString;
+
 use crate::{
     directory::MemberRecord,
     effect::{Effect, Record},
     node_status::NodeStatus,
-    replica::{Position, Revisions},
+    replica::{Position, Revisions, Topic},
+    rollout::RolloutRecord,
     time::Time,
 };
 
 use super::Reducer;
 
+/// The time for which nodes try to record a final rollout state again that the store may have lost. The store may
+/// still be slow after its return.
+const SAVE_LOST_TIME: Duration = Duration::from_secs(10);
+
 /// What this node knows of the eras of the store.
 #[derive(Debug, Default)]
 pub(super) struct Eras {
@@ -17,6 +26,8 @@
     first: [Option<u64>; 3],
     /// The latest era that the store or another node has stated.
     latest: Option<u64>,
+    /// The services whose final rollout state the store may have lost, and since when.
+    lost_records: BTreeMap<CompactString, Time>,
 }
 
 impl Reducer {
@@ -29,30 +40,35 @@
     }
 
     /// Records the eras of this node's replicas.
-    pub(super) fn record_eras(&mut self, revisions: &Revisions, out: &mut Vec<Effect>) {
+    pub(super) fn record_eras(&mut self, now: Time, revisions: &Revisions, out: &mut Vec<Effect>) {
         for (first, position) in self.eras.first.iter_mut().zip(revisions) {
             if position.revision > 0 {
                 first.get_or_insert(position.era);
             }
         }
-        self.positions_seen(revisions, out);
+        self.positions_seen(now, revisions, out);
     }
 
     /// Learns of a new era from another node, which may have reached the store earlier.
-    pub(super) fn status_eras_seen(&mut self, status: &NodeStatus, out: &mut Vec<Effect>) {
+    pub(super) fn status_eras_seen(
+        &mut self,
+        now: Time,
+        status: &NodeStatus,
+        out: &mut Vec<Effect>,
+    ) {
         if status.extension.is_some() {
-            self.positions_seen(&status.positions([0; 3]), out);
+            self.positions_seen(now, &status.positions([0; 3]), out);
         }
     }
 
-    fn positions_seen(&mut self, positions: &[Position], out: &mut Vec<Effect>) {
+    fn positions_seen(&mut self, now: Time, positions: &[Position], out: &mut Vec<Effect>) {
         let known = positions.iter().filter(|position| position.revision > 0);
         if let Some(era) = known.map(|position| position.era).max() {
-            self.era_seen(era, out);
+            self.era_seen(now, era, out);
         }
     }
 
-    pub(super) fn era_seen(&mut self, era: u64, out: &mut Vec<Effect>) {
+    pub(super) fn era_seen(&mut self, now: Time, era: u64, out: &mut Vec<Effect>) {
         let previous = *self.eras.latest.get_or_insert(era);
         if era <= previous {
             return;
@@ -60,6 +76,41 @@
         self.eras.latest = Some(era);
         out.push(Effect::Log(Record::StoreEra { previous, era }));
         out.push(Effect::RenewRecord { era });
+        let records = self.rollout_records.values().filter(|record| record.state.is_final());
+        self.eras.lost_records = records.map(|record| (record.service.clone(), now)).collect();
+    }
+
+    /// Compares a recorded rollout state with the one that this node knows, and returns whether it is outdated: a store
+    /// that has returned from an earlier copy of its state may hold a rollout as running that has ended.
+    pub(super) fn note_recorded_state(&mut self, now: Time, record: &RolloutRecord) -> bool {
+        let RolloutRecord { service, version, state } = record;
+        let known = self.rollout_records.get(service);
+        let is_outdated = !state.is_final()
+            && known.is_some_and(|known| known.version == *version && known.state.is_final());
+        if is_outdated {
+            self.eras.lost_records.entry(service.clone()).or_insert(now);
+        } else {
+            self.eras.lost_records.remove(service);
+        }
+        is_outdated
+    }
+
+    /// Records final rollout states again that the store has lost, when it is this node's turn.
+    pub(super) fn save_lost_records(&mut self, now: Time, out: &mut Vec<Effect>) {
+        // Before the states of this era are read, it is not known which ones are lost.
+        if Some(self.revisions[Topic::Status.index()].era) != self.eras.latest {
+            return;
+        }
+        self.eras.lost_records.retain(|_, since| now.since(*since) < SAVE_LOST_TIME);
+        for (service, since) in self.eras.lost_records.clone() {
+            let Some(record) = self.rollout_records.get(&service).cloned() else { continue };
+            // The outcome of an earlier order must not replace the state of the present one.
+            let rollout = self.rollouts.get(&service);
+            let is_current = rollout.is_some_and(|r| r.order.version == record.version);
+            if is_current && self.is_turn_to_record(now, since) {
+                out.push(Effect::SaveRollout(record));
+            }
+        }
     }
 
     /// Applies the list of members of a store that has returned from an earlier copy of its state.
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -130,7 +130,7 @@
         source: SocketAddr,
         out: &mut Vec<Effect>,
     ) {
-        self.status_eras_seen(status, out);
+        self.status_eras_seen(now, status, out);
         if let Some(record) = status.record.as_ref().filter(|record| record.id == status.from) {
             self.register_sender(now, record, out);
         }
@@ -213,7 +213,7 @@
         out: &mut Vec<Effect>,
     ) {
         if self.revisions != revisions {
-            self.record_eras(&revisions, out);
+            self.record_eras(now, &revisions, out);
             self.revisions = revisions;
             self.pending_pull = None;
             self.send_status_now(now, out);
--- a/mesh/src/reducer/tests/eras.rs
+++ b/mesh/src/reducer/tests/eras.rs
@@ -1,5 +1,9 @@
 use super::*;
-use crate::{effect::Record, node_status::Extension};
+use crate::{
+    effect::Record,
+    node_status::Extension,
+    rollout::{RolloutRecord, RolloutState},
+};
 
 /// Returns positions with these eras and revisions.
 fn positions(eras: [u64; 3], revisions: [u64; 3]) -> Revisions {
@@ -75,3 +79,50 @@
     assert!(node.reducer.directory.key(MemberId(LOCAL_ID)).is_some());
     assert!(node.reducer.directory.key(MemberId(99)).is_none());
 }
+
+fn rollout_order() -> RolloutOrder {
+    RolloutOrder {
+        service: "stock".into(),
+        version: "v2".into(),
+        duration: Duration::from_secs(10),
+    }
+}
+
+fn rollout_record(state: RolloutState) -> RolloutRecord {
+    RolloutRecord { service: "stock".into(), version: "v2".into(), state }
+}
+
+/// Lets some seconds pass and returns the rollout states that the node saves meanwhile.
+fn saved_rollouts(node: &mut TestNode) -> Vec<RolloutRecord> {
+    let mut saved = Vec::new();
+    for _ in 0..30 {
+        node.now += Duration::from_millis(100);
+        for effect in node.apply(Event::Timer(Timer::Tick)) {
+            if let Effect::SaveRollout(record) = effect {
+                saved.push(record);
+            }
+        }
+    }
+    saved
+}
+
+/// Guards against a completed rollout that runs again, with its old targets stopped, because the store lost its state.
+#[test]
+fn a_final_rollout_state_outlasts_a_restore() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    node.apply(Event::StoreEra(1));
+    node.apply(Event::Rollout { service: "stock".into(), order: Some(rollout_order()) });
+    node.apply(Event::RolloutRecorded(rollout_record(RolloutState::Completed)));
+    node.apply(Event::Revisions(positions([1; 3], [9; 3])));
+    assert!(saved_rollouts(&mut node).is_empty());
+    node.apply(Event::StoreEra(2));
+    assert!(saved_rollouts(&mut node).is_empty(), "the states of this era are not read yet");
+    node.apply(Event::RolloutRecorded(rollout_record(RolloutState::Running)));
+    node.apply(Event::Revisions(positions([2; 3], [4; 3])));
+    assert!(!node.reducer.has_active_rollout("stock"));
+    let saved = saved_rollouts(&mut node);
+    assert!(!saved.is_empty());
+    assert!(saved.iter().all(|record| *record == rollout_record(RolloutState::Completed)));
+    node.apply(Event::RolloutRecorded(rollout_record(RolloutState::Completed)));
+    assert!(saved_rollouts(&mut node).is_empty());
+}
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -86,6 +86,9 @@
         record: &RolloutRecord,
         out: &mut Vec<Effect>,
     ) {
+        if self.note_recorded_state(now, record) {
+            return;
+        }
         self.rollout_records.insert(record.service.clone(), record.clone());
         let Some(rollout) = self.rollouts.get_mut(&record.service) else { return };
         let before = rollout.state;
@@ -199,7 +202,7 @@
 
     /// Returns whether it is this node's turn to record a state that has been due since the given time. Turns are taken
     /// in the order of member ids, lowest first.
-    fn is_turn_to_record(&mut self, now: Time, since: Time) -> bool {
+    pub(super) fn is_turn_to_record(&mut self, now: Time, since: Time) -> bool {
         let local_id = self.local.id;
         let before =
             |member: &Member| member.record.id < local_id && !self.directory.is_silent(now, member);
--- a/mesh/src/rollout.rs
+++ b/mesh/src/rollout.rs
@@ -93,6 +93,12 @@
     RolledBack,
 }
 
+impl RolloutState {
+    pub(crate) const fn is_final(self) -> bool {
+        !matches!(self, RolloutState::Running)
+    }
+}
+
 /// The state of a rollout as it is recorded in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutRecord {
@@ -159,9 +165,11 @@
         }
     }
 
-    /// Applies the state that the store holds for this rollout.
+    /// Applies the state that the store holds for this rollout. A final state stays, because a store that has returned
+    /// from an earlier copy of its state may hold the state before it.
     pub(crate) fn apply_record(&mut self, record: &RolloutRecord) {
-        if record.version == self.order.version {
+        let is_outdated = self.is_over() && !record.state.is_final();
+        if record.version == self.order.version && !is_outdated {
             self.state = Some(record.state);
             match record.state {
                 RolloutState::Running => {}
@@ -285,7 +293,7 @@
 
     /// Returns whether the rollout is completed or rolled back.
     pub(crate) fn is_over(&self) -> bool {
-        matches!(self.state, Some(RolloutState::Completed | RolloutState::RolledBack))
+        self.state.is_some_and(RolloutState::is_final)
     }
 
     /// Returns the state to record and since when it is pending, unless the record already shows
