Obey orders that the store has lost until operators write them again

When the store returns from an earlier copy, an order written since is gone until the operator writes it again. Meanwhile nodes dropped it: a version under trial got all requests, and a data centre out of service got some.

In the same way the recorded state of an earlier rollout in the first list of a new era does not replace the final state of the one that is ordered.

--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod eras;
 mod members;
+mod orders;
 mod versions;
 mod works;
 
@@ -40,7 +41,7 @@
     time::Time,
 };
 
-use self::{calls::Call, eras::Eras, works::Work};
+use self::{calls::Call, eras::Eras, orders::KeptOrders, works::Work};
 
 /// The interval of [`Timer::Tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -119,6 +120,7 @@
     last_status: [Option<(Time, LoadReport)>; 2],
     revisions: Revisions,
     eras: Eras,
+    kept_orders: KeptOrders,
     /// When the pull in progress began.
     pull_started: Option<Time>,
     /// A node of another data centre that has newer revisions, and since when this node has been behind it.
@@ -161,6 +163,7 @@
             last_status: [None, None],
             revisions: Revisions::default(),
             eras: Eras::default(),
+            kept_orders: KeptOrders::default(),
             pull_started: None,
             pending_pull: None,
             is_watcher: false,
@@ -197,8 +200,8 @@
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
             Event::Limits(limits) => self.local.limits = limits,
-            Event::Evacuated(centres) => self.set_evacuated(now, centres, out),
-            Event::Rollout { service, order } => self.rollout_ordered(now, service, order, out),
+            Event::Evacuated(centres) => self.evacuation_read(now, centres, out),
+            Event::Rollout { service, order } => self.rollout_read(now, service, order, out),
             Event::RolloutRecorded(record) => self.rollout_recorded(now, &record, out),
             Event::Status { status, source } => self.status_received(now, &status, source, out),
             Event::Timer(timer) => self.timer_expired(now, timer, out),
@@ -316,21 +319,6 @@
         self.update_ready(out);
     }
 
-    fn set_evacuated(
-        &mut self,
-        now: Time,
-        centres: BTreeSet<CompactString>,
-        out: &mut Vec<Effect>,
-    ) {
-        if self.evacuated == centres {
-            return;
-        }
-        self.evacuated = centres;
-        let centres: Vec<&str> = self.evacuated.iter().map(CompactString::as_str).collect();
-        out.push(Effect::Log(Record::Evacuated { centres: centres.join(",").into() }));
-        self.update_admission(now, out);
-    }
-
     fn timer_expired(&mut self, now: Time, timer: Timer, out: &mut Vec<Effect>) {
         match timer {
             Timer::CallDeadline(key) => self.call_deadline(now, key, out),
@@ -351,6 +339,7 @@
         self.expire_members(now, out);
         self.update_watcher(now, out);
         self.pull_from_other_centre(now, out);
+        self.drop_kept_orders(now, out);
         self.evaluate_rollouts(now, out);
         self.save_lost_records(now, out);
         self.resend_suspects(now, out);
--- a/mesh/src/reducer/eras.rs
+++ b/mesh/src/reducer/eras.rs
@@ -49,6 +49,12 @@
         self.positions_seen(now, revisions, out);
     }
 
+    /// Returns whether a topic is read in an era that is later than that of what this node knew of it.
+    pub(super) fn is_restored(&self, topic: Topic) -> bool {
+        let Position { era, revision } = self.revisions[topic.index()];
+        revision > 0 && self.eras.latest.is_some_and(|latest| era < latest)
+    }
+
     /// Learns of a new era from another node, which may have reached the store earlier.
     pub(super) fn status_eras_seen(
         &mut self,
@@ -81,12 +87,18 @@
     }
 
     /// Compares a recorded rollout state with the one that this node knows, and returns whether it is outdated: a store
-    /// that has returned from an earlier copy of its state may hold a rollout as running that has ended.
+    /// that has returned from an earlier copy of its state may hold a rollout as running that has ended, or the state of
+    /// a rollout before it.
     pub(super) fn note_recorded_state(&mut self, now: Time, record: &RolloutRecord) -> bool {
         let RolloutRecord { service, version, state } = record;
         let known = self.rollout_records.get(service);
-        let is_outdated = !state.is_final()
-            && known.is_some_and(|known| known.version == *version && known.state.is_final());
+        let order = self.rollouts.get(service).map(|rollout| &rollout.order.version);
+        let is_earlier_rollout =
+            self.is_restored(Topic::Status) && order.is_some_and(|ordered| ordered != version);
+        let is_outdated = known.is_some_and(|known| {
+            let is_same = known.version == *version && !state.is_final();
+            known.state.is_final() && (is_same || is_earlier_rollout)
+        });
         if is_outdated {
             self.eras.lost_records.entry(service.clone()).or_insert(now);
         } else {
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -4,6 +4,7 @@
 
 mod crashes;
 mod eras;
+mod orders;
 
 use super::{Limits, LocalNode, Reducer};
 use crate::{
--- a/mesh/src/reducer/tests/eras.rs
+++ b/mesh/src/reducer/tests/eras.rs
@@ -89,7 +89,11 @@
 }
 
 fn rollout_record(state: RolloutState) -> RolloutRecord {
-    RolloutRecord { service: "stock".into(), version: "v2".into(), state }
+    record_of("v2", state)
+}
+
+fn record_of(version: &str, state: RolloutState) -> RolloutRecord {
+    RolloutRecord { service: "stock".into(), version: version.into(), state }
 }
 
 /// Lets some seconds pass and returns the rollout states that the node saves meanwhile.
@@ -126,3 +130,21 @@
     node.apply(Event::RolloutRecorded(rollout_record(RolloutState::Completed)));
     assert!(saved_rollouts(&mut node).is_empty());
 }
+
+/// Guards against the state of an earlier rollout, which a restored store holds again, in place of the present one.
+#[test]
+fn the_state_of_an_earlier_rollout_does_not_return() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    node.apply(Event::StoreEra(1));
+    node.apply(Event::Rollout { service: "stock".into(), order: Some(rollout_order()) });
+    node.apply(Event::RolloutRecorded(rollout_record(RolloutState::RolledBack)));
+    node.apply(Event::Revisions(positions([1; 3], [9; 3])));
+    node.apply(Event::StoreEra(2));
+    node.apply(Event::RolloutRecorded(record_of("v1", RolloutState::Completed)));
+    node.apply(Event::Revisions(positions([2; 3], [4; 3])));
+    let saved = saved_rollouts(&mut node);
+    assert!(!saved.is_empty());
+    assert!(saved.iter().all(|record| *record == rollout_record(RolloutState::RolledBack)));
+    node.apply(Event::RolloutRecorded(record_of("v3", RolloutState::Running)));
+    assert!(saved_rollouts(&mut node).is_empty(), "a state written since is not lost");
+}
