--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -9,6 +9,7 @@
 mod denials;
 mod eras;
 mod members;
+mod orders;
 mod pulls;
 mod versions;
 mod works;
@@ -44,7 +45,7 @@
 };
 
 pub(crate) use self::denials::RequestSize;
-use self::{calls::Call, eras::Eras, pulls::Pulls, works::Work};
+use self::{calls::Call, eras::Eras, orders::KeptOrders, pulls::Pulls, works::Work};
 
 /// The interval of [`Timer::Tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -125,6 +126,7 @@
     last_status: [Option<(Time, LoadReport)>; 2],
     revisions: Revisions,
     eras: Eras,
+    kept_orders: KeptOrders,
     pulls: Pulls,
     /// Whether this node watches the store for the other nodes.
     is_watcher: bool,
@@ -167,6 +169,7 @@
             last_status: [None, None],
             revisions: Revisions::default(),
             eras: Eras::default(),
+            kept_orders: KeptOrders::default(),
             pulls: Pulls::default(),
             is_watcher: false,
             is_ready: false,
@@ -198,14 +201,14 @@
             Event::MemberRemoved(id) => self.directory.mark_removed(now, id),
             Event::Synced => self.members_synced(now, out),
             Event::Revisions(revisions) => self.revisions_changed(now, revisions, out),
-            Event::StoreEra(era) => self.era_seen(era, out),
+            Event::StoreEra(era) => self.era_seen(now, era, out),
             Event::PullEnded(outcome) => self.pull_ended(now, outcome, out),
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
             Event::ConfigUnreadable => self.has_unreadable_config = true,
             Event::Limits(limits) => self.local.limits = limits,
-            Event::Evacuated(centres) => self.set_evacuated(now, centres, out),
-            Event::Rollout { service, order } => self.rollout_ordered(now, service, order, out),
+            Event::Evacuated(centres) => self.evacuation_read(now, centres, out),
+            Event::Rollout { service, order } => self.rollout_read(now, service, order, out),
             Event::RolloutRecorded(record) => self.rollout_recorded(now, &record, out),
             Event::Status { status, source } => self.status_received(now, &status, source, out),
             Event::Timer(timer) => self.timer_expired(now, timer, out),
@@ -295,21 +298,6 @@
         self.stopping_since.is_some()
     }
 
-    fn set_evacuated(
-        &mut self,
-        now: Time,
-        centres: BTreeSet<CompactString>,
-        out: &mut Vec<Effect>,
-    ) {
-        if self.evacuated == centres {
-            return;
-        }
-        self.evacuated = centres;
-        let centres: Vec<&str> = self.evacuated.iter().map(CompactString::as_str).collect();
-        out.push(Effect::Log(Record::Evacuated { centres: centres.join(",").into() }));
-        self.update_admission(now, out);
-    }
-
     fn timer_expired(&mut self, now: Time, timer: Timer, out: &mut Vec<Effect>) {
         match timer {
             Timer::CallDeadline(key) => self.call_deadline(now, key, out),
@@ -330,7 +318,9 @@
         self.expire_members(now, out);
         self.update_watcher(now, out);
         self.continue_pull(now, out);
+        self.drop_kept_orders(now, out);
         self.evaluate_rollouts(now, out);
+        self.save_lost_records(now, out);
         self.resend_suspects(now, out);
         self.update_admission(now, out);
         self.send_due_statuses(now, out);
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -122,7 +122,7 @@
         source: SocketAddr,
         out: &mut Vec<Effect>,
     ) {
-        self.status_eras_seen(status, out);
+        self.status_eras_seen(now, status, out);
         let positions = self.positions_of(status);
         if let Some(record) = status.record.as_ref().filter(|record| record.id == status.from) {
             self.register_sender(now, record, out);
--- a/mesh/src/reducer/pulls.rs
+++ b/mesh/src/reducer/pulls.rs
@@ -146,7 +146,7 @@
         out: &mut Vec<Effect>,
     ) {
         if self.revisions != revisions {
-            self.record_eras(&revisions, out);
+            self.record_eras(now, &revisions, out);
             self.revisions = revisions;
             self.pulls.behind_since = None;
             self.send_status_now(now, out);
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -6,6 +6,7 @@
 mod denials;
 mod eras;
 mod lifetimes;
+mod orders;
 mod spread;
 mod stale_config;
 
