Let an odd entry among the members name nothing, and say so in the log

An entry of another writer among the member records that held a copy of a member's record with another address replaced that member: callers of its service got 503. An entry that could not be parsed was skipped without a line in the log, among members and among rollout states, and left the record before it in force at nodes that watch, but not at those that list.

A record now counts only under its own key, with a port that is not 0. An unreadable entry, at its key, takes the place of the record before it, as in a list.

--- a/mesh/src/registry.rs
+++ b/mesh/src/registry.rs
@@ -27,18 +27,24 @@
 /// The interval of lease renewal after a failure.
 const RENEW_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The maximum length of the description of an error in characters.
+const MAX_ERROR_CHARS: usize = 200;
+
 /// Dispatches an update of the member records to the reducer.
 pub(crate) fn apply_update(driver: &Driver, update: Update) {
     match update {
         Update::Listed(items) => {
-            driver.dispatch(Event::Members(items.iter().filter_map(parse_record).collect()));
+            let records = items.iter().filter_map(|item| read_record(driver, item));
+            driver.dispatch(Event::Members(records.collect()));
         }
         Update::Changed(changes) => {
             for change in changes {
                 match change {
                     Change::Put(item) => {
-                        if let Some(record) = parse_record(&item) {
+                        if let Some(record) = read_record(driver, &item) {
                             driver.dispatch(Event::MemberPut(record));
+                        } else if let Some(id) = member_id(&item.key) {
+                            driver.dispatch(Event::MemberRemoved(id));
                         }
                     }
                     Change::Removed { key, .. } => {
@@ -107,11 +113,34 @@
     format_compact!("{PREFIX}{}/{}", record.service, record.id)
 }
 
+/// Returns the member that a key names.
 fn member_id(key: &str) -> Option<MemberId> {
-    key.rsplit('/').next()?.parse().ok()
+    let (_service, id) = key.strip_prefix(PREFIX)?.split_once('/')?;
+    id.parse().ok()
+}
+
+/// Reads a member record. An unreadable record is logged and skipped, so that it hides no other member.
+fn read_record(driver: &Driver, item: &Item) -> Option<MemberRecord> {
+    let result = parse_record(item);
+    let log_unreadable = |error: &CompactString| {
+        slog::warn!(driver.log(), "record-unreadable"; "key" => item.key.as_str(),
+            "revision" => item.revision, "error" => error.as_str());
+    };
+    result.inspect_err(log_unreadable).ok()
 }
 
-/// Parses a member record. An unreadable record is skipped, so that it hides no other member.
-fn parse_record(item: &Item) -> Option<MemberRecord> {
-    serde_json::from_slice(&item.value).ok()
+/// Parses a member record, which must belong to its key: a copy under another key would replace the member.
+fn parse_record(item: &Item) -> std::result::Result<MemberRecord, CompactString> {
+    let record: MemberRecord = serde_json::from_slice(&item.value).map_err(|error| {
+        // The error may quote the text that could not be read.
+        let text = error.to_string();
+        format_compact!("{text:.MAX_ERROR_CHARS$}")
+    })?;
+    if item.key != record_key(&record) {
+        return Err("the record belongs to another key".into());
+    }
+    if record.address.port() == 0 {
+        return Err("port 0 is not an address".into());
+    }
+    Ok(record)
 }
