Spread the configuration in force where the store has lost it

A node that started after the store had returned from an earlier copy read the older configuration there and served by it, while all others had a newer one in force: callers got 404 on its routes from that node alone.

A node's status states the version of its configuration. A node that knows of a newer one elsewhere counts as behind and pulls; the answer holds the configuration itself if the orders of the store do not bring it. A node of an earlier build neither states a version nor gets one.

--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -25,7 +25,7 @@
 use crate::{
     admission::AdmissionController,
     budget::RetryBudget,
-    config::RouteTable,
+    config::{Config, RouteTable},
     crash_guard::CrashGuard,
     directory::{Directory, Member, MemberRecord, OTHER_CENTRE_FANOUT, SAME_CENTRE_FANOUT, Tally},
     effect::{Effect, Record},
@@ -269,6 +269,12 @@
         self.config.as_ref().map_or(0, |table| table.config.version)
     }
 
+    /// Returns the configuration in force if it is newer than the given version.
+    pub(crate) fn config_newer_than(&self, version: u64) -> Option<Config> {
+        let config = self.config.as_ref().map(|table| &table.config);
+        config.filter(|config| config.version > version).cloned()
+    }
+
     /// Returns the current values of the gauge metrics.
     pub(crate) fn gauge_values(&self, now: Time) -> GaugeValues {
         let report = self.admission.report(now);
--- a/mesh/src/reducer/eras.rs
+++ b/mesh/src/reducer/eras.rs
@@ -31,8 +31,13 @@
 }
 
 impl Reducer {
-    /// Returns whether another node knows a newer position of the store than this one.
+    /// Returns whether another node knows a newer position of the store than this one, or a newer configuration. A node
+    /// that starts after the store's return from an earlier copy finds an older configuration there than the others
+    /// have in force.
     pub(super) fn is_behind(&self, status: &NodeStatus) -> bool {
+        if status.extension.is_some_and(|known| known.config_version > self.config_version()) {
+            return true;
+        }
         let eras = std::array::from_fn(|topic| {
             self.eras.first[topic].unwrap_or(self.revisions[topic].era)
         });
--- a/mesh/src/reducer/tests/eras.rs
+++ b/mesh/src/reducer/tests/eras.rs
@@ -43,6 +43,17 @@
     assert!(!pulls(&mut node, status_with(None, [10, 9, 9], 1)));
 }
 
+/// Guards against a node that starts after the store's return and keeps to the older configuration of the copy.
+#[test]
+fn a_node_with_a_newer_configuration_is_ahead() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    node.apply(Event::Revisions(positions([2; 3], [4; 3])));
+    assert!(!pulls(&mut node, status_with(Some([2; 3]), [4; 3], 1)));
+    assert!(pulls(&mut node, status_with(Some([2; 3]), [4; 3], 2)));
+    assert_eq!(node.reducer.config_newer_than(1), None);
+    assert_eq!(node.reducer.config_newer_than(0), Some(config(1)));
+}
+
 /// Returns the eras in which this node writes its record again.
 fn renewals(effects: &[Effect]) -> Vec<u64> {
     let era = |effect: &Effect| match effect {
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -13,6 +13,7 @@
 use tokio::{sync::watch, time};
 
 use crate::{
+    config::RouteTable,
     driver::Driver,
     event::Event,
     node::NodeHandle,
@@ -133,7 +134,13 @@
             (replica.position() > known).then(|| replica.delta_since(topic, known))
         };
         let deltas: Vec<Delta> = Topic::ALL.into_iter().filter_map(delta).collect();
-        let answer = PullAnswer { deltas, config: None };
+        // Usually the orders bring the configuration. They do not if the store has lost it since it took effect here.
+        let has_orders = deltas.iter().any(|delta| delta.topic == Topic::Orders);
+        let config = query
+            .config_version
+            .filter(|_| !has_orders)
+            .and_then(|known| self.driver.inspect(|_, reducer| reducer.config_newer_than(known)));
+        let answer = PullAnswer { deltas, config };
         Response::new(Body::from(Bytes::from(answer.encode())))
     }
 
@@ -148,16 +155,20 @@
 
     async fn try_pull(&self, pool: &Pool) -> Option<()> {
         let known = Topic::ALL.map(|topic| self.position(topic));
-        let path = format!("{PATH}?{}", PullQuery::new(&known, 0).format());
+        let query = PullQuery::new(&known, self.driver.inspect(|_, r| r.config_version()));
+        let path = format!("{PATH}?{}", query.format());
         let req = Request::get(path).header(header::HOST, "node").body(Body::default()).ok()?;
         let (response, conn) = pool.send(req).await.ok()?;
         let body =
             Limited::new(response.into_body(), MAX_PULL_BYTES).collect().await.ok()?.to_bytes();
         conn.release();
-        let PullAnswer { deltas, config: _ } = PullAnswer::decode(&body)?;
+        let PullAnswer { deltas, config } = PullAnswer::decode(&body)?;
         for delta in deltas {
             self.apply(delta.topic, |replica| replica.merge(delta));
         }
+        if let Some(config) = config {
+            self.driver.dispatch(Event::Config(Arc::new(RouteTable::new(config))));
+        }
         Some(())
     }
 
