Start with fresh orders, and with members of no position

A node read all topics at its start as cheaply as the store allows; such a read may be seconds old. After the store had returned from an earlier copy it could be older than the copy, with a revision above all later ones: the node then ignored every list, and served by the older configuration or answered 404 on routes that it did not know.

Orders and rollout states are now read fresh at the start. The members are still read cheaply, but that list has no position: the next list or the first pull replaces it, and a watcher lists before it watches. This costs two fresh reads instead of two cheap ones for each start, and one list more for each watcher.

--- a/mesh/src/replica.rs
+++ b/mesh/src/replica.rs
@@ -102,6 +102,17 @@
         Some(Update::Listed(self.items()))
     }
 
+    /// Applies a list that may be older than other data of its position, such as the result of a
+    /// stale read, so that the replica has something until a list with a position arrives.
+    pub(crate) fn apply_preliminary(&mut self, items: Vec<Item>) -> Option<Update> {
+        if self.position.revision > 0 {
+            return None;
+        }
+        let entry = |item: Item| (item.key, (item.revision, Some(item.value)));
+        self.entries = items.into_iter().map(entry).collect();
+        Some(Update::Listed(self.items()))
+    }
+
     /// Applies the changes that a watch returned. Changes of another era have no effect, because
     /// they are not the changes since the replica's position.
     pub(crate) fn apply_changes(
--- a/mesh/src/replica/tests.rs
+++ b/mesh/src/replica/tests.rs
@@ -131,3 +131,17 @@
     delta.era = None;
     assert_eq!(replica.merge(delta), None);
 }
+
+/// Guards against a stale list that hides what was written before it was read.
+#[test]
+fn a_preliminary_list_has_no_position() {
+    let mut replica = Replica::default();
+    let update = replica.apply_preliminary(vec![item("a", 9), item("b", 8)]);
+    assert_eq!(update, Some(Update::Listed(vec![item("a", 9), item("b", 8)])));
+    assert_eq!(replica.position(), Position::default());
+    let other = listed(&[item("a", 3)], 4);
+    let update = replica.merge(other.delta_since(Topic::Members, replica.position()));
+    assert_eq!(update, Some(Update::Listed(vec![item("a", 3)])));
+    assert_eq!(replica.position(), at(1, 4));
+    assert_eq!(replica.apply_preliminary(vec![item("b", 8)]), None);
+}
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -188,6 +188,7 @@
 ) {
     let prefix = prefixes.of(topic);
     load_initial(&store, topic, prefix, &replicas).await;
+    // A watch needs the position of a list.
     let mut freshness = None;
     let mut backoff = Backoff::new();
     // A list does not end this delay: a store whose lists do not help is not called without a pause.
@@ -196,6 +197,9 @@
         if is_watcher.wait_for(|is_watcher| *is_watcher).await.is_err() {
             return;
         }
+        if replicas.position(topic).revision == 0 {
+            freshness = Some(Freshness::Latest);
+        }
         let is_watch = freshness.is_none();
         let result = match freshness.take() {
             Some(freshness) => apply_list(&store, topic, prefix, freshness, &replicas).await,
@@ -225,11 +229,16 @@
     }
 }
 
-/// Lists a topic at the start as cheaply as possible; what is missing comes from a watch or from
-/// other nodes.
+/// Lists a topic at the start. The members are read as cheaply as possible; what is missing comes
+/// from a watch or from other nodes. The other topics must not be older than what has been confirmed
+/// to operators.
 async fn load_initial<S: Store>(store: &S, topic: Topic, prefix: &str, replicas: &TopicReplicas) {
     let mut backoff = Backoff::new();
-    while let Err(error) = apply_list(store, topic, prefix, Freshness::AllowStale, replicas).await {
+    let freshness = match topic {
+        Topic::Members => Freshness::AllowStale,
+        Topic::Orders | Topic::Status => Freshness::Latest,
+    };
+    while let Err(error) = apply_list(store, topic, prefix, freshness, replicas).await {
         slog::warn!(replicas.driver.log(), "store-call-failed"; "topic" => topic.as_str(),
             "error" => %error);
         replicas.driver.dispatch(Event::Store { is_reachable: false });
@@ -259,7 +268,11 @@
     replicas: &TopicReplicas,
 ) -> crate::store::Result<()> {
     let (items, position) = store.list(prefix, freshness).await?;
-    replicas.apply(topic, |replica| replica.apply_list(items, position));
+    replicas.apply(topic, |replica| match freshness {
+        Freshness::Latest => replica.apply_list(items, position),
+        // The revision of a stale read may be one of before the store's return from a copy.
+        Freshness::AllowStale => replica.apply_preliminary(items),
+    });
     Ok(())
 }
 
