--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -90,6 +90,8 @@
     pub(crate) has_store: bool,
     /// The store revisions up to which the member has data, as it reports.
     pub(crate) revisions: Revisions,
+    /// The version of the configuration in force there, or 0 if there is none or it does not state it.
+    pub(crate) config_version: u64,
     /// The time before which it is not asked for its data, after it refused a pull or a pull from it failed.
     pub(crate) pull_after: Option<Time>,
 }
@@ -231,6 +233,7 @@
             version: CompactString::default(),
             has_store: true,
             revisions: Revisions::default(),
+            config_version: 0,
             pull_after: None,
         };
         self.same_centre_count += usize::from(member.record.centre == self.centre);
--- a/mesh/src/pull.rs
+++ b/mesh/src/pull.rs
@@ -71,7 +71,16 @@
     config: Option<Config>,
 }
 
+/// The approximate size of one route of a configuration in bytes.
+const ROUTE_BYTES: usize = 100;
+
 impl PullAnswer {
+    /// Returns the approximate size in bytes.
+    pub(crate) fn size(&self) -> usize {
+        let routes = self.config.as_ref().map_or(0, |config| config.routes.len());
+        self.deltas.iter().map(Delta::size).sum::<usize>() + routes * ROUTE_BYTES
+    }
+
     pub(crate) fn encode(self) -> Vec<u8> {
         let PullAnswer { deltas, config } = self;
         let mut eras = [0; 3];
--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    config::RouteTable,
+    config::{Config, RouteTable},
     directory::Member,
     effect::{Effect, Record},
     replica::Topic,
@@ -45,6 +45,12 @@
         self.config.as_ref().map_or(0, |table| table.config.version)
     }
 
+    /// Returns the configuration in force if it is newer than the given version.
+    pub(crate) fn config_newer_than(&self, version: u64) -> Option<Config> {
+        let config = self.config.as_ref().map(|table| &table.config);
+        config.filter(|config| config.version > version).cloned()
+    }
+
     /// Returns whether no newer configuration can be in force as far as this node knows: it could read the last one, it
     /// has not just been suspended, no node that it hears has newer orders, and it or one of them reaches the store.
     ///
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -124,19 +124,21 @@
     ) {
         self.status_eras_seen(now, status, out);
         let positions = self.positions_of(status);
+        let config_version = status.extension.map_or(0, |extension| extension.config_version);
         if let Some(record) = status.record.as_ref().filter(|record| record.id == status.from) {
             self.register_sender(now, record, out);
         }
         let key = self.directory.key(status.from);
         let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else {
             // The sender's record is newer than this node's replica of the store.
-            return self.pull_from_unknown(now, &positions, source, out);
+            return self.pull_from_unknown(now, (&positions, config_version), source, out);
         };
         member.update_load(now, status.load);
         member.tally = status.tally;
         member.version = status.version.clone();
         member.has_store = status.has_store;
         member.revisions = positions;
+        member.config_version = config_version;
         if status.is_stopping {
             self.directory.mark_removed(now, status.from);
         }
@@ -144,7 +146,7 @@
         for rollout in &status.rollouts {
             self.merge_rollout(now, rollout);
         }
-        if self.is_behind(&positions) {
+        if self.is_behind(&positions, config_version) {
             self.pull_if_behind(now, out);
         }
     }
--- a/mesh/src/reducer/pulls.rs
+++ b/mesh/src/reducer/pulls.rs
@@ -49,9 +49,11 @@
 }
 
 impl Reducer {
-    /// Returns whether the revisions of another node are newer than those of this node in any topic.
-    pub(super) fn is_behind(&self, revisions: &Revisions) -> bool {
-        revisions.iter().zip(&self.revisions).any(|(theirs, own)| theirs > own)
+    /// Returns whether another node knows more of the store than this one in any topic, or has a newer configuration. The
+    /// latter alone is the case if this node started after the store returned from an earlier copy of its state.
+    pub(super) fn is_behind(&self, revisions: &Revisions, config_version: u64) -> bool {
+        config_version > self.config_version()
+            || revisions.iter().zip(&self.revisions).any(|(theirs, own)| theirs > own)
     }
 
     /// Pulls from a node that has newer data than this one, unless a pull is in progress. A node of another data centre
@@ -77,11 +79,11 @@
     pub(super) fn pull_from_unknown(
         &mut self,
         now: Time,
-        revisions: &Revisions,
+        (revisions, config_version): (&Revisions, u64),
         source: SocketAddr,
         out: &mut Vec<Effect>,
     ) {
-        if self.is_behind(revisions) && self.pulls.in_progress.is_none() {
+        if self.is_behind(revisions, config_version) && self.pulls.in_progress.is_none() {
             self.pulls.behind_since.get_or_insert(now);
             self.pulls.in_progress = Some(None);
             out.push(Effect::Pull(source));
@@ -109,7 +111,7 @@
     fn sources(&self, now: Time) -> Vec<Source> {
         let is_source = |member: &&Member| {
             !self.is_local(member.record.id)
-                && self.is_behind(&member.revisions)
+                && self.is_behind(&member.revisions, member.config_version)
                 && !self.directory.is_silent(now, member)
         };
         let source = |member: &Member| Source {
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     compression,
+    config::RouteTable,
     driver::Driver,
     event::{Event, PullOutcome},
     headers,
@@ -173,16 +174,15 @@
     /// node can read that, or status 503 while [`MAX_UPLOADS`] large responses are on their way.
     pub(crate) fn serve_pull(&self, query: Option<&str>, is_compressed: bool) -> Response<Body> {
         let query = PullQuery::parse(query.unwrap_or_default());
-        let deltas = self.deltas_since(&query);
-        let size: usize = deltas.iter().map(Delta::size).sum();
+        let answer = self.answer(&query);
         let mut permit = None;
-        if size > LARGE_RESPONSE_BYTES {
+        if answer.size() > LARGE_RESPONSE_BYTES {
             let Ok(acquired) = self.uploads.clone().try_acquire_owned() else {
                 return busy_response();
             };
             permit = Some(acquired);
         }
-        let bytes = PullAnswer { deltas, config: None }.encode();
+        let bytes = answer.encode();
         let compressed = is_compressed.then(|| compression::compress(&bytes).ok()).flatten();
         let encoding = compressed.as_ref().map(|_| compression::ENCODING);
         let body = Body::from(Bytes::from(compressed.unwrap_or(bytes)));
@@ -196,14 +196,23 @@
         response
     }
 
-    fn deltas_since(&self, query: &PullQuery) -> Vec<Delta> {
+    /// Returns what a node that sent the query lacks.
+    fn answer(&self, query: &PullQuery) -> PullAnswer {
         let shared = self.lock();
         let delta = |topic: Topic| {
             let replica = &shared.replicas[topic.index()];
             let known = query.position(topic, replica);
             (replica.position() > known).then(|| replica.delta_since(topic, known))
         };
-        Topic::ALL.into_iter().filter_map(delta).collect()
+        let deltas: Vec<Delta> = Topic::ALL.into_iter().filter_map(delta).collect();
+        drop(shared);
+        // Usually the orders bring the configuration. They do not if the store has lost it since it took effect here.
+        let has_orders = deltas.iter().any(|delta| delta.topic == Topic::Orders);
+        let config = query
+            .config_version
+            .filter(|_| !has_orders)
+            .and_then(|known| self.driver.inspect(|_, reducer| reducer.config_newer_than(known)));
+        PullAnswer { deltas, config }
     }
 
     /// Pulls what another node knows beyond this one.
@@ -237,7 +246,8 @@
     /// waste what has arrived.
     async fn fetch(&self, pool: &Pool, bytes: &mut Vec<u8>) -> Result<Encoding, PullError> {
         let known = Topic::ALL.map(|topic| self.position(topic));
-        let req = Request::get(format!("{PATH}?{}", PullQuery::new(&known, 0).format()))
+        let query = PullQuery::new(&known, self.driver.inspect(|_, r| r.config_version()));
+        let req = Request::get(format!("{PATH}?{}", query.format()))
             .header(header::HOST, "node")
             .header(header::ACCEPT_ENCODING, compression::ENCODING)
             .body(Body::default());
@@ -275,12 +285,15 @@
             }
         };
         let answer = PullAnswer::decode(&bytes).ok_or(PullError::Unreadable)?;
-        let PullAnswer { deltas, config: _ } = answer;
+        let PullAnswer { deltas, config } = answer;
         let topics: Vec<&str> = deltas.iter().map(|delta| delta.topic.as_str()).collect();
         let topics = topics.join(",").into();
         for delta in deltas {
             self.apply(delta.topic, |replica| replica.merge(delta));
         }
+        if let Some(config) = config {
+            self.driver.dispatch(Event::Config(Arc::new(RouteTable::new(config))));
+        }
         Ok(topics)
     }
 
@@ -318,6 +331,7 @@
 ) {
     let prefix = prefixes.of(topic);
     load_initial(&store, topic, prefix, &replicas).await;
+    // A watch needs the position of a list.
     let mut freshness = None;
     let mut backoff = Backoff::new();
     // The delay before a list that follows another one without a successful watch in between.
@@ -326,6 +340,9 @@
         if is_watcher.wait_for(|is_watcher| *is_watcher).await.is_err() {
             return;
         }
+        if replicas.position(topic).revision == 0 {
+            freshness = Some(Freshness::Latest);
+        }
         let is_watch = freshness.is_none();
         let result = match freshness.take() {
             Some(freshness) => apply_list(&store, topic, prefix, freshness, &replicas).await,
@@ -358,11 +375,16 @@
     }
 }
 
-/// Lists a topic at the start as cheaply as possible; what is missing comes from a watch or from
-/// other nodes.
+/// Lists a topic at the start. The members are read as cheaply as possible; what is missing comes
+/// from a watch or from other nodes. The other topics must not be older than what has been confirmed
+/// to operators.
 async fn load_initial<S: Store>(store: &S, topic: Topic, prefix: &str, replicas: &TopicReplicas) {
     let mut backoff = Backoff::new();
-    while let Err(error) = apply_list(store, topic, prefix, Freshness::AllowStale, replicas).await {
+    let freshness = match topic {
+        Topic::Members => Freshness::AllowStale,
+        Topic::Orders | Topic::Status => Freshness::Latest,
+    };
+    while let Err(error) = apply_list(store, topic, prefix, freshness, replicas).await {
         slog::warn!(replicas.driver.log(), "store-call-failed"; "topic" => topic.as_str(),
             "error" => %error);
         replicas.driver.dispatch(Event::Store { is_reachable: false });
@@ -392,7 +414,11 @@
     replicas: &TopicReplicas,
 ) -> crate::store::Result<()> {
     let (items, position) = store.list(prefix, freshness).await?;
-    replicas.apply(topic, |replica| replica.apply_list(items, position));
+    replicas.apply(topic, |replica| match freshness {
+        Freshness::Latest => replica.apply_list(items, position),
+        // The revision of a stale read may be one of before the store's return from a copy.
+        Freshness::AllowStale => replica.apply_preliminary(items),
+    });
     Ok(())
 }
 
