Count a large response to a pull until its receiver has it

Change: the reducer counts a large response until the receiver's status shows that it has the data, for 2 s at most. The pulling node states its id at the end of the query, which earlier builds ignore; responses to these count for 500 ms. The pause after refusals in a row doubles up to three times. The last compressed response is kept, since nodes pull the same data. Result: reducer::tests::spread now asks the reducer itself.

--- a/mesh/src/compression.rs
+++ b/mesh/src/compression.rs
@@ -1,8 +1,12 @@
 //! Compression of the data that nodes pull from each other. A configuration of thousands of routes shrinks to a
 //! fraction, and the links of many nodes are narrow.
 
-use std::io::{self, Read as _, Write as _};
+use std::{
+    io::{self, Read as _, Write as _},
+    sync::{Mutex, PoisonError},
+};
 
+use bytes::Bytes;
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 
 /// The value of `Content-Encoding` and `Accept-Encoding` for data from [`compress`].
@@ -34,5 +38,26 @@
     Ok(decompressed)
 }
 
+/// The last data that was compressed. Nodes that are behind by the same changes pull the same data one after the other.
+#[derive(Debug, Default)]
+pub(crate) struct LastCompressed {
+    last: Mutex<Option<(Bytes, Bytes)>>,
+}
+
+impl LastCompressed {
+    /// Returns the compressed form of `data`, or `None` if it cannot be compressed.
+    pub(crate) fn get(&self, data: Bytes) -> Option<Bytes> {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((known, compressed)) = &*last
+            && *known == data
+        {
+            return Some(compressed.clone());
+        }
+        let compressed = Bytes::from(compress(&data).ok()?);
+        *last = Some((data, compressed.clone()));
+        Some(compressed)
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -18,7 +18,7 @@
 use crate::{
     effect::{CallStep, Effect, Record, WorkStep},
     event::{CallEvent, Event, Timer, WorkEvent},
-    keys::{CallKey, WorkKey},
+    keys::{CallKey, MemberId, WorkKey},
     logging,
     mailbox::Mailbox,
     metrics::Metrics,
@@ -130,6 +130,12 @@
         refusal
     }
 
+    /// Returns whether a large response to a pull may be sent to a node now.
+    pub(crate) fn admit_upload(&self, to: Option<MemberId>) -> bool {
+        let now = self.now();
+        self.lock().reducer.admit_upload(now, to)
+    }
+
     /// Registers a caller's request, or returns `None` at the limit of [`MAX_REQUESTS`].
     pub(crate) fn open_call(&self) -> Option<CallKey> {
         let mut core = self.lock();
--- a/mesh/src/pull.rs
+++ b/mesh/src/pull.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     config::Config,
+    keys::MemberId,
     replica::{Delta, Position, Replica, Revisions, Topic},
 };
 
@@ -18,14 +19,17 @@
     eras: Option<[u64; 3]>,
     /// The version of the configuration in force, or 0 if there is none; `None` if the node's build does not state it.
     pub(crate) config_version: Option<u64>,
+    /// The pulling node; `None` if its build does not state it.
+    pub(crate) from: Option<MemberId>,
 }
 
 impl PullQuery {
-    pub(crate) fn new(known: &Revisions, config_version: u64) -> PullQuery {
+    pub(crate) fn new(from: MemberId, known: &Revisions, config_version: u64) -> PullQuery {
         PullQuery {
             revisions: known.map(|position| position.revision),
             eras: Some(known.map(|position| position.era)),
             config_version: Some(config_version),
+            from: Some(from),
         }
     }
 
@@ -38,13 +42,15 @@
             revisions: triple(0).unwrap_or_default(),
             eras: triple(3),
             config_version: part(6),
+            from: part(7).map(MemberId),
         }
     }
 
     /// Returns the text that [`PullQuery::parse`] reads.
     pub(crate) fn format(&self) -> String {
         let eras = self.eras.unwrap_or_default();
-        let parts = self.revisions.iter().chain(&eras).chain(&self.config_version);
+        let from = self.from.map(|id| id.0);
+        let parts = self.revisions.iter().chain(&eras).chain(&self.config_version).chain(&from);
         parts.map(u64::to_string).collect::<Vec<_>>().join(",")
     }
 
--- a/mesh/src/pull/tests.rs
+++ b/mesh/src/pull/tests.rs
@@ -1,6 +1,7 @@
 use super::{PullAnswer, PullQuery};
 use crate::{
     config::Config,
+    keys::MemberId,
     replica::{Delta, Position, Replica, Topic},
     store::Item,
 };
@@ -16,8 +17,8 @@
 #[test]
 fn a_query_survives_formatting() {
     let known = [1, 2, 3].map(|n| Position { era: n, revision: 10 * n });
-    let query = PullQuery::new(&known, 17);
-    assert_eq!(query.format(), "10,20,30,1,2,3,17");
+    let query = PullQuery::new(MemberId(5), &known, 17);
+    assert_eq!(query.format(), "10,20,30,1,2,3,17,5");
     assert_eq!(PullQuery::parse(&query.format()), query);
     assert_eq!(query.position(Topic::Status, &replica(9)), known[2]);
 }
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -289,6 +289,10 @@
         }
     }
 
+    pub(crate) fn local_id(&self) -> MemberId {
+        self.local.id
+    }
+
     /// Returns the number of members that this node knows.
     pub(crate) fn member_count(&self) -> usize {
         self.directory.len()
--- a/mesh/src/reducer/pulls.rs
+++ b/mesh/src/reducer/pulls.rs
@@ -28,9 +28,35 @@
 /// The time in which a node is not asked again after a pull from it failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
+/// The maximum number of large responses to pulls that a node sends at the same time. Each node that has the data sends
+/// it on, so the number of sources grows by this factor in each round.
+const MAX_UPLOADS: usize = 2;
+
+/// The time after which a large response no longer counts as being on its way, whatever its receiver says.
+const MAX_UPLOAD_TIME: Duration = Duration::from_secs(2);
+
+/// The same for a receiver whose build does not say who it is.
+const MAX_ANONYMOUS_UPLOAD_TIME: Duration = Duration::from_millis(500);
+
+/// The number of refusals in a row up to which the pause after a refusal doubles.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+
+/// A large response to a pull that may still be on its way.
+#[derive(Copy, Clone, Debug)]
+struct Upload {
+    to: Option<MemberId>,
+    started: Time,
+    /// What the receiver knows once it has the response.
+    revisions: Revisions,
+    config_version: u64,
+}
+
 /// The pull in progress and the lag behind other nodes.
 #[derive(Debug, Default)]
 pub(super) struct Pulls {
+    uploads: Vec<Upload>,
+    /// The number of refusals since the last pull that brought data.
+    refusals: u32,
     /// The member that is asked in the pull in progress, or `None` for a node without a record here.
     in_progress: Option<Option<MemberId>>,
     /// Since when a member has been known to have newer data than this node.
@@ -124,13 +150,49 @@
         members.filter(is_source).map(source).collect()
     }
 
+    /// Returns whether this node sends a large response now to the node that pulls, and counts it if so.
+    ///
+    /// That the response was written says nothing: it fits into the buffers of the connection. Its receiver has it when
+    /// its status says so.
+    pub(crate) fn admit_upload(&mut self, now: Time, to: Option<MemberId>) -> bool {
+        let mut uploads = std::mem::take(&mut self.pulls.uploads);
+        uploads
+            .retain(|upload| self.is_on_its_way(now, upload) && (to.is_none() || upload.to != to));
+        let is_admitted = uploads.len() < MAX_UPLOADS;
+        if is_admitted {
+            let (revisions, config_version) = (self.revisions, self.config_version());
+            uploads.push(Upload { to, started: now, revisions, config_version });
+        }
+        self.pulls.uploads = uploads;
+        is_admitted
+    }
+
+    fn is_on_its_way(&self, now: Time, upload: &Upload) -> bool {
+        let time = now.since(upload.started);
+        let Some(id) = upload.to else { return time < MAX_ANONYMOUS_UPLOAD_TIME };
+        let member = self.directory.key(id).and_then(|key| self.directory.get(key));
+        let is_received = member.is_some_and(|member| {
+            let known = member.revisions.iter().zip(&upload.revisions);
+            member.config_version >= upload.config_version
+                && known.into_iter().all(|(theirs, sent)| theirs >= sent)
+        });
+        time < MAX_UPLOAD_TIME && !is_received
+    }
+
     /// Handles the end of a pull, and asks another node if this one is still behind.
     pub(super) fn pull_ended(&mut self, now: Time, outcome: PullOutcome, out: &mut Vec<Effect>) {
         let source = self.pulls.in_progress.take().flatten();
         // A source that was just read is also paused, so that one that claims more than it sends causes no tight loop.
+        let jitter = self.rng.random_range(0.5..1.5);
         let pause = match outcome {
-            PullOutcome::Done | PullOutcome::Busy => {
-                BUSY_PAUSE.mul_f64(self.rng.random_range(0.5..1.5))
+            PullOutcome::Done => {
+                self.pulls.refusals = 0;
+                BUSY_PAUSE.mul_f64(jitter)
+            }
+            PullOutcome::Busy => {
+                let doublings = self.pulls.refusals.min(MAX_PAUSE_DOUBLINGS);
+                self.pulls.refusals += 1;
+                BUSY_PAUSE.mul_f64(jitter) * 2_u32.pow(doublings)
             }
             PullOutcome::Failed => FAILURE_PAUSE,
         };
--- a/mesh/src/reducer/tests/spread.rs
+++ b/mesh/src/reducer/tests/spread.rs
@@ -2,18 +2,16 @@
 
 use std::collections::VecDeque;
 
+use test_case::test_case;
+
 use super::*;
-use crate::{event::PullOutcome, replica::Topic, sync::MAX_UPLOADS};
+use crate::{event::PullOutcome, node_status::Extension, replica::Topic};
 
-const NODES: u64 = 64;
 const CENTRES: [&str; 4] = ["a", "b", "c", "d"];
 
 /// One link carries 10 Mbit/s, as those of the smallest instances.
 const LINK_BYTES_PER_MS: f64 = 1_250.0;
 
-/// A configuration of 2,800 routes before compression.
-const CONFIG_BYTES: f64 = 350_000.0;
-
 const DELAY_MS: u64 = 2;
 const TICK_MS: u64 = 100;
 
@@ -29,6 +27,7 @@
 /// Nodes that exchange status datagrams and data over links of limited rate.
 struct Network {
     nodes: Vec<Reducer>,
+    config_bytes: f64,
     now_ms: u64,
     transfers: Vec<Transfer>,
     events: VecDeque<(u64, usize, Event)>,
@@ -36,18 +35,19 @@
 }
 
 impl Network {
-    fn new() -> Network {
+    fn new(nodes: u64, config_bytes: f64) -> Network {
         let local = |id: u64| LocalNode {
             id: MemberId(id),
             address: address(id),
             centre: CENTRES[id as usize % CENTRES.len()].into(),
             ..local_node()
         };
-        let nodes: Vec<Reducer> = (1..=NODES).map(|id| Reducer::new(local(id), id)).collect();
+        let nodes: Vec<Reducer> = (1..=nodes).map(|id| Reducer::new(local(id), id)).collect();
         let records: Vec<MemberRecord> = nodes.iter().map(|node| node.local.record()).collect();
         let mut network = Network {
             received: vec![None; nodes.len()],
             nodes,
+            config_bytes,
             now_ms: 0,
             transfers: Vec::new(),
             events: VecDeque::new(),
@@ -84,9 +84,9 @@
     }
 
     fn pull(&mut self, from: usize, to: usize) {
-        let uploads = self.transfers.iter().filter(|transfer| transfer.from == from).count();
-        if uploads < MAX_UPLOADS {
-            self.transfers.push(Transfer { from, to, left: CONFIG_BYTES });
+        let id = self.nodes[to].local.id;
+        if self.nodes[from].admit_upload(at_ms(self.now_ms), Some(id)) {
+            self.transfers.push(Transfer { from, to, left: self.config_bytes });
         } else {
             let event = Event::PullEnded(PullOutcome::Busy);
             self.events.push_back((self.now_ms + 2 * DELAY_MS, to, event));
@@ -130,10 +130,9 @@
     }
 }
 
-/// Guards against pulls that share the links of the first few nodes until all of them run out of time and start again.
-#[test]
-fn a_large_configuration_reaches_all_nodes_over_narrow_links() {
-    let mut network = Network::new();
+/// Returns the number of nodes that lack the configuration two seconds after it was read.
+fn late_nodes(nodes: u64, config_bytes: f64) -> usize {
+    let mut network = Network::new(nodes, config_bytes);
     while network.now_ms < READ_MS {
         network.advance();
     }
@@ -141,6 +140,32 @@
     while network.now_ms < READ_MS + 2_000 {
         network.advance();
     }
-    let late = network.received.iter().filter(|received| received.is_none()).count();
-    assert_eq!(late, 0, "nodes without the configuration after 2 s");
+    network.received.iter().filter(|received| received.is_none()).count()
+}
+
+/// Guards against pulls that share the links of the first few nodes until all of them run out of time and start again.
+#[test_case(64, 350_000.0; "uncompressed")]
+#[test_case(256, 85_000.0; "many nodes")]
+fn a_large_configuration_reaches_all_nodes_over_narrow_links(nodes: u64, config_bytes: f64) {
+    assert_eq!(late_nodes(nodes, config_bytes), 0);
+}
+
+/// Guards against a node that sends a large response to all at once because each one fits into a buffer, and against one
+/// that never sends again because a receiver is gone.
+#[test]
+fn large_responses_are_bounded_until_their_receivers_have_them() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    node.apply(Event::Revisions(revisions([0, 5, 0])));
+    let admit = |node: &mut TestNode, id| node.reducer.admit_upload(node.now, Some(MemberId(id)));
+    assert!(admit(&mut node, 2) && admit(&mut node, 3));
+    assert!(!admit(&mut node, 4));
+    assert!(admit(&mut node, 3), "a node that pulls again has given up the earlier response");
+    let mut status = status_from(2, idle_load());
+    status.revisions = [0, 5, 0];
+    status.extension = Some(Extension { eras: [1; 3], config_version: 1 });
+    node.apply(Event::Status { status, source: address(2) });
+    assert!(admit(&mut node, 4));
+    assert!(!admit(&mut node, 9));
+    node.now = at_ms(2_000);
+    assert!(admit(&mut node, 9));
 }
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -15,12 +15,12 @@
 use rand::Rng as _;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch},
+    sync::watch,
     time::{self, Instant},
 };
 
 use crate::{
-    compression,
+    compression::{self, LastCompressed},
     config::RouteTable,
     driver::Driver,
     event::{Event, PullOutcome},
@@ -54,10 +54,6 @@
 /// The maximum time of a pull from another node.
 const MAX_PULL_TIME: Duration = Duration::from_secs(10);
 
-/// The maximum number of large responses to pulls that a node sends at the same time. Each node that has the data sends
-/// it on, so the number of sources grows by this factor in each round.
-pub(crate) const MAX_UPLOADS: usize = 2;
-
 /// The size in bytes before compression above which a response to a pull counts as large.
 const LARGE_RESPONSE_BYTES: usize = 64 << 10;
 
@@ -118,8 +114,7 @@
 pub(crate) struct TopicReplicas {
     shared: Arc<Mutex<Shared>>,
     driver: Arc<Driver>,
-    /// Permits of [`MAX_UPLOADS`].
-    uploads: Arc<Semaphore>,
+    compressed: Arc<LastCompressed>,
 }
 
 struct Shared {
@@ -136,8 +131,7 @@
     ) -> TopicReplicas {
         let handler = Box::new(handler);
         let shared = Shared { replicas: Default::default(), handler, node };
-        let uploads = Arc::new(Semaphore::new(MAX_UPLOADS));
-        TopicReplicas { shared: Arc::new(Mutex::new(shared)), driver, uploads }
+        TopicReplicas { shared: Arc::new(Mutex::new(shared)), driver, compressed: Arc::default() }
     }
 
     /// Changes the replica of a topic and dispatches the update.
@@ -171,28 +165,23 @@
     }
 
     /// Serves a pull of another node: returns the changes since the revisions in the query, compressed if the other
-    /// node can read that, or status 503 while [`MAX_UPLOADS`] large responses are on their way.
+    /// node can read that, or status 503 while as many large responses as allowed are on their way.
     pub(crate) fn serve_pull(&self, query: Option<&str>, is_compressed: bool) -> Response<Body> {
         let query = PullQuery::parse(query.unwrap_or_default());
         let answer = self.answer(&query);
-        let mut permit = None;
-        if answer.size() > LARGE_RESPONSE_BYTES {
-            let Ok(acquired) = self.uploads.clone().try_acquire_owned() else {
-                return busy_response();
-            };
-            permit = Some(acquired);
+        let is_large = answer.size() > LARGE_RESPONSE_BYTES;
+        if is_large && !self.driver.admit_upload(query.from) {
+            return busy_response();
         }
-        let bytes = answer.encode();
-        let compressed = is_compressed.then(|| compression::compress(&bytes).ok()).flatten();
-        let encoding = compressed.as_ref().map(|_| compression::ENCODING);
-        let body = Body::from(Bytes::from(compressed.unwrap_or(bytes)));
-        let mut response = Response::new(match permit {
-            Some(permit) => body.on_end(hold_until_sent(permit)),
-            None => body,
-        });
-        if let Some(encoding) = encoding {
-            headers::set(response.headers_mut(), &header::CONTENT_ENCODING, encoding);
+        let bytes = Bytes::from(answer.encode());
+        if !is_compressed {
+            return Response::new(Body::from(bytes));
         }
+        let Some(compressed) = self.compressed.get(bytes) else {
+            return busy_response();
+        };
+        let mut response = Response::new(Body::from(compressed));
+        headers::set(response.headers_mut(), &header::CONTENT_ENCODING, compression::ENCODING);
         response
     }
 
@@ -246,7 +235,8 @@
     /// waste what has arrived.
     async fn fetch(&self, pool: &Pool, bytes: &mut Vec<u8>) -> Result<Encoding, PullError> {
         let known = Topic::ALL.map(|topic| self.position(topic));
-        let query = PullQuery::new(&known, self.driver.inspect(|_, r| r.config_version()));
+        let (id, version) = self.driver.inspect(|_, r| (r.local_id(), r.config_version()));
+        let query = PullQuery::new(id, &known, version);
         let req = Request::get(format!("{PATH}?{}", query.format()))
             .header(header::HOST, "node")
             .header(header::ACCEPT_ENCODING, compression::ENCODING)
@@ -308,18 +298,6 @@
     response
 }
 
-/// Holds the permit of an upload until the returned function is called, but no longer than a pull may take. A node that
-/// was suspended while it read would otherwise keep its permit.
-fn hold_until_sent(permit: OwnedSemaphorePermit) -> impl FnOnce() + Send + 'static {
-    let (sent, is_sent) = oneshot::channel::<()>();
-    tokio::spawn(async move {
-        // The outcome does not matter: the upload is over, or has taken too long.
-        let _ = time::timeout(MAX_PULL_TIME, is_sent).await;
-        drop(permit);
-    });
-    move || drop(sent)
-}
-
 /// Synchronises one topic with the store: lists it at the start, and watches it while this node is
 /// a watcher.
 pub(crate) async fn follow<S: Store>(
