Pull the orders first, from whichever node has newer ones

What callers could see: a configuration that stays old in a data centre whose own watching node is stuck, while instances are added. Cause: a node nearby that was newer in any topic was preferred, so that one with newer members hid another data centre's newer orders; and a change of any topic ended the lag of all of them, so that a pull that brought only members was not followed by another one until the next status. Change: the lag is kept for each topic, and a source is chosen for the orders first. Result: both tests of reducer::tests::pulls fail before and pass now.

--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -131,7 +131,7 @@
         let key = self.directory.key(status.from);
         let Some(member) = key.and_then(|key| self.directory.get_mut(key)) else {
             // The sender's record is newer than this node's replica of the store.
-            return self.pull_from_unknown(now, (&positions, config_version), source, out);
+            return self.pull_from_unknown((&positions, config_version), source, out);
         };
         member.update_load(now, status.load);
         member.tally = status.tally;
--- a/mesh/src/reducer/pulls.rs
+++ b/mesh/src/reducer/pulls.rs
@@ -9,7 +9,11 @@
 use rand::{Rng as _, seq::IteratorRandom as _};
 
 use crate::{
-    directory::Member, effect::Effect, event::PullOutcome, keys::MemberId, replica::Revisions,
+    directory::Member,
+    effect::Effect,
+    event::PullOutcome,
+    keys::MemberId,
+    replica::{Revisions, Topic},
     time::Time,
 };
 
@@ -28,6 +32,10 @@
 /// The time in which a node is not asked again after a pull from it failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 
+/// The topics in the order in which sources are chosen. Members change all the time in a large deployment, and a source
+/// of those must not hide that another node has newer orders.
+const PULL_ORDER: [Topic; 3] = [Topic::Orders, Topic::Status, Topic::Members];
+
 /// The maximum number of large responses to pulls that a node sends at the same time. Each node that has the data sends
 /// it on, so the number of sources grows by this factor in each round.
 const MAX_UPLOADS: usize = 2;
@@ -59,8 +67,8 @@
     refusals: u32,
     /// The member that is asked in the pull in progress, or `None` for a node without a record here.
     in_progress: Option<Option<MemberId>>,
-    /// Since when a member has been known to have newer data than this node.
-    behind_since: Option<Time>,
+    /// Since when a member has been known to have newer data of each topic than this node.
+    behind_since: [Option<Time>; 3],
 }
 
 /// A member that has newer data than this node.
@@ -75,11 +83,16 @@
 }
 
 impl Reducer {
-    /// Returns whether another node knows more of the store than this one in any topic, or has a newer configuration. The
-    /// latter alone is the case if this node started after the store returned from an earlier copy of its state.
+    /// Returns whether another node knows more of the store than this one in any topic, or has a newer configuration.
     pub(super) fn is_behind(&self, revisions: &Revisions, config_version: u64) -> bool {
-        config_version > self.config_version()
-            || revisions.iter().zip(&self.revisions).any(|(theirs, own)| theirs > own)
+        Topic::ALL.into_iter().any(|topic| self.is_behind_in(topic, revisions, config_version))
+    }
+
+    /// The same for one topic. A configuration that is newer although the orders are not is that of a node that started
+    /// before the store returned from an earlier copy of its state.
+    fn is_behind_in(&self, topic: Topic, revisions: &Revisions, config_version: u64) -> bool {
+        let is_config_older = topic == Topic::Orders && config_version > self.config_version();
+        is_config_older || revisions[topic.index()] > self.revisions[topic.index()]
     }
 
     /// Pulls from a node that has newer data than this one, unless a pull is in progress. A node of another data centre
@@ -88,15 +101,16 @@
         if self.pulls.in_progress.is_some() {
             return;
         }
-        let since = *self.pulls.behind_since.get_or_insert(now);
-        let Some(source) = self.choose_source(now, now.since(since)) else { return };
-        self.pulls.in_progress = Some(Some(source.id));
-        out.push(Effect::Pull(source.address));
+        let source = PULL_ORDER.into_iter().find_map(|topic| self.choose_source(now, topic));
+        if let Some(source) = source {
+            self.pulls.in_progress = Some(Some(source.id));
+            out.push(Effect::Pull(source.address));
+        }
     }
 
     /// Continues a pull that was delayed.
     pub(super) fn continue_pull(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if self.pulls.behind_since.is_some() {
+        if self.pulls.behind_since.iter().any(Option::is_some) {
             self.pull_if_behind(now, out);
         }
     }
@@ -104,25 +118,24 @@
     /// Pulls from a node whose record this node lacks, if that node has newer data.
     pub(super) fn pull_from_unknown(
         &mut self,
-        now: Time,
         (revisions, config_version): (&Revisions, u64),
         source: SocketAddr,
         out: &mut Vec<Effect>,
     ) {
         if self.is_behind(revisions, config_version) && self.pulls.in_progress.is_none() {
-            self.pulls.behind_since.get_or_insert(now);
             self.pulls.in_progress = Some(None);
             out.push(Effect::Pull(source));
         }
     }
 
-    /// Returns a random source, or `None` if no member can be asked now.
-    fn choose_source(&mut self, now: Time, lag: Duration) -> Option<Source> {
-        let sources = self.sources(now);
+    /// Returns a random source of a topic, or `None` if no member can be asked now.
+    fn choose_source(&mut self, now: Time, topic: Topic) -> Option<Source> {
+        let sources = self.sources(now, topic);
         if sources.is_empty() {
-            self.pulls.behind_since = None;
+            self.pulls.behind_since[topic.index()] = None;
             return None;
         }
+        let lag = now.since(*self.pulls.behind_since[topic.index()].get_or_insert(now));
         let askable = sources.iter().filter(|source| source.is_askable);
         let near = askable.clone().filter(|source| source.is_near);
         if let Some(source) = near.choose(&mut self.rng) {
@@ -133,11 +146,11 @@
         askable.choose(&mut self.rng).filter(|_| lag >= delay).copied()
     }
 
-    /// Returns the members that have newer data than this node.
-    fn sources(&self, now: Time) -> Vec<Source> {
+    /// Returns the members that have newer data of a topic than this node.
+    fn sources(&self, now: Time, topic: Topic) -> Vec<Source> {
         let is_source = |member: &&Member| {
             !self.is_local(member.record.id)
-                && self.is_behind(&member.revisions, member.config_version)
+                && self.is_behind_in(topic, &member.revisions, member.config_version)
                 && !self.directory.is_silent(now, member)
         };
         let source = |member: &Member| Source {
@@ -211,8 +224,12 @@
     ) {
         if self.revisions != revisions {
             self.record_eras(now, &revisions, out);
+            for topic in Topic::ALL.map(Topic::index) {
+                if self.revisions[topic] != revisions[topic] {
+                    self.pulls.behind_since[topic] = None;
+                }
+            }
             self.revisions = revisions;
-            self.pulls.behind_since = None;
             self.send_status_now(now, out);
         }
     }
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -7,6 +7,7 @@
 mod eras;
 mod lifetimes;
 mod orders;
+mod pulls;
 mod spread;
 mod stale_config;
 
