Deny a route only by orders that were confirmed a short time ago

What callers could see: a final 404, 413 or 431 by an old configuration from a node that had just started and heard nobody, that woke from a suspension, whose neighbours' status was seconds old, that had got 410 and not listed yet, that knew of a new era of the store or of a newer configuration elsewhere. Change: a node is confirmed while its own watch of the orders is open, when it has read the newest orders, and when a node whose orders are not newer states the age of its own confirmation. The age is added up on the way and must not exceed 2 s. A 410 or an error of the watch ends the confirmation. An older readable configuration no longer clears the mark of an unreadable one. This replaces the time after a suspension, which the age covers.

--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -49,6 +49,10 @@
     Store { is_reachable: bool },
     /// A configuration was read.
     Config(Arc<RouteTable>),
+    /// This node read the newest orders from the store, and watches them from now on if it is a watcher.
+    OrdersRead { is_watching: bool },
+    /// This node no longer watches the orders, or lacks changes that were made meanwhile.
+    OrdersUnwatched,
     /// The store holds a newer configuration that cannot be read.
     ConfigUnreadable,
     /// The settings changed the limits.
--- a/mesh/src/node_status.rs
+++ b/mesh/src/node_status.rs
@@ -2,6 +2,8 @@
 //!
 //! The next datagram replaces a lost one; nothing depends on a single datagram.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +55,15 @@
     pub(crate) eras: [u64; 3],
     /// The version of the configuration in force, or 0 if there is none.
     pub(crate) config_version: u64,
+    /// The time in milliseconds since the orders of the node were known to be those of the store.
+    pub(crate) orders_age_ms: Option<u32>,
+}
+
+impl Extension {
+    /// Returns the time since the orders of the node were known to be those of the store.
+    pub(crate) fn orders_age(&self) -> Option<Duration> {
+        self.orders_age_ms.map(|ms| Duration::from_millis(ms.into()))
+    }
 }
 
 impl NodeStatus {
--- a/mesh/src/node_status/tests.rs
+++ b/mesh/src/node_status/tests.rs
@@ -33,7 +33,11 @@
             loaded_bad: u32::MAX,
         },
         suspects: Vec::new(),
-        extension: Some(Extension { eras: [u64::MAX; 3], config_version: u64::MAX }),
+        extension: Some(Extension {
+            eras: [u64::MAX; 3],
+            config_version: u64::MAX,
+            orders_age_ms: Some(u32::MAX),
+        }),
         rollouts: vec![
             RolloutProgress {
                 order_hash: u32::MAX,
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -45,7 +45,10 @@
 };
 
 pub(crate) use self::denials::RequestSize;
-use self::{calls::Call, eras::Eras, orders::KeptOrders, pulls::Pulls, works::Work};
+use self::{
+    calls::Call, configuration::Confirmation, eras::Eras, orders::KeptOrders, pulls::Pulls,
+    works::Work,
+};
 
 /// The interval of [`Timer::Tick`].
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -94,6 +97,7 @@
     config: Option<Arc<RouteTable>>,
     /// When the configuration in `config` took effect on this node.
     config_since: Time,
+    confirmation: Confirmation,
     /// Whether the store holds a newer configuration that this node cannot read.
     has_unreadable_config: bool,
     directory: Directory,
@@ -134,8 +138,6 @@
     has_queue_timer: bool,
     /// When the last tick was handled.
     last_tick: Time,
-    /// When a suspension of this process was last noticed.
-    resumed_at: Option<Time>,
     stopping_since: Option<Time>,
     has_exited: bool,
 }
@@ -147,6 +149,7 @@
             rng: SmallRng::seed_from_u64(seed),
             config: None,
             config_since: Time::ZERO,
+            confirmation: Confirmation::default(),
             has_unreadable_config: false,
             has_member_list: false,
             is_synced: false,
@@ -175,7 +178,6 @@
             is_ready: false,
             has_queue_timer: false,
             last_tick: Time::ZERO,
-            resumed_at: None,
             stopping_since: None,
             has_exited: false,
             local,
@@ -205,6 +207,8 @@
             Event::PullEnded(outcome) => self.pull_ended(now, outcome, out),
             Event::Store { is_reachable } => self.store_changed(is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
+            Event::OrdersRead { is_watching } => self.orders_read(now, is_watching),
+            Event::OrdersUnwatched => self.confirmation.is_watching = false,
             Event::ConfigUnreadable => self.has_unreadable_config = true,
             Event::Limits(limits) => self.local.limits = limits,
             Event::Evacuated(centres) => self.evacuation_read(now, centres, out),
@@ -341,7 +345,6 @@
         let gap = now.since(self.last_tick);
         self.last_tick = now;
         if gap > PAUSE_THRESHOLD {
-            self.resumed_at = Some(now);
             self.directory.extend_last_heard(gap);
             out.push(Effect::Log(Record::Paused { time: gap }));
         }
--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -6,20 +6,32 @@
     config::{Config, RouteTable},
     directory::Member,
     effect::{Effect, Record},
-    replica::Topic,
+    node_status::NodeStatus,
+    replica::{Revisions, Topic},
     time::Time,
 };
 
-use super::{PAUSE_THRESHOLD, Reducer};
+use super::Reducer;
 
-/// The time after a suspension in which the nodes of the own data centre send their status at least twice.
-const RESUME_TIME: Duration = Duration::from_secs(1);
+/// The maximum age of orders that count as current. The nodes of the own data centre state the age of theirs twice a
+/// second.
+const MAX_ORDERS_AGE: Duration = Duration::from_secs(2);
+
+/// When the orders of this node were last known to be those of the store.
+#[derive(Copy, Clone, Debug, Default)]
+pub(super) struct Confirmation {
+    /// Whether this node watches the orders, and learns of each change as it is made.
+    pub(super) is_watching: bool,
+    confirmed_at: Option<Time>,
+}
 
 impl Reducer {
     pub(super) fn set_config(&mut self, now: Time, table: Arc<RouteTable>, out: &mut Vec<Effect>) {
-        self.has_unreadable_config = false;
         let previous = self.config_version();
         let version = table.config.version;
+        if version >= previous {
+            self.has_unreadable_config = false;
+        }
         if self.config.is_some() && version <= previous {
             return;
         }
@@ -51,26 +63,56 @@
         config.filter(|config| config.version > version).cloned()
     }
 
-    /// Returns whether no newer configuration can be in force as far as this node knows: it could read the last one, it
-    /// has not just been suspended, no node that it hears has newer orders, and it or one of them reaches the store.
+    /// Returns whether no newer configuration can be in force as far as this node knows: its orders have been confirmed
+    /// a short time ago, it could read the last configuration, and no node that it hears has newer orders, a newer
+    /// configuration or an era of the store that its orders are not of.
     ///
     /// Only then is a request that the configuration does not allow refused for good. Otherwise the caller may come
     /// back, since the configuration that allows it may be on its way.
     pub(super) fn is_config_current(&self, now: Time) -> bool {
+        let is_confirmed = self.orders_age(now).is_some_and(|age| age <= MAX_ORDERS_AGE);
+        is_confirmed
+            && !self.has_unreadable_config
+            && !self.is_orders_era_outdated()
+            && !self.is_behind_in_orders(now)
+    }
+
+    /// Returns the time since the orders of this node were known to be those of the store: none while it watches them, or
+    /// else the time since it last read them or heard from a node whose orders are not newer, plus the age there.
+    pub(super) fn orders_age(&self, now: Time) -> Option<Duration> {
+        if self.confirmation.is_watching {
+            return Some(Duration::ZERO);
+        }
+        self.confirmation.confirmed_at.map(|at| now.since(at))
+    }
+
+    pub(super) fn orders_read(&mut self, now: Time, is_watching: bool) {
+        self.confirmation = Confirmation { is_watching, confirmed_at: Some(now) };
+    }
+
+    /// Takes the age of the orders of another node over if its orders are not newer than those of this node.
+    pub(super) fn orders_confirmed(&mut self, now: Time, status: &NodeStatus, known: &Revisions) {
         let orders = Topic::Orders.index();
-        let is_heard = |member: &&Member| {
-            !self.is_local(member.record.id) && !self.directory.is_silent(now, member)
+        let age = match status.extension {
+            Some(extension) => extension.orders_age(),
+            // Earlier builds do not state the age.
+            None => status.has_store.then_some(Duration::ZERO),
         };
-        let heard = || self.directory.iter().map(|(_, member)| member).filter(is_heard);
-        let is_behind = heard().any(|member| member.revisions[orders] > self.revisions[orders]);
-        let has_store = self.has_store || heard().any(|member| member.has_store);
-        !self.has_unreadable_config && !self.was_suspended(now) && !is_behind && has_store
+        if let Some(age) = age
+            && known[orders] <= self.revisions[orders]
+        {
+            let at = now.saturating_sub(age);
+            self.confirmation.confirmed_at = self.confirmation.confirmed_at.max(Some(at));
+        }
     }
 
-    /// Returns whether this process was suspended so recently that other nodes may not have told it of changes since.
-    fn was_suspended(&self, now: Time) -> bool {
-        // Requests that arrived meanwhile may be handled before the tick that is due.
-        let is_tick_missed = now.since(self.last_tick) > PAUSE_THRESHOLD;
-        is_tick_missed || self.resumed_at.is_some_and(|at| now.since(at) < RESUME_TIME)
+    fn is_behind_in_orders(&self, now: Time) -> bool {
+        let is_heard = |member: &&Member| {
+            !self.is_local(member.record.id) && !self.directory.is_silent(now, member)
+        };
+        let mut heard = self.directory.iter().map(|(_, member)| member).filter(is_heard);
+        heard.any(|member| {
+            self.is_behind_in(Topic::Orders, &member.revisions, member.config_version)
+        })
     }
 }
--- a/mesh/src/reducer/eras.rs
+++ b/mesh/src/reducer/eras.rs
@@ -39,6 +39,11 @@
         status.positions(eras)
     }
 
+    /// Returns whether the store has returned from an earlier copy of its state since this node's orders were read.
+    pub(super) fn is_orders_era_outdated(&self) -> bool {
+        self.eras.latest.is_some_and(|latest| self.revisions[Topic::Orders.index()].era < latest)
+    }
+
     /// Records the eras of this node's replicas.
     pub(super) fn record_eras(&mut self, now: Time, revisions: &Revisions, out: &mut Vec<Effect>) {
         for (first, position) in self.eras.first.iter_mut().zip(revisions) {
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -124,6 +124,7 @@
     ) {
         self.status_eras_seen(now, status, out);
         let positions = self.positions_of(status);
+        self.orders_confirmed(now, status, &positions);
         let config_version = status.extension.map_or(0, |extension| extension.config_version);
         if let Some(record) = status.record.as_ref().filter(|record| record.id == status.from) {
             self.register_sender(now, record, out);
@@ -288,6 +289,9 @@
             extension: Some(Extension {
                 eras: self.revisions.map(|position| position.era),
                 config_version: self.config_version(),
+                orders_age_ms: self
+                    .orders_age(now)
+                    .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
             }),
         }
     }
--- a/mesh/src/reducer/pulls.rs
+++ b/mesh/src/reducer/pulls.rs
@@ -90,7 +90,12 @@
 
     /// The same for one topic. A configuration that is newer although the orders are not is that of a node that started
     /// before the store returned from an earlier copy of its state.
-    fn is_behind_in(&self, topic: Topic, revisions: &Revisions, config_version: u64) -> bool {
+    pub(super) fn is_behind_in(
+        &self,
+        topic: Topic,
+        revisions: &Revisions,
+        config_version: u64,
+    ) -> bool {
         let is_config_older = topic == Topic::Orders && config_version > self.config_version();
         is_config_older || revisions[topic.index()] > self.revisions[topic.index()]
     }
--- a/mesh/src/reducer/tests/stale_config.rs
+++ b/mesh/src/reducer/tests/stale_config.rs
@@ -1,5 +1,7 @@
+use test_case::test_case;
+
 use super::*;
-use crate::replica::Topic;
+use crate::{node_status::Extension, replica::Topic};
 
 /// Returns the status of the answer to a request for a route that the node's configuration lacks.
 fn status_of_unknown_route(node: &mut TestNode) -> Option<u16> {
@@ -18,33 +20,80 @@
     assert_eq!(status_of_unknown_route(&mut node), Some(404));
 }
 
-/// Guards against a final 404 from a node whose configuration may be old because nobody it hears reaches the store.
-#[test]
-fn a_node_that_nobody_connects_to_the_store_does_not_deny_a_route() {
+/// Returns a node that has read the orders at its start, does not watch them and knows another node.
+fn node_that_does_not_watch() -> TestNode {
     let mut node = TestNode::new(&[(2, "stock", "a")]);
-    node.apply(Event::Store { is_reachable: false });
-    assert_eq!(status_of_unknown_route(&mut node), Some(404), "another node reaches the store");
-    let status = NodeStatus { has_store: false, ..status_from(2, idle_load()) };
-    node.apply(Event::Status { status, source: address(2) });
+    node.apply(Event::Revisions(revisions([1, 1, 1])));
+    node.apply(Event::OrdersRead { is_watching: false });
+    node
+}
+
+fn status_with(extension: Option<Extension>, has_store: bool) -> Event {
+    let status =
+        NodeStatus { revisions: [1; 3], has_store, extension, ..status_from(2, idle_load()) };
+    Event::Status { status, source: address(2) }
+}
+
+fn extension(config_version: u64, orders_age_ms: Option<u32>) -> Extension {
+    Extension { eras: [1; 3], config_version, orders_age_ms }
+}
+
+/// Guards against a final 404 from a node that neither watches the orders nor has heard for seconds how old they are.
+#[test_case(Some(extension(1, Some(0))), true; "a node that watches")]
+#[test_case(Some(extension(1, Some(1_500))), true; "a node that heard from one that watches")]
+#[test_case(None, true; "a node of an earlier build that reaches the store")]
+#[test_case(Some(extension(1, Some(1_900))), false; "a node with old orders")]
+#[test_case(Some(extension(1, None)), false; "a node that never read the orders")]
+fn a_node_denies_a_route_only_by_orders_that_were_confirmed(
+    extension: Option<Extension>,
+    is_confirmed: bool,
+) {
+    let mut node = node_that_does_not_watch();
+    assert_eq!(status_of_unknown_route(&mut node), Some(404), "just read");
+    node.now = at_ms(3_000);
+    assert_eq!(status_of_unknown_route(&mut node), Some(503), "not confirmed for seconds");
+    node.apply(status_with(extension, true));
+    node.now = at_ms(3_300);
+    let expected = if is_confirmed { 404 } else { 503 };
+    assert_eq!(status_of_unknown_route(&mut node), Some(expected));
+    node.now = at_ms(6_000);
+    assert_eq!(status_of_unknown_route(&mut node), Some(503), "not confirmed any more");
+}
+
+/// Guards against a final 404 by the older configuration of a store that has returned from a copy.
+#[test]
+fn a_newer_configuration_elsewhere_prevents_a_denial() {
+    let mut node = node_that_does_not_watch();
+    node.apply(status_with(Some(extension(2, Some(0))), true));
     assert_eq!(status_of_unknown_route(&mut node), Some(503));
-    node.apply(Event::Store { is_reachable: true });
+    node.apply(Event::Config(Arc::new(RouteTable::new(config(2)))));
+    assert_eq!(status_of_unknown_route(&mut node), Some(404));
+    node.apply(Event::StoreEra(2));
+    assert_eq!(status_of_unknown_route(&mut node), Some(503), "orders of the earlier era");
+}
+
+/// Guards against a final 404 from a watching node that lacks changes until it has listed the orders again.
+#[test]
+fn a_watching_node_without_the_history_does_not_deny_a_route() {
+    let mut node = TestNode::new(&[]);
+    node.now = at_ms(20_000);
+    assert_eq!(status_of_unknown_route(&mut node), Some(404), "it watches");
+    node.apply(Event::OrdersUnwatched);
+    assert_eq!(status_of_unknown_route(&mut node), Some(503));
+    node.apply(Event::OrdersRead { is_watching: true });
     assert_eq!(status_of_unknown_route(&mut node), Some(404));
 }
 
 /// Guards against a final 404 from a process that was suspended and has not heard since what changed in that time.
 #[test]
 fn a_node_that_was_suspended_does_not_deny_a_route() {
-    let mut node = TestNode::new(&[(2, "stock", "a")]);
+    let mut node = node_that_does_not_watch();
     node.now = at_ms(100);
     node.apply(Event::Timer(Timer::Tick));
     node.now = at_ms(3_000);
     assert_eq!(status_of_unknown_route(&mut node), Some(503), "before the tick that is due");
     node.apply(Event::Timer(Timer::Tick));
     assert_eq!(status_of_unknown_route(&mut node), Some(503), "after it");
-    for ms in (3_100..=4_100).step_by(100) {
-        node.now = at_ms(ms);
-        node.apply(Event::Timer(Timer::Tick));
-    }
-    node.receive_status(2, idle_load());
+    node.apply(status_with(Some(extension(1, Some(0))), true));
     assert_eq!(status_of_unknown_route(&mut node), Some(404));
 }
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -287,6 +287,20 @@
         Ok(topics)
     }
 
+    /// Tells the reducer that the newest data of a topic was read, and whether it is watched from now on.
+    fn report_read(&self, topic: Topic, is_watching: bool) {
+        if topic == Topic::Orders {
+            self.driver.dispatch(Event::OrdersRead { is_watching });
+        }
+    }
+
+    /// Tells the reducer that a topic is not watched, or that changes of it are missing.
+    fn report_unwatched(&self, topic: Topic) {
+        if topic == Topic::Orders {
+            self.driver.dispatch(Event::OrdersUnwatched);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Shared> {
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -315,6 +329,9 @@
     // The delay before a list that follows another one without a successful watch in between.
     let mut relist_backoff = None;
     loop {
+        if !*is_watcher.borrow() {
+            replicas.report_unwatched(topic);
+        }
         if is_watcher.wait_for(|is_watcher| *is_watcher).await.is_err() {
             return;
         }
@@ -333,10 +350,12 @@
                 if is_watch {
                     relist_backoff = None;
                 }
+                replicas.report_read(topic, *is_watcher.borrow());
                 replicas.driver.dispatch(Event::Store { is_reachable: true });
             }
             Err(StoreError::Compacted) => {
                 slog::info!(log, "store-compacted"; "topic" => topic.as_str());
+                replicas.report_unwatched(topic);
                 freshness = Some(Freshness::Latest);
                 if let Some(relist_backoff) = &mut relist_backoff {
                     Backoff::wait(relist_backoff).await;
@@ -346,6 +365,7 @@
             Err(error) => {
                 slog::warn!(log, "store-call-failed"; "topic" => topic.as_str(),
                     "error" => %error);
+                replicas.report_unwatched(topic);
                 replicas.driver.dispatch(Event::Store { is_reachable: false });
                 backoff.wait().await;
             }
@@ -369,6 +389,7 @@
         backoff.wait().await;
     }
     replicas.driver.dispatch(Event::Store { is_reachable: true });
+    replicas.report_read(topic, false);
     if topic == Topic::Members {
         let jitter = rand::rng().random_range(0.8..1.2);
         time::sleep(STARTUP_DELAY.mul_f64(jitter)).await;
--- a/mesh/src/time.rs
+++ b/mesh/src/time.rs
@@ -30,6 +30,11 @@
         self.0
     }
 
+    /// Returns the time `duration` earlier, or zero if that is before it.
+    pub const fn saturating_sub(self, duration: Duration) -> Time {
+        Time(self.0.saturating_sub(duration.as_micros() as u64))
+    }
+
     /// Returns the time elapsed since `earlier`, or zero if `earlier` lies in the future.
     pub const fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
