Close a connection as idle only while no request is running

On a kept connection the request was cut before it ran.

Cause: at the timeout the connection was shut down gracefully and dropped 1 s later, without a second look at its requests. A connection that had served no request was not closed by the shutdown if a part of a head had arrived; it read the rest, ran the request and was dropped while it ran. A run of the new test with a log line in the handler showed this. On a kept connection the shutdown closes at once, as hyper counts it as idle until the head is complete.

An idle connection is now dropped at the timeout itself, in the same poll that found no request running, so no request can begin in between; CLOSE_TIMEOUT is gone. The server's stream records when bytes arrive and leave. A head that began late has its whole head timeout, counted from its first byte, so one without end is still closed. Bytes that are sent count as activity: the callback of a body (`Body::on_end`) fires when hyper has taken the last chunk, which may be long before it is sent, and a slow reader of a large chunk was cut then. The doc comments say so.

mesh/src/serve/tests.rs has a test for each, on the paused clock.

--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod time;
 pub mod timer;
 
+mod activity;
 mod admission;
 mod budget;
 mod compression;
--- a/mesh/src/payload.rs
+++ b/mesh/src/payload.rs
@@ -104,18 +104,19 @@
     /// The time at which a body that has not ended fails.
     deadline: Option<Pin<Box<Sleep>>>,
     is_failed: bool,
-    /// Callback for when the body has been sent or dropped, with whether it was sent completely.
+    /// Callback for when the body has been read or dropped, with whether it was read completely.
     end: Option<Box<dyn FnOnce(bool) + Send>>,
 }
 
 impl Body {
-    /// Adds a callback for when the body has been sent or dropped.
+    /// Adds a callback for when the connection has taken all of the body, or dropped it. The last bytes may wait in the
+    /// connection's buffer at that time, so the callback does not show that they have been sent.
     pub(crate) fn on_end(self, end: impl FnOnce() + Send + 'static) -> Body {
         self.add_callback(move |_| end())
     }
 
-    /// Adds a callback for when the body has been sent completely. It is dropped without a call if the body fails or is
-    /// dropped before its end.
+    /// Adds a callback for when the connection has taken the body completely, as for [`on_end`](Self::on_end). It is
+    /// dropped without a call if the body fails or is dropped before its end.
     pub(crate) fn on_complete(self, complete: impl FnOnce() + Send + 'static) -> Body {
         self.add_callback(move |is_complete| {
             if is_complete {
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -1,11 +1,6 @@
 //! The HTTP server of a node, with graceful shutdown of its connections.
 
-use std::{
-    convert::Infallible,
-    future::Future,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::{convert::Infallible, future::Future, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -14,10 +9,15 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::{self, Instant},
+    time,
 };
 
-use crate::{config::CallerLimits, payload::Body, pool};
+use crate::{
+    activity::{Activity, TrackedStream},
+    config::CallerLimits,
+    payload::Body,
+    pool,
+};
 
 /// The bytes of a caller's request head that a connection buffers, whatever the limit of the configuration, which may
 /// rise while the connection is open. A thousand connections with unfinished heads hold 64 MB at most.
@@ -35,12 +35,12 @@
 /// Default timeout for the next request head. It is longer than the idle timeout of any connection pool of a node.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(90);
 
+/// Default timeout for a head, counted from its first byte.
+const DEFAULT_HEAD_READ_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Delay before the next attempt to accept after an error, for instance when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Time for an idle connection to close, after which it is dropped.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Limits on the size and the arrival time of a request head.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub struct HeadLimits {
@@ -49,8 +49,11 @@
     buffer_bytes: usize,
     /// The most fields of a head. Heads with more are answered with status 431.
     max_fields: usize,
-    /// Timeout for the next head, counted from the end of the previous answer.
-    timeout: Duration,
+    /// Timeout for the next head, counted from the last progress of the previous answer.
+    pub(crate) timeout: Duration,
+    /// Timeout for a head, counted from its first byte. A head that arrives in this time is read even if it began just
+    /// before the other timeout.
+    pub(crate) head_timeout: Duration,
 }
 
 impl Default for HeadLimits {
@@ -59,6 +62,7 @@
             buffer_bytes: HEAD_BUFFER_BYTES,
             max_fields: MAX_HEAD_FIELDS,
             timeout: DEFAULT_HEAD_TIMEOUT,
+            head_timeout: DEFAULT_HEAD_READ_TIMEOUT,
         }
     }
 }
@@ -69,6 +73,7 @@
         HeadLimits {
             buffer_bytes: needed.max(HEAD_BUFFER_BYTES),
             timeout: limits.idle_timeout + limits.head_timeout,
+            head_timeout: limits.head_timeout,
             ..HeadLimits::default()
         }
     }
@@ -125,6 +130,7 @@
 {
     pool::set_socket_options(&stream);
     let activity = Activity::new();
+    let stream = TrackedStream::new(stream, activity.clone());
     let requests = activity.clone();
     let service = service_fn(move |req: Request<Incoming>| {
         let guard = requests.start();
@@ -150,59 +156,10 @@
             conn.as_mut().graceful_shutdown();
             let _ = conn.await;
         }
-        () = activity.wait_until_idle(&limits) => {
-            conn.as_mut().graceful_shutdown();
-            let _ = time::timeout(CLOSE_TIMEOUT, conn).await;
-        }
-    }
-}
-
-/// The requests in progress on a connection, or since when there has been none.
-#[derive(Clone)]
-struct Activity(Arc<Mutex<Requests>>);
-
-struct Requests {
-    running: usize,
-    idle_since: Instant,
-}
-
-impl Activity {
-    fn new() -> Activity {
-        Activity(Arc::new(Mutex::new(Requests { running: 0, idle_since: Instant::now() })))
-    }
-
-    fn start(&self) -> ActivityGuard {
-        self.lock().running += 1;
-        ActivityGuard(self.clone())
-    }
-
-    /// Waits until the connection has been idle for the timeout that is then in force.
-    async fn wait_until_idle(&self, limits: &watch::Receiver<HeadLimits>) {
-        loop {
-            let timeout = limits.borrow().timeout;
-            let idle = {
-                let requests = self.lock();
-                if requests.running > 0 { Duration::ZERO } else { requests.idle_since.elapsed() }
-            };
-            let Some(left) = timeout.checked_sub(idle).filter(|left| !left.is_zero()) else {
-                return;
-            };
-            time::sleep(left).await;
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Requests> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        // The connection was polled before this branch and no request is running, so none is lost when it is dropped.
+        () = activity.wait_until_idle(&limits) => {}
     }
 }
 
-/// Guard of a request in progress; dropping it records the end of its answer.
-struct ActivityGuard(Activity);
-
-impl Drop for ActivityGuard {
-    fn drop(&mut self) {
-        let mut requests = self.0.lock();
-        requests.running -= 1;
-        requests.idle_since = Instant::now();
-    }
-}
+#[cfg(test)]
+mod tests;
