Define the addresses of a node in a module of plain data

Cause: the status, the console and the reducer took the type of a node's addresses from the module that wires all parts together, and so belonged to the same ring of imports. Change: addresses.rs holds the type; node.rs re-exports it, so its public path stays. Result: no behaviour changes.

--- a/src/console.rs
+++ b/src/console.rs
@@ -28,10 +28,10 @@
 use tower::ServiceExt;
 
 use crate::{
+    addresses::Addresses,
     config::Replica,
     document::Document,
     driver::Driver,
-    node::Addresses,
     platform::Platform,
     status::Status,
     store::{self, StoreError},
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 
 pub use poplarbarrow_mesh::{keys, time};
 
+mod addresses;
 mod admission;
 mod auth;
 pub mod bench;
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,7 +11,6 @@
 use http::Request;
 use poplarbarrow_mesh::timer::Timers;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use slog::Logger;
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -52,6 +51,8 @@
     verdicts::VerdictStore,
 };
 
+pub use crate::addresses::Addresses;
+
 /// The interval at which the wall clock is passed to the reducer for rollout schedules.
 const CLOCK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -82,21 +83,6 @@
     },
 }
 
-/// The addresses on which a node listens.
-#[derive(Copy, Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Addresses {
-    /// Requests of callers.
-    pub callers: SocketAddr,
-    /// Requests from other nodes.
-    pub peers: SocketAddr,
-    /// Control calls from other nodes.
-    pub control: SocketAddr,
-    /// Membership datagrams.
-    pub gossip: SocketAddr,
-    /// The operators' pages and status.
-    pub operator: SocketAddr,
-}
-
 /// A running node.
 pub struct Node {
     driver: Arc<Driver>,
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -5,10 +5,10 @@
 use compact_str::{CompactString, ToCompactString};
 
 use crate::{
+    addresses::Addresses,
     directory,
     document::Document,
     membership,
-    node::Addresses,
     status::{Admission, Measuring, MemberState, MemberStatus, ServiceMembers, Status},
     time::Time,
 };
--- a/src/status.rs
+++ b/src/status.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::node::Addresses;
+use crate::addresses::Addresses;
 
 pub use self::fetch::{StatusError, fetch};
 
