Let the driver pass effects to a trait, and split the file of the node

Cause: the driver imported five modules that execute effects (gossip, peers, probes, suspect reports, verdicts), three of which import the driver, and node.rs held the wiring, the control calls and the tasks in 506 lines. Change: the driver passes what leaves it to an EffectSink. node/sinks.rs implements it with the channels that the driver held, node/pull.rs has the pulls and handovers, and node/tasks.rs the tasks that dispatch received messages. Result: the ring of 17 modules is gone: driver, reducer, events and effects import no module that imports them. The only ring left among the modules of src/ is gossip and membership, whose measurement encodes datagrams. No behaviour changes.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -1,7 +1,6 @@
 //! Applies events to the reducer and executes the effects.
 
 use std::{
-    net::SocketAddr,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -9,35 +8,27 @@
     task::{Context, Poll},
 };
 
-use poplarbarrow_mesh::{mailbox::Mailbox, timer::Timers};
+use poplarbarrow_mesh::mailbox::Mailbox;
 use slog::Logger;
 use slotmap::SlotMap;
-use tokio::{
-    sync::{mpsc, watch},
-    time::Instant,
-};
+use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    effect::{CallStep, ClaimIo, Effect, WorkStep},
-    event::{CallEvent, Event, Timer, WorkEvent},
-    gossip,
+    effect::{CallStep, Effect, WorkStep},
+    event::{CallEvent, Event, WorkEvent},
     identity::{Handover, Identity},
-    keys::{CallKey, MemberId, WorkKey},
+    keys::{CallKey, WorkKey},
     load::LoadReport,
     logging,
     metrics::Metrics,
-    peer::Peers,
-    probe::Probe,
     reducer::Reducer,
-    suspect_reports::ReportBatch,
     time::Time,
-    verdicts::VerdictChange,
 };
 
 /// The maximum number of concurrent requests, counted separately for callers' requests and requests for the target.
 pub(crate) const MAX_REQUESTS: usize = 16_384;
 
-/// Runs the reducer under a lock and passes its effects to the tasks of the process.
+/// Runs the reducer under a lock, and passes its effects to the tasks of requests and to the [`EffectSink`].
 pub(crate) struct Driver {
     core: Mutex<Core>,
     started: Instant,
@@ -47,38 +38,14 @@
     rejected_count: AtomicU64,
 }
 
-/// The channels, peers and timers through which effects are executed.
-pub(crate) struct EffectSinks {
-    pub(crate) gossip: gossip::Sender,
-    pub(crate) pulls: mpsc::UnboundedSender<Pull>,
-    pub(crate) probes: mpsc::UnboundedSender<Probe>,
-    pub(crate) claims: mpsc::UnboundedSender<(CallKey, ClaimIo)>,
-    pub(crate) handovers: mpsc::UnboundedSender<OutgoingHandover>,
-    pub(crate) watcher_rank: watch::Sender<Option<usize>>,
-    pub(crate) verdicts: mpsc::UnboundedSender<VerdictChange>,
-    pub(crate) suspect_reports: mpsc::UnboundedSender<ReportBatch>,
-    pub(crate) peers: Peers,
-    pub(crate) timers: Timers<Timer>,
-}
-
-/// A request to pull the document from another member.
-#[derive(Copy, Clone, Debug)]
-pub(crate) struct Pull {
-    pub(crate) from: MemberId,
-    pub(crate) control: SocketAddr,
-}
-
-/// A handover of outcomes that this node sends to another member.
-#[derive(Clone, Debug)]
-pub(crate) struct OutgoingHandover {
-    pub(crate) to: MemberId,
-    pub(crate) control: SocketAddr,
-    pub(crate) handover: Handover,
+/// Executes the effects that leave the driver.
+pub(crate) trait EffectSink: Send {
+    fn execute(&mut self, effect: Effect);
 }
 
 struct Core {
     reducer: Reducer,
-    sinks: Option<EffectSinks>,
+    sink: Option<Box<dyn EffectSink>>,
     calls: SlotMap<CallKey, Mailbox<CallStep>>,
     works: SlotMap<WorkKey, Mailbox<WorkStep>>,
     effects: Vec<Effect>,
@@ -88,7 +55,7 @@
     pub(crate) fn new(reducer: Reducer, log: Logger, metrics: Metrics) -> Driver {
         let core = Core {
             reducer,
-            sinks: None,
+            sink: None,
             calls: SlotMap::with_key(),
             works: SlotMap::with_key(),
             effects: Vec::new(),
@@ -103,11 +70,11 @@
         }
     }
 
-    /// Sets the sinks for effects and starts the reducer.
-    pub(crate) fn start(&self, sinks: EffectSinks) {
+    /// Sets the sink for effects and starts the reducer.
+    pub(crate) fn start(&self, sink: impl EffectSink + 'static) {
         let mut core = self.lock();
         let core = &mut *core;
-        core.sinks = Some(sinks);
+        core.sink = Some(Box::new(sink));
         core.reducer.start(&mut core.effects);
         self.execute(core);
     }
@@ -227,8 +194,8 @@
                     self.exit.send_replace(true);
                 }
                 effect => {
-                    if let Some(sinks) = &mut core.sinks {
-                        sinks.execute(effect);
+                    if let Some(sink) = &mut core.sink {
+                        sink.execute(effect);
                     }
                 }
             }
@@ -244,39 +211,3 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl EffectSinks {
-    fn execute(&mut self, effect: Effect) {
-        match effect {
-            Effect::Send { to, message } => self.gossip.send(to, &message),
-            Effect::Pull { from, control } => {
-                // Sends fail only after the receiving tasks have ended, which they do when the node stops.
-                let _ = self.pulls.send(Pull { from, control });
-            }
-            Effect::Claim { call, io } => {
-                let _ = self.claims.send((call, io));
-            }
-            Effect::HandOver { to, control, handover } => {
-                let _ = self.handovers.send(OutgoingHandover { to, control, handover: *handover });
-            }
-            Effect::Probe { to, peer } => {
-                let _ = self.probes.send(Probe { to, peer });
-            }
-            Effect::ClosePeer { peer, has_failed } => self.peers.remove(peer, has_failed),
-            Effect::WatchPlatform(rank) => {
-                self.watcher_rank.send_replace(rank);
-            }
-            Effect::RecordVerdict(record) => {
-                let _ = self.verdicts.send(VerdictChange::Write(record));
-            }
-            Effect::DeleteVerdict(record) => {
-                let _ = self.verdicts.send(VerdictChange::Delete(record));
-            }
-            Effect::ReportSuspects { to, reports } => {
-                let _ = self.suspect_reports.send(ReportBatch { to, reports });
-            }
-            Effect::Arm { timer, after } => self.timers.arm(timer, after),
-            Effect::Call(..) | Effect::Work(..) | Effect::Log(_) | Effect::Exit => {}
-        }
-    }
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,10 +1,14 @@
 //! A node: the load balancer process that runs beside each target.
 
+mod pull;
+mod sinks;
+mod tasks;
+
 use std::{
     io,
     net::SocketAddr,
     sync::{Arc, OnceLock},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use axum::body::Body;
@@ -23,45 +27,41 @@
 use crate::{
     auth::RequestKey,
     claims::ClaimStore,
-    config::{PULL_TIMEOUT, Replica},
+    config::Replica,
     console::{self, Console},
-    control::{self, ControlError},
-    crash_guard::SuspectReport,
-    driver::{Driver, EffectSinks, OutgoingHandover, Pull},
+    control,
+    driver::Driver,
     event::Event,
     forwarder::Forwarder,
-    gossip::{self, DropReason},
-    health,
+    gossip, health,
     ingress::Ingress,
     keys::MemberId,
-    membership::{Contact, Member, Message, Source},
+    membership::{Contact, Member},
     metrics::Metrics,
     peer::Peers,
     peer_requests::PeerServer,
     platform::{Http, Platform, http::Limits},
     platform_watcher::PlatformWatcher,
-    pool::{Pool, Reachability},
+    pool::Pool,
     probe::Prober,
     reducer::{LocalNode, Reducer},
     rollout,
     server::{self, HeadLimits},
     settings::Settings,
     suspect_reports,
-    time::WallTime,
     verdicts::VerdictStore,
 };
 
-pub use crate::addresses::Addresses;
+use self::{
+    pull::{Puller, hand_over},
+    sinks::EffectSinks,
+};
 
-/// The interval at which the wall clock is passed to the reducer for rollout schedules.
-const CLOCK_INTERVAL: Duration = Duration::from_millis(500);
+pub use crate::addresses::Addresses;
 
 /// The maximum number of queued messages with suspect reports.
 const MAX_QUEUED_REPORTS: usize = 64;
 
-/// The interval at which the numbers of dropped datagrams are logged and counted.
-const DROP_REPORT_INTERVAL: Duration = Duration::from_secs(10);
-
 /// A node cannot start.
 #[derive(Debug, Snafu)]
 pub enum NodeError {
@@ -173,14 +173,14 @@
         let target = &settings.target;
         let pool = Pool::new(target.address, target.connections, target.slots, reachability);
         tasks.spawn(pool.clone().maintain_idle());
-        tasks.spawn(apply_reachability(reachability_changes, driver.clone()));
-        tasks.spawn(apply_gossip(gossip.messages, driver.clone()));
-        tasks.spawn(report_drops(gossip.counters, driver.clone()));
+        tasks.spawn(tasks::apply_reachability(reachability_changes, driver.clone()));
+        tasks.spawn(tasks::apply_gossip(gossip.messages, driver.clone()));
+        tasks.spawn(tasks::report_drops(gossip.counters, driver.clone()));
         if let Some(path) = &target.health {
             tasks.spawn(health::watch(target.address, path.clone(), driver.clone()));
         }
-        tasks.spawn(read_clock(driver.clone()));
-        tasks.spawn(apply_suspect_reports(received_reports, driver.clone()));
+        tasks.spawn(tasks::read_clock(driver.clone()));
+        tasks.spawn(tasks::apply_suspect_reports(received_reports, driver.clone()));
         let (suspect_reports, report_batches) = mpsc::unbounded_channel();
         tasks.spawn(suspect_reports::run(report_batches, key.clone(), log.clone()));
         tasks.spawn(serve_control);
@@ -352,56 +352,6 @@
     }
 }
 
-/// Pulls newer documents from other members.
-struct Puller {
-    driver: Arc<Driver>,
-    replica: Replica,
-    key: RequestKey,
-}
-
-impl Puller {
-    async fn run(self, mut requested: mpsc::UnboundedReceiver<Pull>) {
-        while let Some(pull) = requested.recv().await {
-            let pulled = time::timeout(PULL_TIMEOUT, self.pull(pull)).await;
-            if let Ok(Err(error)) = pulled {
-                slog::warn!(self.driver.log(), "pull-failed"; "from" => %pull.from,
-                    "error" => %error);
-            }
-            self.driver.dispatch(Event::PullEnded);
-        }
-    }
-
-    async fn pull(&self, pull: Pull) -> Result<(), ControlError> {
-        let Pull { from, control } = pull;
-        let pulled = control::pull(control, from, self.key.clone(), &self.replica).await?;
-        if let Some((revision, document)) = pulled {
-            self.driver.dispatch(Event::Document { revision, document });
-        }
-        Ok(())
-    }
-}
-
-async fn hand_over(
-    mut requested: mpsc::UnboundedReceiver<OutgoingHandover>,
-    driver: Arc<Driver>,
-    key: RequestKey,
-) {
-    while let Some(OutgoingHandover { to, control, handover }) = requested.recv().await {
-        let call = async {
-            let client = control::Client::connect(control, to, key.clone()).await?;
-            client.hand_over(handover).await
-        };
-        match call.await {
-            Ok(true) => {}
-            Ok(false) => slog::warn!(driver.log(), "hand-over-refused"; "to" => %to),
-            Err(error) => {
-                slog::warn!(driver.log(), "hand-over-failed"; "to" => %to, "error" => %error);
-            }
-        }
-        driver.dispatch(Event::HandoverEnded);
-    }
-}
-
 fn local_node(settings: &Settings, id: MemberId, addresses: Addresses) -> LocalNode {
     let info = Member {
         id,
@@ -420,7 +370,7 @@
     let drain_timeout = Duration::from_millis(settings.drain_ms.into());
     LocalNode {
         info,
-        started: wall_clock(),
+        started: tasks::wall_clock(),
         slots: settings.target.slots,
         contacts: settings.contacts.clone(),
         drain_timeout,
@@ -434,59 +384,3 @@
 fn bound_addr(listener: &TcpListener) -> SocketAddr {
     listener.local_addr().expect("a bound listener has an address")
 }
-
-async fn apply_reachability(
-    mut changes: mpsc::UnboundedReceiver<Reachability>,
-    driver: Arc<Driver>,
-) {
-    while let Some(reachability) = changes.recv().await {
-        driver.dispatch(Event::Reachability(reachability));
-    }
-}
-
-async fn apply_suspect_reports(
-    mut received: mpsc::Receiver<Vec<SuspectReport>>,
-    driver: Arc<Driver>,
-) {
-    while let Some(reports) = received.recv().await {
-        driver.dispatch(Event::SuspectReports(reports));
-    }
-}
-
-/// Logs and counts dropped datagrams at intervals. The decoder must not log each one, because anyone can send
-/// datagrams and flood the log.
-async fn report_drops(counters: Arc<gossip::Counters>, driver: Arc<Driver>) {
-    let mut reported = [0; DropReason::ALL.len()];
-    let mut interval = time::interval(DROP_REPORT_INTERVAL);
-    loop {
-        interval.tick().await;
-        for (reason, reported) in DropReason::ALL.into_iter().zip(&mut reported) {
-            let total = counters.dropped(reason);
-            if total > *reported {
-                let new = total - *reported;
-                slog::warn!(driver.log(), "gossip-dropped"; "kind" => reason.name(), "new" => new, "total" => total);
-                driver.metrics().count_dropped_datagrams(reason.name(), new);
-                *reported = total;
-            }
-        }
-    }
-}
-
-async fn apply_gossip(mut messages: mpsc::Receiver<(Source, Message)>, driver: Arc<Driver>) {
-    while let Some((from, message)) = messages.recv().await {
-        driver.dispatch(Event::Gossip(from, Box::new(message)));
-    }
-}
-
-async fn read_clock(driver: Arc<Driver>) {
-    let mut interval = time::interval(CLOCK_INTERVAL);
-    loop {
-        interval.tick().await;
-        driver.dispatch(Event::Clock(wall_clock()));
-    }
-}
-
-fn wall_clock() -> WallTime {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    WallTime::from_millis(u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
-}
