--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -1,7 +1,12 @@
+use std::time::Duration;
+
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use test_case::test_case;
 
-use super::{evidence::Counts, *};
+use super::{
+    evidence::{Counts, Tally, WindowLength},
+    *,
+};
 use crate::membership::MAX_PAYLOAD_BYTES;
 
 /// The length of the rollout under test in seconds.
