Keep the answer of an attempt in a box

Cause: with all features of the workspace, an answer makes AttemptOutcome larger than the linter allows, since bodies have a deadline. Change: the answer is boxed; nothing else.

--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -41,7 +41,7 @@
 /// The outcome of an attempt at the target's node.
 pub(crate) enum AttemptOutcome {
     /// The target answered.
-    Answer(Response<Body>),
+    Answer(Box<Response<Body>>),
     /// The target reported that it did not run the request.
     Shed,
     /// The node refused the request, which did not run.
@@ -206,7 +206,7 @@
                 &body.size_hint().exact().unwrap_or(0).to_string(),
             );
         }
-        AttemptOutcome::Answer(Response::from_parts(parts, body))
+        AttemptOutcome::Answer(Box::new(Response::from_parts(parts, body)))
     }
 
     fn prepare_request(
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -194,7 +194,7 @@
             let status = answer.status().as_u16();
             let size = u32::try_from(sent + answer.body().size_hint().lower()).unwrap_or(u32::MAX);
             let head = AnswerHead { status, nominal_service, size };
-            (CallEvent::Answered { attempt, answer: head, load }, Some(answer))
+            (CallEvent::Answered { attempt, answer: head, load }, Some(*answer))
         }
         AttemptOutcome::Shed => (CallEvent::Shed { attempt, load }, None),
         AttemptOutcome::Refused { reason, wait } => {
--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -101,8 +101,9 @@
             } else {
                 body.fail_at(deadline).on_complete(move || conn.release())
             };
-            let outcome = outcome
-                .unwrap_or_else(|| AttemptOutcome::Answer(Response::from_parts(parts, body)));
+            let outcome = outcome.unwrap_or_else(|| {
+                AttemptOutcome::Answer(Box::new(Response::from_parts(parts, body)))
+            });
             Reply { outcome, load: Some(load), nominal_service }
         }
         Err(SendError::Unreachable | SendError::NotSent) => Reply::failed(Failure::NotSent),
@@ -165,7 +166,7 @@
         });
         let text = format_outcome(&outcome);
         let mut answer = match outcome {
-            AttemptOutcome::Answer(answer) => answer,
+            AttemptOutcome::Answer(answer) => *answer,
             AttemptOutcome::Shed | AttemptOutcome::Refused { .. } | AttemptOutcome::Failed(_) => {
                 let mut answer = Response::new(Body::default());
                 *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
