Move the handle of a node to a file of its own

Cause: ingress, peer_requests, sync and node imported one another in a ring through the handle, and settings imported sync for the prefixes of keys. Change: handle.rs holds NodeHandle, which node re-exports under its path; settings.rs holds KeyPrefixes. Behaviour is unchanged.

--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -38,6 +38,7 @@
 mod fingerprint;
 mod forwarder;
 mod gauges;
+mod handle;
 mod health;
 mod ingress;
 mod limits;
@@ -65,6 +66,7 @@
     limits::Limits,
     replica::Topic,
     rollout::{RolloutOrder, RolloutRecord, RolloutState},
-    sync::{KeyPrefixes, UpdateHandler},
+    settings::KeyPrefixes,
+    sync::UpdateHandler,
     target::{Heartbeat, HeartbeatReply, Lifetime},
 };
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -1,6 +1,6 @@
 //! A node: the sidecar process next to each target.
 
-use std::{collections::BTreeSet, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -16,14 +16,12 @@
 };
 
 use crate::{
-    config::{Config, RouteTable},
     driver::{Driver, EffectSinks},
     event::Event,
     forwarder::Forwarder,
     health,
     ingress::Ingress,
     keys::MemberId,
-    limits::Limits,
     logging::Log,
     metered_store::MeteredStore,
     metrics::Metrics,
@@ -35,15 +33,16 @@
     reducer::{LocalNode, Reducer},
     registry,
     replica::Topic,
-    rollout::{RolloutOrder, RolloutRecord},
+    rollout::RolloutRecord,
     serve::{self, HeadLimits},
     settings::Settings,
     store::Store,
     sync::{self, TopicReplicas, UpdateHandler},
-    target::{Heartbeat, HeartbeatReply, Lifetime},
     timer::Timers,
 };
 
+pub use crate::handle::NodeHandle;
+
 /// The connection pool of the target, which runs on the same instance.
 const TARGET_POOL_CONFIG: PoolConfig = PoolConfig {
     connect_timeout: Duration::from_millis(400),
@@ -85,12 +84,6 @@
     rollout_records: Option<mpsc::UnboundedReceiver<RolloutRecord>>,
 }
 
-/// A cloneable handle to report target events to a running node and to change its configuration.
-#[derive(Clone)]
-pub struct NodeHandle {
-    driver: Arc<Driver>,
-}
-
 impl Node {
     /// Starts a node and returns once its sockets are bound.
     ///
@@ -147,7 +140,7 @@
             health_path,
             driver.clone(),
         ));
-        let node_handle = NodeHandle { driver: driver.clone() };
+        let node_handle = NodeHandle::new(driver.clone());
         let replicas = TopicReplicas::new(driver.clone(), node_handle, handler);
         for topic in Topic::ALL {
             let (prefixes, replicas) = (settings.prefixes.clone(), replicas.clone());
@@ -245,7 +238,7 @@
 
     /// Returns a handle to this node.
     pub fn handle(&self) -> NodeHandle {
-        NodeHandle { driver: self.driver.clone() }
+        NodeHandle::new(self.driver.clone())
     }
 
     /// Returns the receiver of rollout states that must be saved in the store; `None` after the first call.
@@ -278,60 +271,6 @@
     }
 }
 
-impl NodeHandle {
-    /// Applies a heartbeat of the target and returns whether it was accepted.
-    pub fn heartbeat(&self, heartbeat: &Heartbeat) -> HeartbeatReply {
-        self.driver.heartbeat(heartbeat)
-    }
-
-    /// Applies the target's announcement that it takes no new requests.
-    pub fn target_leaving(&self, lifetime: &Lifetime) -> HeartbeatReply {
-        self.driver.target_leaving(lifetime)
-    }
-
-    /// Applies a configuration, unless the version in force is the same or newer.
-    pub fn set_config(&self, config: Config) {
-        let table = Arc::new(RouteTable::new(config));
-        self.driver.dispatch(Event::Config(table));
-    }
-
-    /// Reports that the store holds a newer configuration that cannot be read. Until the next one is read, the node does
-    /// not take the configuration that it has as the one in force.
-    pub fn report_unreadable_config(&self) {
-        self.driver.dispatch(Event::ConfigUnreadable);
-    }
-
-    /// Replaces the limits from the settings.
-    pub fn set_limits(&self, limits: Limits) {
-        self.driver.dispatch(Event::Limits(limits));
-    }
-
-    /// Replaces the set of data centres that are out of service.
-    pub fn set_evacuated(&self, centres: BTreeSet<CompactString>) {
-        self.driver.dispatch(Event::Evacuated(centres));
-    }
-
-    /// Starts or changes the rollout of a service; `None` removes its order.
-    pub fn order_rollout(&self, service: CompactString, order: Option<RolloutOrder>) {
-        self.driver.dispatch(Event::Rollout { service, order });
-    }
-
-    /// Applies the state of a rollout as saved in the store.
-    pub fn apply_rollout_record(&self, record: RolloutRecord) {
-        self.driver.dispatch(Event::RolloutRecorded(record));
-    }
-
-    /// Returns the version of the configuration in force, or 0 if there is none.
-    pub fn config_version(&self) -> u64 {
-        self.driver.inspect(|_, reducer| reducer.config_version())
-    }
-
-    /// Returns the number of members in the node's directory.
-    pub fn member_count(&self) -> usize {
-        self.driver.inspect(|_, reducer| reducer.member_count())
-    }
-}
-
 async fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(address).await.context(ListenSnafu { purpose, address })
 }
--- a/mesh/src/reload.rs
+++ b/mesh/src/reload.rs
@@ -8,7 +8,7 @@
 
 use slog::Logger;
 
-use crate::{node::NodeHandle, settings::Settings};
+use crate::{handle::NodeHandle, settings::Settings};
 
 /// Interval at which the file is checked for changes, which may come without a signal.
 pub const CHECK_INTERVAL: Duration = Duration::from_secs(2);
--- a/mesh/src/settings.rs
+++ b/mesh/src/settings.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::{headers::HeaderNames, limits::Limits, sync::KeyPrefixes};
+use crate::{headers::HeaderNames, limits::Limits, registry, replica::Topic};
 
 /// The settings of a node. An adapter reads them in the format that its deployment uses.
 #[derive(Clone, Debug)]
@@ -43,3 +43,22 @@
             && addresses(self) == addresses(other)
     }
 }
+
+/// The key prefixes of the topics in the store.
+#[derive(Clone, Debug)]
+pub struct KeyPrefixes {
+    /// The prefix of the operators' orders.
+    pub orders: &'static str,
+    /// The prefix of the recorded states of rollouts.
+    pub status: &'static str,
+}
+
+impl KeyPrefixes {
+    pub(crate) fn of(&self, topic: Topic) -> &'static str {
+        match topic {
+            Topic::Members => registry::PREFIX,
+            Topic::Orders => self.orders,
+            Topic::Status => self.status,
+        }
+    }
+}
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -24,13 +24,14 @@
     config::RouteTable,
     driver::Driver,
     event::{Event, PullOutcome},
+    handle::NodeHandle,
     headers,
-    node::NodeHandle,
     payload::Body,
     pool::{Pool, SendError},
     pull::{PullAnswer, PullQuery},
     registry,
     replica::{Delta, Position, Replica, Topic},
+    settings::KeyPrefixes,
     store::{Backoff, Freshness, Store, StoreError, Update},
 };
 
@@ -90,25 +91,6 @@
     fn handle_update(&mut self, node: &NodeHandle, topic: Topic, update: Update);
 }
 
-/// The key prefixes of the topics in the store.
-#[derive(Clone, Debug)]
-pub struct KeyPrefixes {
-    /// The prefix of the operators' orders.
-    pub orders: &'static str,
-    /// The prefix of the recorded states of rollouts.
-    pub status: &'static str,
-}
-
-impl KeyPrefixes {
-    fn of(&self, topic: Topic) -> &'static str {
-        match topic {
-            Topic::Members => registry::PREFIX,
-            Topic::Orders => self.orders,
-            Topic::Status => self.status,
-        }
-    }
-}
-
 /// This node's replicas of all topics.
 #[derive(Clone)]
 pub(crate) struct TopicReplicas {
