Take one first era for all topics where a build states none

In a fleet of two builds on a store that counts eras, a node that had not read the members itself took those of a node of an earlier build for era 0. Once it had read them from the store it ignored the earlier build's nodes in that topic for good, although the store had never returned from a copy. The era in which the store was first read now holds for all topics. Found by reading; a unit test of the replica covers it.

--- a/mesh/src/reducer/eras.rs
+++ b/mesh/src/reducer/eras.rs
@@ -22,8 +22,8 @@
 /// What this node knows of the eras of the store.
 #[derive(Debug, Default)]
 pub(super) struct Eras {
-    /// The era in which each topic was first read. Nodes of builds that do not know eras are assumed to be in it.
-    first: [Option<u64>; 3],
+    /// The era in which the store was first read. Nodes of builds that do not know eras are assumed to be in it.
+    first: Option<u64>,
     /// The latest era that the store or another node has stated.
     latest: Option<u64>,
     /// The services whose final rollout state the store may have lost, and since when.
@@ -38,18 +38,14 @@
         if status.extension.is_some_and(|known| known.config_version > self.config_version()) {
             return true;
         }
-        let eras = std::array::from_fn(|topic| {
-            self.eras.first[topic].unwrap_or(self.revisions[topic].era)
-        });
-        status.positions(eras).iter().zip(&self.revisions).any(|(theirs, own)| theirs > own)
+        let era = self.eras.first.unwrap_or_default();
+        status.positions([era; 3]).iter().zip(&self.revisions).any(|(theirs, own)| theirs > own)
     }
 
     /// Records the eras of this node's replicas.
     pub(super) fn record_eras(&mut self, now: Time, revisions: &Revisions, out: &mut Vec<Effect>) {
-        for (first, position) in self.eras.first.iter_mut().zip(revisions) {
-            if position.revision > 0 {
-                first.get_or_insert(position.era);
-            }
+        if let Some(position) = revisions.iter().find(|position| position.revision > 0) {
+            self.eras.first.get_or_insert(position.era);
         }
         self.positions_seen(now, revisions, out);
     }
--- a/mesh/src/replica.rs
+++ b/mesh/src/replica.rs
@@ -78,7 +78,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Replica {
     position: Position,
-    /// The era of the first list. Other nodes that do not know eras are assumed to be in it.
+    /// The era in which the store was first read. Other nodes that do not know eras are assumed to be
+    /// in it.
     first_era: Option<u64>,
     /// The revision and the value by key; the value is absent if the key was removed.
     entries: BTreeMap<CompactString, (u64, Option<Bytes>)>,
@@ -91,6 +92,11 @@
         self.position
     }
 
+    /// Records the era in which this node first read any topic.
+    pub(crate) fn set_first_era(&mut self, era: u64) {
+        self.first_era.get_or_insert(era);
+    }
+
     /// Applies a full list of the store. A list that is not newer than the replica has no effect.
     pub(crate) fn apply_list(&mut self, items: Vec<Item>, position: Position) -> Option<Update> {
         if self.position.revision > 0 && position <= self.position {
@@ -178,7 +184,7 @@
 
     fn replace_all(&mut self, entries: Vec<Entry>, position: Position) {
         let Position { era, revision } = position;
-        let is_first = self.first_era.replace(self.first_era.unwrap_or(era)).is_none();
+        let is_first = self.position.revision == 0;
         if !is_first && era != self.position.era {
             // The removed keys of the earlier era say nothing about keys of this one.
             self.entries.clear();
--- a/mesh/src/replica/tests.rs
+++ b/mesh/src/replica/tests.rs
@@ -18,6 +18,7 @@
 fn listed(items: &[Item], revision: u64) -> Replica {
     let mut replica = Replica::default();
     replica.apply_list(items.to_vec(), at(1, revision));
+    replica.set_first_era(1);
     replica
 }
 
@@ -145,3 +146,16 @@
     assert_eq!(replica.position(), at(1, 4));
     assert_eq!(replica.apply_preliminary(vec![item("b", 8)]), None);
 }
+
+/// Guards against members from an earlier build that count as older than those of this one, because a node has not
+/// read them itself yet.
+#[test]
+fn a_first_delta_without_an_era_is_of_the_first_one() {
+    let mut replica = Replica::default();
+    replica.apply_preliminary(vec![item("a", 9)]);
+    replica.set_first_era(1);
+    let mut delta = listed(&[item("a", 9)], 9).delta_since(Topic::Members, replica.position());
+    delta.era = None;
+    assert!(replica.merge(delta).is_some());
+    assert_eq!(replica.position(), at(1, 9));
+}
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -102,6 +102,9 @@
         let before = replica.position();
         let update = change(replica);
         let Position { era, revision } = replica.position();
+        if revision > 0 {
+            shared.replicas.iter_mut().for_each(|replica| replica.set_first_era(era));
+        }
         let is_restored = before.revision > 0 && era > before.era;
         if is_restored {
             slog::info!(self.driver.log(), "store-relisted"; "topic" => topic.as_str(),
