--- a/mesh/src/reducer/eras.rs
+++ b/mesh/src/reducer/eras.rs
@@ -22,8 +22,8 @@
 /// What this node knows of the eras of the store.
 #[derive(Debug, Default)]
 pub(super) struct Eras {
-    /// The era in which each topic was first read. Nodes of builds that do not know eras are assumed to be in it.
-    first: [Option<u64>; 3],
+    /// The era in which the store was first read. Nodes of builds that do not know eras are assumed to be in it.
+    first: Option<u64>,
     /// The latest era that the store or another node has stated.
     latest: Option<u64>,
     /// The services whose final rollout state the store may have lost, and since when.
@@ -33,10 +33,8 @@
 impl Reducer {
     /// Returns the positions that another node states.
     pub(super) fn positions_of(&self, status: &NodeStatus) -> Revisions {
-        let eras = std::array::from_fn(|topic| {
-            self.eras.first[topic].unwrap_or(self.revisions[topic].era)
-        });
-        status.positions(eras)
+        let era = self.eras.first.unwrap_or_default();
+        status.positions([era; 3])
     }
 
     /// Returns whether the store has returned from an earlier copy of its state since this node's orders were read.
@@ -46,10 +44,8 @@
 
     /// Records the eras of this node's replicas.
     pub(super) fn record_eras(&mut self, now: Time, revisions: &Revisions, out: &mut Vec<Effect>) {
-        for (first, position) in self.eras.first.iter_mut().zip(revisions) {
-            if position.revision > 0 {
-                first.get_or_insert(position.era);
-            }
+        if let Some(position) = revisions.iter().find(|position| position.revision > 0) {
+            self.eras.first.get_or_insert(position.era);
         }
         self.positions_seen(now, revisions, out);
     }
