Hold to what the store has lost until operators can have written it again

What callers could see after a return of the store from a copy: requests to a version that had been stopped or to a data centre out of service if operators write their orders again later than 3 s after it; a rollout without its outcome in the store if they do so later than 10 s after it; 503 from nodes that had forgotten a member which was silent meanwhile. Cause: times that count from the return, although the store may be slow or away once more; and a record that is in the status only in the first 10 s of a process. Change: lost orders stay for 10 s, lost outcomes are recorded for up to 60 s, and the status has the record for 10 s after a return. Result: the new test of the record fails before (no record) and passes now; the waits in the tests of kept orders follow the constant. 246 tests of the library pass.

--- a/mesh/src/reducer/eras.rs
+++ b/mesh/src/reducer/eras.rs
@@ -15,9 +15,9 @@
 
 use super::Reducer;
 
-/// The time for which nodes try to record a final rollout state again that the store may have lost. The store may
-/// still be slow after its return.
-const SAVE_LOST_TIME: Duration = Duration::from_secs(10);
+/// The time for which nodes try to record a final rollout state again that the store may have lost. Operators may write
+/// its order again only then, and the store may be slow or away once more.
+const SAVE_LOST_TIME: Duration = Duration::from_secs(60);
 
 /// What this node knows of the eras of the store.
 #[derive(Debug, Default)]
@@ -26,6 +26,8 @@
     first: Option<u64>,
     /// The latest era that the store or another node has stated.
     latest: Option<u64>,
+    /// When this node learned that the store had returned from an earlier copy of its state.
+    changed_at: Option<Time>,
     /// The services whose final rollout state the store may have lost, and since when.
     lost_records: BTreeMap<CompactString, Time>,
 }
@@ -37,6 +39,11 @@
         status.positions([era; 3])
     }
 
+    /// Returns whether the store returned from an earlier copy of its state less than `time` ago.
+    pub(super) fn is_just_restored(&self, now: Time, time: Duration) -> bool {
+        self.eras.changed_at.is_some_and(|at| now.since(at) < time)
+    }
+
     /// Returns whether the store has returned from an earlier copy of its state since this node's orders were read.
     pub(super) fn is_orders_era_outdated(&self) -> bool {
         self.eras.latest.is_some_and(|latest| self.revisions[Topic::Orders.index()].era < latest)
@@ -81,6 +88,7 @@
             return;
         }
         self.eras.latest = Some(era);
+        self.eras.changed_at = Some(now);
         out.push(Effect::Log(Record::StoreEra { previous, era }));
         out.push(Effect::RenewRecord { era });
         let records = self.rollout_records.values().filter(|record| record.state.is_final());
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -29,8 +29,8 @@
     OtherCentre,
 }
 
-/// The time after its start for which a node includes its record in its status. By then other nodes have read the
-/// record from the store, unless the store is unavailable.
+/// The time for which a node includes its record in its status after its start, and after the store may have lost the
+/// record. By then other nodes have read it from the store, unless the store is unavailable.
 const RECORD_SEND_TIME: Duration = Duration::from_secs(10);
 
 /// The minimum interval of status datagrams to other data centres.
@@ -274,13 +274,14 @@
     }
 
     pub(super) fn node_status(&self, now: Time, suspects: Vec<SuspectReport>) -> NodeStatus {
-        let is_new = now.since(Time::ZERO) < RECORD_SEND_TIME;
+        let has_new_record = now.since(Time::ZERO) < RECORD_SEND_TIME
+            || self.is_just_restored(now, RECORD_SEND_TIME);
         NodeStatus {
             from: self.local.id,
             revisions: self.revisions.map(|position| position.revision),
             has_store: self.has_store,
             is_stopping: self.stopping_since.is_some(),
-            record: is_new.then(|| self.local.record()),
+            record: has_new_record.then(|| self.local.record()),
             version: self.target.version().cloned().unwrap_or_default(),
             load: self.admission.report(now),
             tally: self.tally,
--- a/mesh/src/reducer/orders.rs
+++ b/mesh/src/reducer/orders.rs
@@ -16,9 +16,10 @@
 
 use super::Reducer;
 
-/// The time for which an order stays in force that the store has lost. Operators write it again; without it a bad
-/// version would get all requests meanwhile, or a data centre out of service would get some.
-const KEEP_TIME: Duration = Duration::from_secs(3);
+/// The time for which an order stays in force that the store has lost. Operators write it again, and the store may still be
+/// slow after its return; without the order a bad version would get all requests meanwhile, or a data centre out of
+/// service would get some.
+const KEEP_TIME: Duration = Duration::from_secs(10);
 
 /// Orders that stay in force although the store has lost them.
 #[derive(Debug, Default)]
--- a/mesh/src/reducer/tests/eras.rs
+++ b/mesh/src/reducer/tests/eras.rs
@@ -162,3 +162,19 @@
     node.apply(Event::RolloutRecorded(record_of("v3", RolloutState::Running)));
     assert!(saved_rollouts(&mut node).is_empty(), "a state written since is not lost");
 }
+
+/// Guards against a node that others have forgotten, because it was silent while the store returned without its record, and
+/// whose status they then ignore.
+#[test]
+fn a_status_has_the_record_after_a_restore() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    node.apply(Event::StoreEra(1));
+    let has_record =
+        |node: &TestNode| node.reducer.node_status(node.now, Vec::new()).record.is_some();
+    node.now = at_ms(60_000);
+    assert!(!has_record(&node));
+    node.apply(Event::StoreEra(2));
+    assert!(has_record(&node));
+    node.now = at_ms(80_000);
+    assert!(!has_record(&node));
+}
--- a/mesh/src/reducer/tests/orders.rs
+++ b/mesh/src/reducer/tests/orders.rs
@@ -48,7 +48,7 @@
     complete(&mut node);
     assert_eq!(node.reducer.evacuated, names(&["a", "b", "c"]));
     node.apply(Event::Evacuated(names(&["b", "c"])));
-    wait(&mut node, Duration::from_secs(2));
+    wait(&mut node, Duration::from_secs(9));
     assert_eq!(node.reducer.evacuated, names(&["a", "b", "c"]));
     wait(&mut node, Duration::from_secs(2));
     assert_eq!(node.reducer.evacuated, names(&["b", "c"]));
@@ -62,7 +62,7 @@
     let mut node = restored_node(Some(order("v2")), &[]);
     node.apply(Event::Rollout { service: "stock".into(), order: None });
     complete(&mut node);
-    wait(&mut node, Duration::from_secs(2));
+    wait(&mut node, Duration::from_secs(9));
     assert_eq!(ordered_version(&node), Some("v2"));
     wait(&mut node, Duration::from_secs(2));
     assert_eq!(ordered_version(&node), None);
@@ -77,7 +77,7 @@
     complete(&mut node);
     assert_eq!(ordered_version(&node), Some("v2"), "the order before it is older");
     node.apply(Event::Rollout { service: "stock".into(), order: Some(order("v2")) });
-    wait(&mut node, Duration::from_secs(4));
+    wait(&mut node, Duration::from_secs(11));
     assert_eq!(ordered_version(&node), Some("v2"));
     node.apply(Event::Rollout { service: "stock".into(), order: None });
     assert_eq!(ordered_version(&node), None);
