Tell nodes that are behind which keys exist after a list

What callers could see: 503 for a data centre that had long been taken back, or an old rollout, at single nodes: an order that was removed stayed in force there. Cause: a node that has just listed a topic does not know the keys that were removed before. Its changes for a node that is behind lacked these removals. Change: if the other node's position is before the last list, the answer to its pull names all keys that exist, after the fields that earlier builds read, and the receiver removes the others.

--- a/mesh/src/pull.rs
+++ b/mesh/src/pull.rs
@@ -3,6 +3,7 @@
 //! Nodes of earlier builds read the first three parts of a query and the deltas at the beginning of an answer, and
 //! ignore the rest. So whatever is added comes after them and may be missing.
 
+use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -75,6 +76,8 @@
     /// The eras of the deltas, by topic.
     eras: [u64; 3],
     config: Option<Config>,
+    /// The keys of the deltas, by topic.
+    keys: [Option<Vec<CompactString>>; 3],
 }
 
 /// The approximate size of one route of a configuration in bytes.
@@ -88,25 +91,28 @@
     }
 
     pub(crate) fn encode(self) -> Vec<u8> {
-        let PullAnswer { deltas, config } = self;
+        let PullAnswer { mut deltas, config } = self;
         let mut eras = [0; 3];
-        for delta in &deltas {
+        let mut keys = [None, None, None];
+        for delta in &mut deltas {
             eras[delta.topic.index()] = delta.era.unwrap_or_default();
+            keys[delta.topic.index()] = delta.keys.take();
         }
         let encoded = postcard::to_stdvec(&deltas);
         let encoded =
-            encoded.and_then(|bytes| postcard::to_extend(&Extension { eras, config }, bytes));
+            encoded.and_then(|bytes| postcard::to_extend(&Extension { eras, config, keys }, bytes));
         encoded.unwrap_or_default()
     }
 
     /// Decodes an answer, or returns `None` if it is invalid.
     pub(crate) fn decode(bytes: &[u8]) -> Option<PullAnswer> {
         let (mut deltas, rest) = postcard::take_from_bytes::<Vec<Delta>>(bytes).ok()?;
-        let Ok((Extension { eras, config }, _)) = postcard::take_from_bytes(rest) else {
+        let Ok((Extension { eras, config, mut keys }, _)) = postcard::take_from_bytes(rest) else {
             return Some(PullAnswer { deltas, config: None });
         };
         for delta in &mut deltas {
             delta.era = Some(eras[delta.topic.index()]);
+            delta.keys = keys[delta.topic.index()].take();
         }
         Some(PullAnswer { deltas, config })
     }
--- a/mesh/src/replica.rs
+++ b/mesh/src/replica.rs
@@ -72,6 +72,10 @@
     /// Whether the delta holds the whole topic.
     is_full: bool,
     entries: Vec<Entry>,
+    /// All keys that exist, if the sender may lack removals since the receiver's position. They are
+    /// sent apart from the delta, as the era is.
+    #[serde(skip)]
+    pub(crate) keys: Option<Vec<CompactString>>,
 }
 
 impl Delta {
@@ -93,6 +97,8 @@
     entries: BTreeMap<CompactString, (u64, Option<Bytes>)>,
     /// Removed keys up to this revision may have been pruned.
     pruned_revision: u64,
+    /// The revision of the last list. Keys that were added and removed before it are not known.
+    listed_revision: u64,
 }
 
 impl Replica {
@@ -163,7 +169,8 @@
         };
         let Position { era, revision } = self.position;
         let entries = wanted.map(entry).collect();
-        Delta { topic, revision, era: Some(era), is_full, entries }
+        let keys = (!is_full && known.revision < self.listed_revision).then(|| self.keys());
+        Delta { topic, revision, era: Some(era), is_full, entries, keys }
     }
 
     /// Merges the changes that another node sent. Changes since a position of another era have no
@@ -181,7 +188,12 @@
         if era != self.position.era {
             return None;
         }
-        self.apply_entries(delta.entries, delta.revision)
+        if delta.keys.is_some() {
+            self.listed_revision = self.listed_revision.max(delta.revision);
+        }
+        let mut entries = delta.entries;
+        entries.extend(self.missing_from(delta.keys, delta.revision));
+        self.apply_entries(entries, delta.revision)
     }
 
     /// Returns the era that another node states, or the first one of this replica if it states none.
@@ -208,6 +220,7 @@
             self.entries.insert(key, (revision, value));
         }
         self.position = position;
+        self.listed_revision = revision;
         self.prune_removed();
     }
 
@@ -229,6 +242,20 @@
         (!changes.is_empty()).then_some(Update::Changed(changes))
     }
 
+    /// Returns all keys that exist.
+    fn keys(&self) -> Vec<CompactString> {
+        let existing = self.entries.iter().filter(|(_, (_, value))| value.is_some());
+        existing.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Returns the removals of the keys that are not among those that exist elsewhere.
+    fn missing_from(&self, keys: Option<Vec<CompactString>>, revision: u64) -> Vec<Entry> {
+        let Some(keys) = keys else { return Vec::new() };
+        let keys: BTreeSet<CompactString> = keys.into_iter().collect();
+        let missing = self.keys().into_iter().filter(|key| !keys.contains(key));
+        missing.map(|key| Entry { key, revision, value: None }).collect()
+    }
+
     fn items(&self) -> Vec<Item> {
         let item = |(key, (revision, value)): (&CompactString, &(u64, Option<Bytes>))| {
             let (key, revision) = (key.clone(), *revision);
--- a/mesh/src/replica/tests.rs
+++ b/mesh/src/replica/tests.rs
@@ -159,3 +159,19 @@
     assert!(replica.merge(delta).is_some());
     assert_eq!(replica.position(), at(1, 9));
 }
+
+/// Guards against an order that stays in force for ever at a node that pulls from one that started after its removal.
+#[test]
+fn a_removal_before_a_list_reaches_a_node_behind() {
+    let at = |revision| Position { era: 1, revision };
+    let mut behind = Replica::default();
+    behind.apply_list(vec![item("a", 1), item("b", 2)], at(2));
+    let mut started = Replica::default();
+    started.apply_list(vec![item("a", 1), item("c", 4)], at(5));
+    let mut last = behind.clone();
+    let update = behind.merge(started.delta_since(Topic::Orders, behind.position()));
+    let expected = vec![Change::Put(item("c", 4)), removed("b", 5)];
+    assert_eq!(update, Some(Update::Changed(expected)));
+    last.merge(behind.delta_since(Topic::Orders, last.position()));
+    assert_eq!(last.items(), started.items());
+}
