Split the replicas and pulls from the synchronisation with the store

Change: topic_replicas.rs holds the replicas, serves pulls and pulls; sync.rs follows the store. Behaviour is unchanged. Result: 247 tests of the library, fleet and restored_store pass.

--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -59,6 +59,7 @@
 mod slowdown;
 mod sync;
 mod target;
+mod topic_replicas;
 mod watchers;
 
 pub use crate::{
@@ -67,6 +68,6 @@
     replica::Topic,
     rollout::{RolloutOrder, RolloutRecord, RolloutState},
     settings::KeyPrefixes,
-    sync::UpdateHandler,
     target::{Heartbeat, HeartbeatReply, Lifetime},
+    topic_replicas::UpdateHandler,
 };
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -37,8 +37,9 @@
     serve::{self, HeadLimits},
     settings::Settings,
     store::Store,
-    sync::{self, TopicReplicas, UpdateHandler},
+    sync,
     timer::Timers,
+    topic_replicas::{TopicReplicas, UpdateHandler},
 };
 
 pub use crate::handle::NodeHandle;
--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -20,7 +20,7 @@
     pool::{Pool, SendError},
     refusal::Reason,
     report::LoadReport,
-    sync::{self, TopicReplicas},
+    topic_replicas::{self, TopicReplicas},
 };
 
 /// Metadata of a request between nodes.
@@ -140,7 +140,7 @@
 
 impl PeerServer {
     pub(crate) async fn serve(&self, req: Request<Incoming>) -> Response<Body> {
-        if req.uri().path() == sync::PATH {
+        if req.uri().path() == topic_replicas::PATH {
             let encodings = headers::text(req.headers(), &header::ACCEPT_ENCODING);
             let is_compressed = encodings == Some(compression::ENCODING);
             return self.replicas.serve_pull(req.uri().query(), is_compressed);
