--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -2,6 +2,7 @@
 
 use slotmap::SlotMap;
 
+mod calls;
 mod crashes;
 mod denials;
 mod eras;
@@ -10,6 +11,7 @@
 mod pulls;
 mod spread;
 mod stale_config;
+mod stops;
 
 use super::{Limits, LocalNode, Reducer};
 use crate::{
@@ -261,73 +263,6 @@
 const THREE_MEMBERS: [(u64, &str, &str); 3] =
     [(2, "stock", "a"), (3, "stock", "a"), (4, "stock", "b")];
 
-/// Guards against a payment that is sent to a second target after its answer was lost.
-#[test]
-fn a_lost_answer_of_a_request_that_is_not_idempotent_ends_it() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    let (key, effects) = node.call("/pay/1");
-    let first = attempt(&effects).expect("an attempt");
-    let lost = CallEvent::Failed { attempt: first.number, failure: Failure::Lost };
-    let effects = node.apply(Event::Call(key, lost));
-    assert!(attempt(&effects).is_none());
-    let refusal = refusal(&effects).expect("a refusal");
-    assert_eq!((refusal.status().as_u16(), refusal.retry_after), (502, None));
-}
-
-/// Guards against a failed lookup that another target could have answered.
-#[test]
-fn a_lost_answer_of_an_idempotent_request_leads_to_another_target() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    // After some time the retry budget of the node allows a retry.
-    node.now = at_ms(5_000);
-    for id in [2, 3, 4] {
-        node.receive_status(id, idle_load());
-    }
-    let (key, effects) = node.call("/read/1");
-    let first = attempt(&effects).expect("an attempt");
-    let lost = CallEvent::Failed { attempt: first.number, failure: Failure::Lost };
-    let second = attempt(&node.apply(Event::Call(key, lost))).expect("another attempt");
-    assert_ne!(member(&first), member(&second));
-}
-
-/// Guards against the refusal of a payment that was never sent to a target.
-#[test]
-fn a_request_that_was_not_sent_goes_to_another_target() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    let (key, effects) = node.call("/pay/1");
-    let first = attempt(&effects).expect("an attempt");
-    let failed = CallEvent::Failed { attempt: first.number, failure: Failure::NotSent };
-    let second = attempt(&node.apply(Event::Call(key, failed))).expect("another attempt");
-    assert_ne!(member(&first), member(&second));
-}
-
-/// Guards against a refusal that says "not run" after an attempt with an unknown outcome.
-#[test]
-fn a_deadline_with_an_open_attempt_is_answered_with_504() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    let (key, _) = node.call("/pay/1");
-    node.now = at_ms(1_000);
-    let effects = node.apply(Event::Timer(Timer::CallDeadline(key)));
-    assert_eq!(refusal(&effects).map(|refusal| refusal.status().as_u16()), Some(504));
-}
-
-/// Guards against a refusal without a Retry-After time, or with one after which the objective can no longer be met.
-#[test]
-fn a_request_that_no_target_takes_is_refused_with_a_time_to_return() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    let (key, mut effects) = node.call("/pay/1");
-    for _ in 0..10 {
-        let Some(attempt) = attempt(&effects) else { break };
-        let (reason, wait) = (Reason::Overloaded, Duration::from_millis(80));
-        let refused = CallEvent::Refused { attempt: attempt.number, reason, wait, load: None };
-        effects = node.apply(Event::Call(key, refused));
-    }
-    let refusal = refusal(&effects).expect("a refusal");
-    assert_eq!(refusal.status().as_u16(), 503);
-    let after = refusal.retry_after.expect("a time");
-    assert!(after >= Duration::from_millis(80) && after <= Duration::from_millis(334), "{after:?}");
-}
-
 /// Guards against a 404 from a node that has not read its routes yet.
 #[test]
 fn a_node_without_configuration_answers_503_instead_of_404() {
@@ -395,74 +330,6 @@
     assert!(matches!(refused, Some(WorkStep::Refuse { reason: Reason::NoTarget, .. })));
 }
 
-/// Guards against a request that is accepted shortly before the end of a graceful stop and cut off by it.
-#[test]
-fn a_stopping_node_takes_what_it_can_finish() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    node.apply(Event::Stop);
-    node.now = at_ms(1_000);
-    for id in [2, 3, 4] {
-        node.receive_status(id, idle_load());
-    }
-    assert!(attempt(&node.call("/read/1").1).is_some());
-    node.now = at_ms(5_000);
-    let refusal = refusal(&node.call("/read/1").1).expect("a refusal");
-    assert_eq!((refusal.reason, refusal.status().as_u16()), (Reason::Stopping, 503));
-}
-
-/// Guards against a node that exits while a request is in progress, and one that waits although none is.
-#[test]
-fn a_stop_ends_when_nothing_is_in_progress() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    let (key, _) = node.call("/read/1");
-    node.apply(Event::Stop);
-    node.now = at_ms(3_000);
-    assert!(!node.apply(Event::Timer(Timer::Tick)).contains(&Effect::Exit));
-    node.apply(Event::Call(key, CallEvent::Ended));
-    assert!(node.apply(Event::Timer(Timer::Tick)).contains(&Effect::Exit));
-}
-
-/// Guards against a node that never learns of a member that registered after this node had read the store.
-#[test]
-fn a_status_of_an_unknown_member_leads_to_a_pull() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    let mut unknown = status_from(9, idle_load());
-    unknown.revisions = [5, 0, 0];
-    let effects = node.apply(Event::Status { status: unknown.clone(), source: address(9) });
-    assert!(effects.contains(&Effect::Pull(address(9))));
-    let effects = node.apply(Event::Status { status: unknown, source: address(9) });
-    assert!(!effects.contains(&Effect::Pull(address(9))), "one pull at a time");
-}
-
-/// Guards against traffic between data centres for changes that nodes of the same data centre are about to have.
-#[test]
-fn pulls_from_another_data_centre_are_delayed() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    let mut far = status_from(4, idle_load());
-    far.revisions = [5, 0, 0];
-    let effects = node.apply(Event::Status { status: far.clone(), source: address(4) });
-    assert!(!effects.contains(&Effect::Pull(address(4))));
-    node.now = at_ms(400);
-    let effects = node.apply(Event::Status { status: far, source: address(4) });
-    assert!(effects.contains(&Effect::Pull(address(4))));
-}
-
-/// Guards against a configuration that no node of this data centre has and that is pulled only after the next status
-/// from another data centre, which may take seconds.
-#[test]
-fn a_delayed_pull_needs_no_further_status() {
-    let mut node = TestNode::new(&THREE_MEMBERS);
-    let mut far = status_from(4, idle_load());
-    far.revisions = [0, 5, 0];
-    node.apply(Event::Status { status: far, source: address(4) });
-    node.now = at_ms(100);
-    assert!(!node.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
-    node.now = at_ms(300);
-    assert!(node.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
-    node.now = at_ms(400);
-    assert!(!node.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
-}
-
 /// Guards against a node that starts while the store is slow: no other node knew it and sent it a status, so it knew no
 /// targets and refused all requests for ten seconds.
 #[test]
--- a/mesh/src/reducer/tests/pulls.rs
+++ b/mesh/src/reducer/tests/pulls.rs
@@ -46,3 +46,44 @@
     node.now = at_ms(300);
     assert!(is_pull_from(&node.apply(Event::Timer(Timer::Tick)), 2));
 }
+
+/// Guards against a node that never learns of a member that registered after this node had read the store.
+#[test]
+fn a_status_of_an_unknown_member_leads_to_a_pull() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    let mut unknown = status_from(9, idle_load());
+    unknown.revisions = [5, 0, 0];
+    let effects = node.apply(Event::Status { status: unknown.clone(), source: address(9) });
+    assert!(effects.contains(&Effect::Pull(address(9))));
+    let effects = node.apply(Event::Status { status: unknown, source: address(9) });
+    assert!(!effects.contains(&Effect::Pull(address(9))), "one pull at a time");
+}
+
+/// Guards against traffic between data centres for changes that nodes of the same data centre are about to have.
+#[test]
+fn pulls_from_another_data_centre_are_delayed() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    let mut far = status_from(4, idle_load());
+    far.revisions = [5, 0, 0];
+    let effects = node.apply(Event::Status { status: far.clone(), source: address(4) });
+    assert!(!effects.contains(&Effect::Pull(address(4))));
+    node.now = at_ms(400);
+    let effects = node.apply(Event::Status { status: far, source: address(4) });
+    assert!(effects.contains(&Effect::Pull(address(4))));
+}
+
+/// Guards against a configuration that no node of this data centre has and that is pulled only after the next status
+/// from another data centre, which may take seconds.
+#[test]
+fn a_delayed_pull_needs_no_further_status() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    let mut far = status_from(4, idle_load());
+    far.revisions = [0, 5, 0];
+    node.apply(Event::Status { status: far, source: address(4) });
+    node.now = at_ms(100);
+    assert!(!node.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
+    node.now = at_ms(300);
+    assert!(node.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
+    node.now = at_ms(400);
+    assert!(!node.apply(Event::Timer(Timer::Tick)).contains(&Effect::Pull(address(4))));
+}
