--- a/mesh/src/reducer/tests/stale_config.rs
+++ b/mesh/src/reducer/tests/stale_config.rs
@@ -39,20 +39,22 @@
 }
 
 /// Guards against a final 404 from a node that neither watches the orders nor has heard for seconds how old they are.
-#[test_case(Some(extension(1, Some(0))), true; "a node that watches")]
-#[test_case(Some(extension(1, Some(1_500))), true; "a node that heard from one that watches")]
-#[test_case(None, true; "a node of an earlier build that reaches the store")]
-#[test_case(Some(extension(1, Some(1_900))), false; "a node with old orders")]
-#[test_case(Some(extension(1, None)), false; "a node that never read the orders")]
+#[test_case(Some(extension(1, Some(0))), true, true; "a node that watches")]
+#[test_case(Some(extension(1, Some(1_500))), true, true; "a node that heard from one that watches")]
+#[test_case(None, true, true; "a node of an earlier build that reaches the store")]
+#[test_case(None, false, false; "a node of an earlier build that does not reach the store")]
+#[test_case(Some(extension(1, Some(1_900))), true, false; "a node with old orders")]
+#[test_case(Some(extension(1, None)), true, false; "a node that never read the orders")]
 fn a_node_denies_a_route_only_by_orders_that_were_confirmed(
     extension: Option<Extension>,
+    has_store: bool,
     is_confirmed: bool,
 ) {
     let mut node = node_that_does_not_watch();
     assert_eq!(status_of_unknown_route(&mut node), Some(404), "just read");
     node.now = at_ms(3_000);
     assert_eq!(status_of_unknown_route(&mut node), Some(503), "not confirmed for seconds");
-    node.apply(status_with(extension, true));
+    node.apply(status_with(extension, has_store));
     node.now = at_ms(3_300);
     let expected = if is_confirmed { 404 } else { 503 };
     assert_eq!(status_of_unknown_route(&mut node), Some(expected));
