Expect a request to keep the slowdown of its start

Cause: a target's node expected a slow phase of 300 ms to end during a long request and the rest to run at the mean speed, so it admitted a request of 330 ms with an objective of 1 s at a target that was four times slower.

Change: the expected service time is the nominal one times the slowdown now. Nominal times, also those by which versions are compared, are divided by the slowdown at the start instead of the mean of both ends. The test that expected the opposite is replaced by one that is equally strict about what was measured.

--- a/mesh/src/admission.rs
+++ b/mesh/src/admission.rs
@@ -179,8 +179,8 @@
     }
 
     /// Records a slowdown reported by the target, as a percentage of the nominal service time.
-    pub(crate) fn update_slowdown(&mut self, now: Time, percent: u32) {
-        self.slowdown.update(now, percent);
+    pub(crate) fn update_slowdown(&mut self, percent: u32) {
+        self.slowdown.update(percent);
     }
 
     /// Accepts new requests, or refuses new and queued ones with a reason. Running requests continue.
@@ -265,9 +265,8 @@
         let running = self.running.swap_remove(index);
         match outcome {
             WorkOutcome::Answer => {
-                // The slowdown may have changed while the request ran; the mean of both ends is an estimate.
-                let slowdown = (running.slowdown + self.slowdown.get()) / 2.0;
-                self.service_times.record(&running.route, now.since(running.since), slowdown);
+                let took = now.since(running.since);
+                self.service_times.record(&running.route, took, running.slowdown);
                 self.route_failures.record(now, &running.route, false);
                 self.record_outcome(now, 0.0);
             }
@@ -343,11 +342,9 @@
         self.service_times.get(route)
     }
 
-    /// Returns the expected service time of the mean request as a percentage of its nominal service time.
+    /// Returns the current slowdown as a percentage of the nominal service time.
     fn slowdown_percent(&self) -> u16 {
-        let mean = self.service_times.mean();
-        (self.slowdown.service_time(mean).as_secs_f64() / mean.as_secs_f64().max(1e-4) * 100.0)
-            as u16
+        (self.slowdown.get() * 100.0) as u16
     }
 
     fn limit(&self) -> usize {
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -311,7 +311,7 @@
             return self.update_admission(now, out);
         };
         if let Some(percent) = health.slowdown {
-            self.admission.update_slowdown(now, percent);
+            self.admission.update_slowdown(percent);
         }
         let change = self.target.apply_health(now, &health);
         self.target_changed(now, change, out);
@@ -321,7 +321,7 @@
     }
 
     pub(super) fn apply_slowdown(&mut self, now: Time, percent: u32, out: &mut Vec<Effect>) {
-        self.admission.update_slowdown(now, percent);
+        self.admission.update_slowdown(percent);
         self.send_due_statuses(now, out);
     }
 
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -9,6 +9,7 @@
 mod lifetimes;
 mod orders;
 mod pulls;
+mod slowdowns;
 mod spread;
 mod stale_config;
 mod stops;
@@ -184,24 +185,31 @@
     }
 
     fn work_with_path(&mut self, path: &str) -> (WorkKey, Vec<Effect>) {
-        let head = WorkHead {
-            from: None,
-            id: "id".into(),
-            service: "own".into(),
-            route: "own".into(),
-            priority: 0,
-            objective: Duration::from_millis(500),
-            timeout: Duration::from_secs(1),
-            full_objective: Duration::from_millis(500),
-            nominal_service: Duration::from_millis(50),
-            is_late: false,
-            fingerprint: RequestHash::of([path.as_bytes()]),
-        };
+        self.work_with(work_head(path))
+    }
+
+    fn work_with(&mut self, head: WorkHead) -> (WorkKey, Vec<Effect>) {
         let key = self.works.insert(());
         (key, self.apply(Event::Work(key, WorkEvent::Arrived(head))))
     }
 }
 
+fn work_head(path: &str) -> WorkHead {
+    WorkHead {
+        from: None,
+        id: "id".into(),
+        service: "own".into(),
+        route: "own".into(),
+        priority: 0,
+        objective: Duration::from_millis(500),
+        timeout: Duration::from_secs(1),
+        full_objective: Duration::from_millis(500),
+        nominal_service: Duration::from_millis(50),
+        is_late: false,
+        fingerprint: RequestHash::of([path.as_bytes()]),
+    }
+}
+
 fn healthy() -> Health {
     Health { is_healthy: true, id: Some("t".into()), ..Health::default() }
 }
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -35,6 +35,8 @@
     pub(super) is_suspected: bool,
     /// Whether at least half of the target's slots were in use when the request started.
     was_busy: bool,
+    /// The slowdown of the target when the request started.
+    slowdown: f64,
 }
 
 impl Reducer {
@@ -119,6 +121,7 @@
             fingerprint: head.fingerprint,
             is_suspected: self.crash_guard.standing(now, head.fingerprint) != Standing::Clear,
             was_busy: false,
+            slowdown: 1.0,
         };
         self.works.insert(key, work);
         match decision {
@@ -156,6 +159,7 @@
         work.lifetime = lifetime.id.clone();
         work.started = Some(now);
         work.was_busy = self.admission.is_busy();
+        work.slowdown = self.admission.slowdown();
         self.tally.sent += 1;
         let timeout = work.deadline.since(now);
         out.push(Effect::Work(key, WorkStep::Run { lifetime: lifetime.id.clone(), timeout }));
@@ -173,7 +177,8 @@
         let dequeued = self.admission.finish(now, key, outcome);
         if let Some(started) = work.started {
             let took = now.since(started);
-            self.count_outcome(now, outcome, status, took, work.was_busy);
+            let nominal = took.div_f64(work.slowdown);
+            self.count_outcome(now, outcome, status, nominal, work.was_busy);
             let waited = started.since(work.arrived);
             let Work { id, route, .. } = work;
             out.push(Effect::Log(Record::Ran { id, route, outcome: name, status, took, waited }));
@@ -182,14 +187,14 @@
         self.send_due_statuses(now, out);
     }
 
-    /// Adds an outcome to the tally by which versions are compared. Service times of a cold target are left out, since
-    /// it is slow whatever its version.
+    /// Adds an outcome to the tally by which versions are compared. `nominal` is the service time divided by the slowdown
+    /// at the start. Service times of a cold target are left out, since it is slow whatever its version.
     fn count_outcome(
         &mut self,
         now: Time,
         outcome: WorkOutcome,
         status: u16,
-        took: Duration,
+        nominal: Duration,
         was_busy: bool,
     ) {
         match outcome {
@@ -197,8 +202,8 @@
                 self.tally.good += 1;
                 self.tally.loaded_good += u32::from(was_busy);
                 if !self.target.is_cold(now) {
-                    let nominal_ms = took.mul_f64(1.0 / self.admission.slowdown()).as_millis();
-                    self.tally.service_ms = self.tally.service_ms.saturating_add(nominal_ms as u32);
+                    let nominal_ms = nominal.as_millis() as u32;
+                    self.tally.service_ms = self.tally.service_ms.saturating_add(nominal_ms);
                     self.tally.timed += 1;
                 }
             }
