Measure the slowdown of a target right before a request starts

Cause: a node knew the slowdown of its target from a check every 60 ms and from answers. Phases last 300 ms, so in one start of some tens the target had become slow since, and the request kept that speed to its end: late, or a payment that ran into its timeout. That is the age of load reports which grows with the deployment, seen at its end: whatever the entry node believes, the target's node decides last.

Change: a request of 10 ms or more waits for a health check (under a millisecond beside the target, 20 ms at most) if the known slowdown is older than 15 ms. It is then admitted, queued or refused; a refusal costs the entry node one more hop. Ruled out as the remedy: faster status datagrams, whose cost grows with the square of the deployment and which still are a hundred times older than a check.

--- a/mesh/src/admission.rs
+++ b/mesh/src/admission.rs
@@ -40,6 +40,14 @@
 /// The weight of a new outcome in the moving average of the failure rate.
 const FAILURE_WEIGHT: f64 = 0.06;
 
+/// The age above which the slowdown of a target is measured again before a request starts. The slowdown changes several
+/// times per second.
+const MAX_SLOWDOWN_AGE: Duration = Duration::from_millis(15);
+
+/// The shortest nominal service time of a request for which the slowdown is measured. A check takes about as long as a
+/// shorter request.
+const MIN_MEASURED_SERVICE: Duration = Duration::from_millis(10);
+
 /// The half-life of the failure rate in seconds. It decays so that a failing target is tried again.
 const FAILURE_HALF_LIFE_S: f64 = 2.0;
 
@@ -118,6 +126,8 @@
     /// Why new requests are refused, if they are.
     closed: Option<Reason>,
     slowdown: Slowdown,
+    /// When the target last reported its slowdown, if it ever has.
+    slowdown_at: Option<Time>,
     service_times: ServiceTimes,
     route_failures: RouteFailures,
     failure_rate: f64,
@@ -165,6 +175,7 @@
             queue: Vec::new(),
             closed: Some(Reason::NoTarget),
             slowdown: Slowdown::new(),
+            slowdown_at: None,
             service_times: ServiceTimes::default(),
             route_failures: RouteFailures::default(),
             failure_rate: 0.0,
@@ -179,8 +190,16 @@
     }
 
     /// Records a slowdown reported by the target, as a percentage of the nominal service time.
-    pub(crate) fn update_slowdown(&mut self, percent: u32) {
+    pub(crate) fn update_slowdown(&mut self, now: Time, percent: u32) {
         self.slowdown.update(percent);
+        self.slowdown_at = Some(now);
+    }
+
+    /// Returns whether the slowdown must be measured again before a decision on a request, which keeps the slowdown of
+    /// its start. A target that never reports one is not asked, and a short request is not worth the check.
+    pub(crate) fn needs_slowdown(&self, now: Time, request: &AdmissionRequest) -> bool {
+        let is_old = self.slowdown_at.is_some_and(|at| now.since(at) > MAX_SLOWDOWN_AGE);
+        is_old && self.closed.is_none() && self.nominal_service(request) >= MIN_MEASURED_SERVICE
     }
 
     /// Accepts new requests, or refuses new and queued ones with a reason. Running requests continue.
--- a/mesh/src/admission/tests.rs
+++ b/mesh/src/admission/tests.rs
@@ -134,7 +134,7 @@
 #[test]
 fn late_requests_use_all_capacity_if_none_can_be_in_time() {
     let mut harness = Harness::new();
-    harness.controller.update_slowdown(1_000);
+    harness.controller.update_slowdown(at(200), 1_000);
     let late = AdmissionRequest { is_late: true, deadline: at(60_000), ..request(0, 0) };
     let decisions = (0..9).map(|_| harness.admit(at(2_200), &late).1);
     assert_eq!(decisions.filter(|decision| *decision == Decision::Run).count(), 8);
@@ -190,9 +190,9 @@
 #[test]
 fn slowdown_refuses_requests_that_would_be_late() {
     let mut harness = Harness::new();
-    harness.controller.update_slowdown(1_000);
+    harness.controller.update_slowdown(at(200), 1_000);
     assert!(is_refused(harness.admit(at(2_200), &request(0, 2_500)).1, Reason::Overloaded));
-    harness.controller.update_slowdown(100);
+    harness.controller.update_slowdown(at(200), 100);
     assert_eq!(harness.admit(at(2_210), &request(0, 2_500)).1, Decision::Run);
 }
 
--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -11,7 +11,7 @@
 use slotmap::SlotMap;
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     time::Instant,
 };
 
@@ -53,6 +53,7 @@
     pub(crate) pulls: mpsc::UnboundedSender<SocketAddr>,
     pub(crate) rollout_records: mpsc::UnboundedSender<RolloutRecord>,
     pub(crate) health_path: watch::Sender<Option<CompactString>>,
+    pub(crate) health_check: Arc<Notify>,
     pub(crate) head_limits: watch::Sender<HeadLimits>,
     pub(crate) peers: Peers,
     pub(crate) timers: Timers<Timer>,
@@ -270,6 +271,7 @@
                     is_new
                 });
             }
+            Effect::MeasureSlowdown => self.health_check.notify_one(),
             Effect::LimitCallers(limits) => {
                 self.head_limits.send_replace(HeadLimits::from(&limits));
             }
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -36,6 +36,8 @@
     LimitCallers(CallerLimits),
     /// Sets the path of the target's health endpoint.
     CheckHealth { path: CompactString },
+    /// Checks the target's health now, because requests wait for its slowdown.
+    MeasureSlowdown,
     /// Closes the connections to a removed member.
     ClosePeer(SocketAddr),
     /// Sets a timer.
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -199,6 +199,8 @@
     Hedge(CallKey),
     /// The next check of the admission queue.
     Queue,
+    /// The time by which the target should have reported its slowdown.
+    Slowdown,
     /// The periodic tasks of the reducer.
     Tick,
     /// The deadline of a graceful stop.
--- a/mesh/src/health.rs
+++ b/mesh/src/health.rs
@@ -1,13 +1,16 @@
 //! Polls the health endpoint of the local target.
 //!
-//! The answers report the target's slowdown between requests, its lifetime id and its cold start. The polls also keep
-//! idle connections in use.
+//! The answers report the target's slowdown, its lifetime id and its cold start. Further checks are made when requests
+//! wait for the slowdown. The polls also keep idle connections in use.
 
 use std::{sync::Arc, time::Duration};
 
 use compact_str::CompactString;
 use http::{HeaderMap, Request, StatusCode};
-use tokio::{sync::watch, time};
+use tokio::{
+    sync::{Notify, watch},
+    time,
+};
 
 use crate::{
     driver::Driver,
@@ -40,12 +43,14 @@
     NoAnswer,
 }
 
-/// Polls the health endpoint until the sender of `path` is dropped.
+/// Polls the health endpoint until the sender of `path` is dropped. `check_now` requests a check before the next interval
+/// is over.
 pub(crate) async fn monitor(
     pool: Pool,
     host: String,
     names: Arc<HeaderNames>,
     mut path: watch::Receiver<Option<CompactString>>,
+    check_now: Arc<Notify>,
     driver: Arc<Driver>,
 ) {
     let mut unanswered = 0;
@@ -58,7 +63,7 @@
             Ok(health) => {
                 unanswered = 0;
                 driver.dispatch(Event::Health(Some(health)));
-                time::sleep(CHECK_INTERVAL).await;
+                let _ = time::timeout(CHECK_INTERVAL, check_now.notified()).await;
             }
             Err(error) => {
                 unanswered = if matches!(error, CheckError::Refused) {
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -10,7 +10,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     task::JoinSet,
     time,
 };
@@ -127,6 +127,7 @@
         let (store_era_sender, store_era) = watch::channel(0);
         let (pulls, pull_requests) = mpsc::unbounded_channel();
         let (health_path_sender, health_path) = watch::channel(None);
+        let health_check = Arc::new(Notify::new());
         let (head_limits_sender, head_limits) = watch::channel(HeadLimits::default());
         let default_limits = serve::default_head_limits();
         let (record_sender, rollout_records) = mpsc::unbounded_channel();
@@ -139,6 +140,7 @@
             settings.target.to_string(),
             names.clone(),
             health_path,
+            health_check.clone(),
             driver.clone(),
         ));
         let node_handle = NodeHandle::new(driver.clone());
@@ -225,6 +227,7 @@
             pulls,
             rollout_records: record_sender,
             health_path: health_path_sender,
+            health_check,
             head_limits: head_limits_sender,
             peers: peer_pools,
             timers,
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -9,6 +9,7 @@
 mod denials;
 mod eras;
 mod members;
+mod measurements;
 mod orders;
 mod pulls;
 mod versions;
@@ -46,8 +47,8 @@
 
 pub(crate) use self::denials::RequestSize;
 use self::{
-    calls::Call, configuration::Confirmation, eras::Eras, orders::KeptOrders, pulls::Pulls,
-    works::Work,
+    calls::Call, configuration::Confirmation, eras::Eras, measurements::Unmeasured,
+    orders::KeptOrders, pulls::Pulls, works::Work,
 };
 
 /// The interval of [`Timer::Tick`].
@@ -113,6 +114,8 @@
     target: Target,
     admission: AdmissionController,
     tally: Tally,
+    /// Requests that wait for the present slowdown of the target.
+    unmeasured: Vec<Unmeasured>,
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
     retry_budgets: HashMap<CompactString, RetryBudget>,
@@ -160,6 +163,7 @@
             target: Target::default(),
             admission: AdmissionController::new(),
             tally: Tally::default(),
+            unmeasured: Vec::new(),
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
             retry_budgets: HashMap::new(),
@@ -256,6 +260,7 @@
             // `has_queue_timer` is cleared only when the timer fires. A queue timer that is dropped while the queue
             // is empty would never be armed again.
             Timer::Queue => self.has_queue_timer,
+            Timer::Slowdown => !self.unmeasured.is_empty(),
             Timer::Tick | Timer::StopDeadline => true,
         }
     }
@@ -315,6 +320,7 @@
                 let dequeued = self.admission.advance(now);
                 self.apply_dequeued(now, dequeued, out);
             }
+            Timer::Slowdown => self.decide_unmeasured(now, out),
             Timer::Tick => self.tick(now, out),
             Timer::StopDeadline => self.exit(out),
         }
@@ -376,7 +382,7 @@
 
     /// Returns whether no request is in progress on this node.
     pub(crate) fn is_idle(&self) -> bool {
-        self.calls.is_empty() && self.works.is_empty()
+        self.calls.is_empty() && self.works.is_empty() && self.unmeasured.is_empty()
     }
 
     /// Returns whether the forced end of a graceful stop would cut off a request that may take `time`.
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -308,20 +308,23 @@
                 self.log_target("unreachable", out);
                 self.record_target_crash(now, out);
             }
-            return self.update_admission(now, out);
+            self.update_admission(now, out);
+            return self.decide_unmeasured(now, out);
         };
         if let Some(percent) = health.slowdown {
-            self.admission.update_slowdown(percent);
+            self.admission.update_slowdown(now, percent);
         }
         let change = self.target.apply_health(now, &health);
         self.target_changed(now, change, out);
         self.crash_guard.target_recovered();
         self.update_admission(now, out);
+        self.decide_unmeasured(now, out);
         self.send_due_statuses(now, out);
     }
 
     pub(super) fn apply_slowdown(&mut self, now: Time, percent: u32, out: &mut Vec<Effect>) {
-        self.admission.update_slowdown(percent);
+        self.admission.update_slowdown(now, percent);
+        self.decide_unmeasured(now, out);
         self.send_due_statuses(now, out);
     }
 
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -72,6 +72,7 @@
                 self.work_ended(now, key, outcome, (failure.as_str(), 0), out);
             }
             WorkEvent::Cancelled => {
+                self.unmeasured.retain(|unmeasured| unmeasured.key != key);
                 self.work_ended(now, key, WorkOutcome::Cancelled, ("cancelled", 0), out);
             }
         }
@@ -90,7 +91,21 @@
             full_objective: head.full_objective,
             nominal_service: head.nominal_service,
         };
-        let decision = self.admit(now, key, head, &request);
+        if !self.wait_for_slowdown(now, key, head, &request, out) {
+            self.decide_work(now, key, head, &request, out);
+        }
+    }
+
+    /// Admits, queues or refuses a request.
+    pub(super) fn decide_work(
+        &mut self,
+        now: Time,
+        key: WorkKey,
+        head: &WorkHead,
+        request: &AdmissionRequest,
+        out: &mut Vec<Effect>,
+    ) {
+        let decision = self.admit(now, key, head, request);
         let (name, reason) = match decision {
             Decision::Run => ("run", None),
             Decision::Queue => ("queue", None),
