Cancel the requests of a caller that leaves with more requests sent

Cause: the HTTP server stops reading a connection while a request is running and further ones are in its buffer. It did not notice that their caller had left, and the target worked on to the end of the request (GONE).

Change: while a request is running and the server does not read, the connection is read ahead, up to 16 KiB, to notice its end. A caller that sends more than that and what the server buffers is not read until its requests are answered.

--- a/mesh/src/activity.rs
+++ b/mesh/src/activity.rs
@@ -1,6 +1,7 @@
-//! What happens on a server's connection, by which the server decides that it is idle.
+//! What happens on a server's connection, by which the server decides that it is idle or that the caller has left.
 
 use std::{
+    future::poll_fn,
     io::{self, IoSlice},
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -8,6 +9,7 @@
     time::Duration,
 };
 
+use bytes::{Buf as _, BytesMut};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -20,6 +22,10 @@
 /// The minimum interval of checks while a request is running, whatever the timeouts of the configuration.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The most bytes that are read ahead of the HTTP server while a request is running. Callers that send more are not read
+/// until their requests have been answered.
+const READ_AHEAD_BYTES: usize = 16 << 10;
+
 /// The requests and the progress on a connection.
 #[derive(Clone)]
 pub(crate) struct Activity(Arc<Mutex<Progress>>);
@@ -95,13 +101,40 @@
 
 /// A stream that records what is received and sent.
 pub(crate) struct TrackedStream {
+    socket: Arc<Mutex<Socket>>,
+    activity: Activity,
+}
+
+/// A connection, with the bytes that were read ahead of the HTTP server.
+struct Socket {
     stream: TcpStream,
+    read_ahead: BytesMut,
+    /// Whether the server waits for bytes, and so notices the end of the connection itself.
+    is_awaited: bool,
+}
+
+/// Notices that the caller has closed the connection while the HTTP server does not read from it.
+///
+/// The server stops reading while a request is running and further ones are in its buffer. So it would not notice that
+/// their caller has left, and the request would run to its end.
+pub(crate) struct CloseMonitor {
+    socket: Arc<Mutex<Socket>>,
     activity: Activity,
 }
 
 impl TrackedStream {
     pub(crate) fn new(stream: TcpStream, activity: Activity) -> TrackedStream {
-        TrackedStream { stream, activity }
+        let socket = Socket { stream, read_ahead: BytesMut::new(), is_awaited: false };
+        TrackedStream { socket: Arc::new(Mutex::new(socket)), activity }
+    }
+
+    /// Returns the monitor, which must be polled by the same task as the server and after it.
+    pub(crate) fn close_monitor(&self) -> CloseMonitor {
+        CloseMonitor { socket: self.socket.clone(), activity: self.activity.clone() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Socket> {
+        self.socket.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn record_sent(&self, sent: &Poll<io::Result<usize>>) {
@@ -111,14 +144,58 @@
     }
 }
 
+impl Socket {
+    fn poll_read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if !self.read_ahead.is_empty() {
+            let len = self.read_ahead.len().min(buf.remaining());
+            buf.put_slice(&self.read_ahead[..len]);
+            self.read_ahead.advance(len);
+            return Poll::Ready(Ok(()));
+        }
+        let received = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.is_awaited = received.is_pending();
+        received
+    }
+}
+
+impl CloseMonitor {
+    /// Waits until the caller has closed the connection during a request.
+    pub(crate) async fn closed(&self) {
+        poll_fn(|cx| self.poll_closed(cx)).await;
+    }
+
+    fn poll_closed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.activity.lock().running == 0 {
+            return Poll::Pending;
+        }
+        let mut socket = self.socket.lock().unwrap_or_else(PoisonError::into_inner);
+        let Socket { stream, read_ahead, is_awaited } = &mut *socket;
+        if *is_awaited {
+            return Poll::Pending;
+        }
+        let mut bytes = [0; READ_AHEAD_BYTES];
+        while read_ahead.len() < READ_AHEAD_BYTES {
+            let mut buf = ReadBuf::new(&mut bytes[read_ahead.len()..]);
+            match Pin::new(&mut *stream).poll_read(cx, &mut buf) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
+                    read_ahead.extend_from_slice(buf.filled());
+                }
+                Poll::Ready(Ok(()) | Err(_)) => return Poll::Ready(()),
+            }
+        }
+        Poll::Pending
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        let received = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let received = self.lock().poll_read(cx, buf);
         if buf.filled().len() > filled_before {
             let mut progress = self.activity.lock();
             // While a request is running, the bytes may be those of its body.
@@ -132,34 +209,34 @@
 
 impl AsyncWrite for TrackedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let sent = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        let sent = Pin::new(&mut self.lock().stream).poll_write(cx, bytes);
         self.record_sent(&sent);
         sent
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let sent = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        let sent = Pin::new(&mut self.lock().stream).poll_write_vectored(cx, slices);
         self.record_sent(&sent);
         sent
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.lock().stream.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.lock().stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.lock().stream).poll_shutdown(cx)
     }
 }
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -131,6 +131,7 @@
     pool::set_socket_options(&stream);
     let activity = Activity::new();
     let stream = TrackedStream::new(stream, activity.clone());
+    let close_monitor = stream.close_monitor();
     let requests = activity.clone();
     let service = service_fn(move |req: Request<Incoming>| {
         let guard = requests.start();
@@ -154,8 +155,14 @@
         _ = conn.as_mut() => {}
         _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => {
             conn.as_mut().graceful_shutdown();
-            let _ = conn.await;
+            tokio::select! {
+                biased;
+                _ = conn => {}
+                () = close_monitor.closed() => {}
+            }
         }
+        // Dropping the connection cancels the requests on it.
+        () = close_monitor.closed() => {}
         // The connection was polled before this branch and no request is running, so none is lost when it is dropped.
         () = activity.wait_until_idle(&limits) => {}
     }
