Record the members of a data centre by one node, and start from its neighbours

Change: the first node of a data centre that reaches the store, its recorder, writes the records of all members that it hears there, up to 32 in a call, under its lease, and removes those of processes that have ended. A node that starts reads a stale list of the members and gets the orders from the nodes that answer its first status; they count only if they were confirmed within 2 s. Orders are read from the store by a few of the nodes that start at the same time. Changed members are watched and pulled with a delay of 1 s and cause no round of status datagrams of their own.

In a list, a record no longer replaces a member that speaks at the same address: all nodes restart faster than the leases of their earlier processes end, and a list could remove the new process for the old one. That rule held only for restored stores before.

Tests: store_calls.rs failed before (2.1 fresh reads a start; the record of a replaced process stayed); reducer/tests/records.rs. Changed tests: two in odd_entries.rs and restored_store.rs took it that a record is in the store as soon as its node is ready, and now wait for it; lease-lost is awaited from the node that holds the lease; a_status_without_eras shows with newer orders what it showed with newer members, which are pulled later now; the record of an earlier process at the own address is kept to be removed, and must not be open. The orders of the reducer's own tests are unchanged.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -3,7 +3,11 @@
 //! The store lists the members. While the store is unreachable the list stays unchanged, and the members' status
 //! datagrams, or their absence, decide which members receive requests.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -64,6 +68,31 @@
     pub(crate) service: CompactString,
 }
 
+/// Whether the store holds the record of a member, as far as this node knows.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Registration {
+    /// It has held the record since this time or longer.
+    Recorded(Time),
+    /// It has lacked the record since this time, as far as this node knows.
+    Missing(Time),
+}
+
+/// Changes of member records in the store, which are made together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RecordBatch {
+    /// Records to write.
+    pub(crate) puts: Vec<MemberRecord>,
+    /// Records to remove.
+    pub(crate) removes: Vec<MemberRecord>,
+}
+
+impl RecordBatch {
+    /// Returns the number of changes.
+    pub(crate) fn len(&self) -> usize {
+        self.puts.len() + self.removes.len()
+    }
+}
+
 /// A member as this node sees it.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -78,8 +107,9 @@
     pub(crate) last_heard: Option<Time>,
     /// The end of the pause after a failed connection.
     pub(crate) paused_until: Option<Time>,
-    /// The time at which its record was removed from the store.
-    removed_at: Option<Time>,
+    registration: Registration,
+    /// Whether it is stopping, as it says itself, or has ended, because another process has its address.
+    pub(crate) is_stopping: bool,
     /// The time of its last request to this node.
     pub(crate) last_request: Option<Time>,
     /// The counts of its target's answers, as the member reports them.
@@ -161,6 +191,27 @@
 }
 
 impl Member {
+    /// Returns whether the store holds its record, as far as this node knows.
+    pub(crate) fn is_recorded(&self) -> bool {
+        matches!(self.registration, Registration::Recorded(_))
+    }
+
+    /// Returns the time for which the store has lacked its record, or `None` if it holds the record.
+    pub(crate) fn unrecorded_time(&self, now: Time) -> Option<Duration> {
+        match self.registration {
+            Registration::Recorded(_) => None,
+            Registration::Missing(since) => Some(now.since(since)),
+        }
+    }
+
+    /// Returns when it was last heard or found in the store.
+    pub(crate) fn last_sign(&self) -> Option<Time> {
+        match self.registration {
+            Registration::Recorded(since) => self.last_heard.max(Some(since)),
+            Registration::Missing(_) => self.last_heard,
+        }
+    }
+
     pub(crate) fn is_paused(&self, now: Time) -> bool {
         self.paused_until.is_some_and(|until| now < until)
     }
@@ -196,29 +247,71 @@
         Directory { centre, ..Directory::default() }
     }
 
-    /// Adds or updates a member, and returns whether it is new.
-    pub(crate) fn upsert(&mut self, record: MemberRecord) -> bool {
-        if let Some(&key) = self.ids.get(&record.id) {
-            let member = &mut self.members[key];
-            member.removed_at = None;
-            member.record = record;
+    /// Adds or updates a member that is known to run, and returns whether it is new. A new process at an address replaces
+    /// the earlier one.
+    pub(crate) fn upsert(&mut self, now: Time, record: MemberRecord) -> bool {
+        if self.update(&record) {
             return false;
         }
-        // A new process at an address replaces the earlier one.
         let earlier: Vec<MemberId> =
             self.members_at(record.address).map(|member| member.record.id).collect();
         for id in earlier {
-            self.remove(id);
+            self.replace_process(id);
         }
-        self.insert(record);
+        self.insert(now, record);
+        true
+    }
+
+    /// Updates the record of a known member and returns whether it is known.
+    fn update(&mut self, record: &MemberRecord) -> bool {
+        let Some(&key) = self.ids.get(&record.id) else { return false };
+        self.members[key].record = record.clone();
         true
     }
 
+    /// Removes a member whose address another process has taken over. While the store still holds its record, the member
+    /// stays without a load report, so that the record is removed too.
+    fn replace_process(&mut self, id: MemberId) {
+        let Some(member) = self.find_mut(id) else { return };
+        if !member.is_recorded() {
+            self.remove(id);
+            return;
+        }
+        (member.load, member.last_heard) = (None, None);
+        member.is_stopping = true;
+    }
+
+    /// Records that the store holds the record of a member.
+    pub(crate) fn mark_recorded(&mut self, now: Time, id: MemberId) {
+        if let Some(member) = self.find_mut(id).filter(|member| !member.is_recorded()) {
+            member.registration = Registration::Recorded(now);
+        }
+    }
+
+    /// Applies the record of a member that was written to the store.
+    pub(crate) fn put(&mut self, now: Time, record: MemberRecord) {
+        let id = record.id;
+        self.upsert(now, record);
+        self.mark_recorded(now, id);
+    }
+
+    /// Adds the record that the store holds of a process that has ended, so that the record is removed.
+    pub(crate) fn put_ended(&mut self, now: Time, record: MemberRecord) {
+        let id = record.id;
+        if !self.update(&record) {
+            self.insert(now, record);
+        }
+        if let Some(member) = self.find_mut(id) {
+            member.is_stopping = true;
+        }
+        self.mark_recorded(now, id);
+    }
+
     fn members_at(&self, address: SocketAddr) -> impl Iterator<Item = &Member> {
         self.members.values().filter(move |member| member.record.address == address)
     }
 
-    fn insert(&mut self, record: MemberRecord) {
+    fn insert(&mut self, now: Time, record: MemberRecord) {
         let (id, service) = (record.id, record.service.clone());
         let member = Member {
             record,
@@ -227,7 +320,8 @@
             in_flight: 0,
             last_heard: None,
             paused_until: None,
-            removed_at: None,
+            registration: Registration::Missing(now),
+            is_stopping: false,
             last_request: None,
             tally: Tally::default(),
             version: CompactString::default(),
@@ -260,7 +354,7 @@
 
     /// Records the time of a request from another node.
     pub(crate) fn record_request(&mut self, now: Time, id: MemberId) {
-        if let Some(member) = self.ids.get(&id).and_then(|&key| self.members.get_mut(key)) {
+        if let Some(member) = self.find_mut(id) {
             member.last_request = Some(now);
         }
     }
@@ -276,40 +370,34 @@
         Some(member)
     }
 
-    /// Records that the record of a member was removed from the store.
+    /// Records that the store does not hold the record of a member.
     pub(crate) fn mark_removed(&mut self, now: Time, id: MemberId) {
-        if let Some(member) = self.ids.get(&id).and_then(|&key| self.members.get_mut(key)) {
-            member.removed_at.get_or_insert(now);
+        if let Some(member) = self.find_mut(id).filter(|member| member.is_recorded()) {
+            member.registration = Registration::Missing(now);
         }
     }
 
     /// Applies the store's list of members. Members that are not in the list are marked as removed.
+    ///
+    /// The list may hold the record of a process that has ended and lack that of the process which has taken its address
+    /// since. So a record replaces no member that still speaks; it receives no requests until its process is heard.
     pub(crate) fn replace(&mut self, now: Time, records: Vec<MemberRecord>) {
-        let listed: Vec<MemberId> = records.iter().map(|record| record.id).collect();
-        for record in records {
-            self.upsert(record);
-        }
-        self.mark_missing(now, &listed);
-    }
-
-    /// Applies the list of members of a store that has returned from an earlier copy of its state. The copy may hold
-    /// the record of a process that has ended and lack that of the process which has taken its address since. So a
-    /// record replaces no member that still speaks; it receives no requests until its process is heard.
-    pub(crate) fn restore(&mut self, now: Time, records: Vec<MemberRecord>) {
-        let listed: Vec<MemberId> = records.iter().map(|record| record.id).collect();
+        let listed: HashSet<MemberId> = records.iter().map(|record| record.id).collect();
         for record in records {
+            let id = record.id;
             let is_address_in_use =
                 self.members_at(record.address).any(|member| !self.is_silent(now, member));
-            if !self.ids.contains_key(&record.id) && is_address_in_use {
-                self.insert(record);
+            if !self.ids.contains_key(&id) && is_address_in_use {
+                self.insert(now, record);
             } else {
-                self.upsert(record);
+                self.upsert(now, record);
             }
+            self.mark_recorded(now, id);
         }
         self.mark_missing(now, &listed);
     }
 
-    fn mark_missing(&mut self, now: Time, listed: &[MemberId]) {
+    fn mark_missing(&mut self, now: Time, listed: &HashSet<MemberId>) {
         let missing: Vec<MemberId> =
             self.ids.keys().filter(|id| !listed.contains(id)).copied().collect();
         for id in missing {
@@ -318,10 +406,10 @@
     }
 
     /// Removes and returns members that are silent and have no record in the store. A member that still sends load
-    /// reports stays, because the lease of its record may have expired while the store was unreachable.
+    /// reports stays: the store may not hold its record yet, or the lease may have expired while it was unreachable.
     pub(crate) fn expire(&mut self, now: Time, local: MemberId) -> Vec<Member> {
         let is_expired = |member: &&Member| {
-            member.record.id != local && member.removed_at.is_some() && self.is_silent(now, member)
+            member.record.id != local && !member.is_recorded() && self.is_silent(now, member)
         };
         let expired: Vec<MemberId> =
             self.members.values().filter(is_expired).map(|member| member.record.id).collect();
@@ -342,6 +430,11 @@
         }
     }
 
+    fn find_mut(&mut self, id: MemberId) -> Option<&mut Member> {
+        let key = *self.ids.get(&id)?;
+        self.members.get_mut(key)
+    }
+
     pub(crate) fn key(&self, id: MemberId) -> Option<MemberKey> {
         self.ids.get(&id).copied()
     }
--- a/mesh/src/directory/tests.rs
+++ b/mesh/src/directory/tests.rs
@@ -30,8 +30,8 @@
 #[test]
 fn new_process_replaces_the_one_at_its_address() {
     let mut directory = Directory::new("a".into());
-    directory.upsert(record(2, 80));
-    directory.upsert(record(3, 80));
+    directory.upsert(at(0), record(2, 80));
+    directory.upsert(at(0), record(3, 80));
     assert!(directory.key(MemberId(2)).is_none());
     assert_eq!(directory.members_of("stock").count(), 1);
 }
@@ -40,16 +40,16 @@
 #[test]
 fn a_restored_record_does_not_replace_a_live_member() {
     let mut directory = Directory::new("a".into());
-    directory.upsert(record(2, 80));
-    directory.upsert(record(3, 80));
+    directory.upsert(at(0), record(2, 80));
+    directory.upsert(at(0), record(3, 80));
     report_load(&mut directory, at(0), 3);
-    directory.restore(at(100), vec![record(2, 80)]);
+    directory.replace(at(100), vec![record(2, 80)]);
     let open = |directory: &Directory| -> Vec<MemberId> {
         let members = directory.members_of("stock").filter(|(_, member)| member.is_open());
         members.map(|(_, member)| member.record.id).collect()
     };
     assert_eq!(open(&directory), [MemberId(3)]);
-    directory.upsert(record(3, 80));
+    directory.upsert(at(0), record(3, 80));
     report_load(&mut directory, at(1_000), 3);
     directory.mark_removed(at(1_000), MemberId(2));
     let expired = directory.expire(at(1_100), LOCAL);
@@ -61,9 +61,9 @@
 #[test]
 fn a_restored_record_replaces_a_silent_member() {
     let mut directory = Directory::new("a".into());
-    directory.upsert(record(2, 80));
+    directory.upsert(at(0), record(2, 80));
     report_load(&mut directory, at(0), 2);
-    directory.restore(at(10_000), vec![record(3, 80)]);
+    directory.replace(at(10_000), vec![record(3, 80)]);
     assert!(directory.key(MemberId(2)).is_none());
     assert!(directory.key(MemberId(3)).is_some());
 }
@@ -72,7 +72,7 @@
 #[test]
 fn member_without_load_report_gets_no_requests() {
     let mut directory = Directory::new("a".into());
-    directory.upsert(record(2, 80));
+    directory.upsert(at(0), record(2, 80));
     let (_, member) = directory.members_of("stock").next().expect("a member");
     assert!(directory.is_silent(at(0), member) && !member.is_open());
     report_load(&mut directory, at(5), 2);
@@ -84,8 +84,8 @@
 #[test]
 fn reporting_member_outlives_its_record() {
     let mut directory = Directory::new("a".into());
-    directory.upsert(record(2, 80));
-    directory.upsert(record(3, 81));
+    directory.upsert(at(0), record(2, 80));
+    directory.upsert(at(0), record(3, 81));
     for now in [0, 1_000, 2_000, 3_000] {
         report_load(&mut directory, at(now), 2);
     }
@@ -115,7 +115,7 @@
 fn silence_limit_exceeds_the_status_interval(members: usize) {
     let mut directory = Directory::new("b".into());
     for id in 0..members as u64 {
-        directory.upsert(record(id + 2, id as u16 + 80));
+        directory.upsert(at(0), record(id + 2, id as u16 + 80));
     }
     report_load(&mut directory, at(0), 2);
     let key = directory.key(MemberId(2)).expect("a member");
--- a/mesh/src/driver.rs
+++ b/mesh/src/driver.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    directory::RecordBatch,
     effect::{CallStep, Effect, Record, WorkStep},
     event::{CallEvent, Event, Timer, WorkEvent},
     keys::{CallKey, MemberId, WorkKey},
@@ -50,6 +51,7 @@
     pub(crate) status_socket: Arc<UdpSocket>,
     pub(crate) is_watcher: watch::Sender<bool>,
     pub(crate) store_era: watch::Sender<u64>,
+    pub(crate) record_batches: mpsc::UnboundedSender<RecordBatch>,
     pub(crate) pulls: mpsc::UnboundedSender<SocketAddr>,
     pub(crate) rollout_records: mpsc::UnboundedSender<RolloutRecord>,
     pub(crate) health_path: watch::Sender<Option<CompactString>>,
@@ -257,7 +259,11 @@
             Effect::Pull(address) => {
                 let _ = self.pulls.send(address);
             }
-            Effect::RenewRecord { era } => {
+            Effect::WriteRecords(batch) => {
+                // The receiver is dropped only at shutdown.
+                let _ = self.record_batches.send(batch);
+            }
+            Effect::EndLease { era } => {
                 self.store_era.send_replace(era);
             }
             Effect::SaveRollout(record) => {
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -8,6 +8,7 @@
 use crate::{
     config::CallerLimits,
     crash_guard::RequestStanding,
+    directory::RecordBatch,
     event::Timer,
     keys::{CallKey, MemberId, WorkKey},
     node_status::NodeStatus,
@@ -28,8 +29,11 @@
     WatchStore(bool),
     /// Pulls the store data that another node has and this one lacks.
     Pull(SocketAddr),
-    /// Writes this node's record again, because the store has returned from an earlier copy of its state in this era.
-    RenewRecord { era: u64 },
+    /// Changes member records in the store.
+    WriteRecords(RecordBatch),
+    /// Ends the use of a lease of an earlier era, because the store has returned from an earlier copy of its state in
+    /// this one.
+    EndLease { era: u64 },
     /// Writes the state of a rollout to the store, unless an outcome is recorded there.
     SaveRollout(RolloutRecord),
     /// Applies new limits for callers' requests.
@@ -159,6 +163,8 @@
     Member { id: MemberId, service: CompactString, change: &'static str },
     /// The state of the local target changed.
     Target { lifetime: CompactString, change: &'static str },
+    /// This node became the recorder of its data centre, or ceased to be it.
+    Recorder { is_recorder: bool },
     /// This node started or stopped watching the store on behalf of the other nodes.
     Watcher { is_watcher: bool },
     /// The store became reachable or unreachable.
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -7,7 +7,7 @@
 use crate::{
     config::RouteTable,
     crash_guard::RequestHash,
-    directory::MemberRecord,
+    directory::{MemberRecord, RecordBatch},
     keys::{CallKey, MemberId, WorkKey},
     limits::Limits,
     node_status::NodeStatus,
@@ -31,14 +31,18 @@
     Slowdown(u32),
     /// The list of all members was read from the store.
     Members(Vec<MemberRecord>),
-    /// The list of all members was read after the store returned from an earlier copy of its state.
-    MembersRestored(Vec<MemberRecord>),
     /// The record of a member was written to the store.
     MemberPut(MemberRecord),
     /// The record of a member was deleted from the store, or its lease expired.
     MemberRemoved(MemberId),
-    /// The members that started at the same time as this node were listed.
-    Synced,
+    /// A batch of member records was written to the store under the lease of this node.
+    RecordsWritten(RecordBatch),
+    /// The batch could not be written, or it is not known whether it was.
+    RecordsUnwritten,
+    /// The lease of this node has ended or belongs to an earlier state of the store, so its records are lost.
+    RecordLeaseLost,
+    /// This node has found the members that run, so that duties can be shared among them.
+    Synced(Found),
     /// The store revisions known to this node changed.
     Revisions(Revisions),
     /// The store gave an answer of this era.
@@ -71,6 +75,15 @@
     Stop,
 }
 
+/// What a starting node found in the store.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Found {
+    /// No other member: the deployment starts, and this node is the first one or one of a few.
+    Nobody,
+    /// Other members.
+    Members,
+}
+
 /// The outcome of a pull from another node.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) enum PullOutcome {
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -91,6 +91,9 @@
             "member" => %id, "service" => service.as_str(), "change" => change),
         Record::Target { lifetime, change } => info!(log, "target";
             "life" => lifetime.as_str(), "change" => change),
+        Record::Recorder { is_recorder } => {
+            info!(log, "recorder"; "change" => if *is_recorder { "taken" } else { "given-up" });
+        }
         Record::Watcher { is_watcher } => {
             info!(log, "seat"; "change" => if *is_watcher { "taken" } else { "given-up" });
         }
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -39,7 +39,7 @@
 const BUCKET_COUNT: u16 = 14;
 
 /// Names and help texts of the counters.
-const COUNTERS: [(&str, &str); 15] = [
+const COUNTERS: [(&str, &str); 16] = [
     ("attempts", "Attempts of callers' requests at targets"),
     ("retries", "Attempts that ended without an answer that is passed on, by cause"),
     ("refusals", "Callers' requests refused, by reason"),
@@ -49,6 +49,7 @@
     ("target_requests", "Requests that ended at the target, by outcome"),
     ("members", "Members that appeared or are gone"),
     ("target_changes", "Changes of the target beside this node"),
+    ("recorders", "Changes of the duty to record the members of the data centre in the store"),
     ("seats", "Changes of the duty to watch the store"),
     ("store", "Times the store became reachable or unreachable"),
     ("orders", "Configurations, evacuations and stages of rollouts that came into force"),
@@ -246,6 +247,8 @@
         Record::Ran { outcome, .. } => ("target_requests", *outcome),
         Record::Member { change, .. } => ("members", *change),
         Record::Target { change, .. } => ("target_changes", *change),
+        Record::Recorder { is_recorder: true } => ("recorders", "taken"),
+        Record::Recorder { .. } => ("recorders", "given_up"),
         Record::Watcher { is_watcher: true } => ("seats", "taken"),
         Record::Watcher { .. } => ("seats", "given_up"),
         Record::Store { is_reachable: true } => ("store", "regained"),
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -37,7 +37,7 @@
     serve::{self, HeadLimits},
     settings::Settings,
     store::Store,
-    sync,
+    sync::{self, Startup},
     timer::Timers,
     topic_replicas::{TopicReplicas, UpdateHandler},
 };
@@ -119,12 +119,12 @@
         };
         let metrics = Arc::new(Metrics::new());
         let store = MeteredStore::new(store, metrics.clone());
-        let record = local.record();
         let reducer = Reducer::new(local, rand::rng().random());
         let driver = Arc::new(Driver::new(reducer, log.clone(), metrics.clone()));
         let stop = watch::Sender::new(false);
         let (watcher_sender, is_watcher) = watch::channel(false);
         let (store_era_sender, store_era) = watch::channel(0);
+        let (record_batches, batches) = mpsc::unbounded_channel();
         let (pulls, pull_requests) = mpsc::unbounded_channel();
         let (health_path_sender, health_path) = watch::channel(None);
         let health_check = Arc::new(Notify::new());
@@ -149,7 +149,10 @@
             let (prefixes, replicas) = (settings.prefixes.clone(), replicas.clone());
             tasks.spawn(sync::follow(store.clone(), topic, prefixes, replicas, is_watcher.clone()));
         }
-        tasks.spawn(registry::publish(store, record, driver.clone(), store_era));
+        tasks.spawn(registry::write_records(store.clone(), batches, driver.clone(), store_era));
+        let startup =
+            Startup { store, prefixes: settings.prefixes.clone(), replicas: replicas.clone() };
+        tasks.spawn(async move { startup.run().await });
         tasks.spawn(receive(status_socket.clone(), driver.clone()));
 
         let peer_pools = Peers::default();
@@ -224,6 +227,7 @@
             status_socket,
             is_watcher: watcher_sender,
             store_era: store_era_sender,
+            record_batches,
             pulls,
             rollout_records: record_sender,
             health_path: health_path_sender,
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -12,6 +12,7 @@
 mod measurements;
 mod orders;
 mod pulls;
+mod records;
 mod versions;
 mod works;
 
@@ -48,7 +49,7 @@
 pub(crate) use self::denials::RequestSize;
 use self::{
     calls::Call, configuration::Confirmation, eras::Eras, measurements::Unmeasured,
-    orders::KeptOrders, pulls::Pulls, works::Work,
+    orders::KeptOrders, pulls::Pulls, records::Records, works::Work,
 };
 
 /// The interval of [`Timer::Tick`].
@@ -135,6 +136,7 @@
     eras: Eras,
     kept_orders: KeptOrders,
     pulls: Pulls,
+    records: Records,
     /// Whether this node watches the store for the other nodes.
     is_watcher: bool,
     is_ready: bool,
@@ -178,6 +180,7 @@
             eras: Eras::default(),
             kept_orders: KeptOrders::default(),
             pulls: Pulls::default(),
+            records: Records::default(),
             is_watcher: false,
             is_ready: false,
             has_queue_timer: false,
@@ -191,7 +194,8 @@
     /// Arms the first tick and registers this node in its own directory.
     pub(crate) fn start(&mut self, out: &mut Vec<Effect>) {
         out.push(Effect::Arm { timer: Timer::Tick, after: TICK_INTERVAL });
-        self.directory.upsert(self.local.record());
+        self.directory.upsert(Time::ZERO, self.local.record());
+        self.update_own_entry(Time::ZERO);
     }
 
     /// Applies one event.
@@ -202,10 +206,12 @@
             Event::Health(health) => self.apply_health(now, health, out),
             Event::Slowdown(percent) => self.apply_slowdown(now, percent, out),
             Event::Members(records) => self.members_listed(now, records, out),
-            Event::MembersRestored(records) => self.members_restored(now, records, out),
-            Event::MemberPut(record) => self.member_put(record, out),
+            Event::MemberPut(record) => self.member_put(now, record, out),
             Event::MemberRemoved(id) => self.directory.mark_removed(now, id),
-            Event::Synced => self.members_synced(now, out),
+            Event::RecordsWritten(batch) => self.records_written(now, &batch),
+            Event::RecordsUnwritten => self.records_unwritten(now),
+            Event::RecordLeaseLost => self.record_lease_lost(now),
+            Event::Synced(found) => self.members_synced(now, found, out),
             Event::Revisions(revisions) => self.revisions_changed(now, revisions, out),
             Event::StoreEra(era) => self.era_seen(now, era, out),
             Event::PullEnded(outcome) => self.pull_ended(now, outcome, out),
@@ -331,6 +337,7 @@
         self.adjust_for_pause(now, out);
         self.expire_members(now, out);
         self.update_watcher(now, out);
+        self.write_records(now, out);
         self.continue_pull(now, out);
         self.drop_kept_orders(now, out);
         self.evaluate_rollouts(now, out);
--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -70,13 +70,17 @@
     /// Only then is a request that the configuration does not allow refused for good. Otherwise the caller may come
     /// back, since the configuration that allows it may be on its way.
     pub(super) fn is_config_current(&self, now: Time) -> bool {
-        let is_confirmed = self.orders_age(now).is_some_and(|age| age <= MAX_ORDERS_AGE);
-        is_confirmed
+        self.has_confirmed_orders(now)
             && !self.has_unreadable_config
             && !self.is_orders_era_outdated()
             && !self.is_behind_in_orders(now)
     }
 
+    /// Returns whether the orders of this node were those of the store a short time ago.
+    pub(crate) fn has_confirmed_orders(&self, now: Time) -> bool {
+        self.orders_age(now).is_some_and(|age| age <= MAX_ORDERS_AGE)
+    }
+
     /// Returns the time since the orders of this node were known to be those of the store: none while it watches them, or
     /// else the time since it last read them or heard from a node whose orders are not newer, plus the age there.
     pub(super) fn orders_age(&self, now: Time) -> Option<Duration> {
--- a/mesh/src/reducer/eras.rs
+++ b/mesh/src/reducer/eras.rs
@@ -90,7 +90,7 @@
         self.eras.latest = Some(era);
         self.eras.changed_at = Some(now);
         out.push(Effect::Log(Record::StoreEra { previous, era }));
-        out.push(Effect::RenewRecord { era });
+        out.push(Effect::EndLease { era });
         let records = self.rollout_records.values().filter(|record| record.state.is_final());
         self.eras.lost_records = records.map(|record| (record.service.clone(), now)).collect();
     }
@@ -134,20 +134,6 @@
         }
     }
 
-    /// Applies the list of members of a store that has returned from an earlier copy of its state.
-    pub(super) fn members_restored(
-        &mut self,
-        now: Time,
-        mut records: Vec<MemberRecord>,
-        out: &mut Vec<Effect>,
-    ) {
-        records.retain(|record| !self.is_earlier_local(record));
-        for record in &records {
-            self.log_if_new(record, out);
-        }
-        self.directory.restore(now, records);
-    }
-
     /// Returns whether a record is of an earlier process at this node's address. Its lease may not have ended yet.
     pub(super) fn is_earlier_local(&self, record: &MemberRecord) -> bool {
         record.address == self.local.address && record.id != self.local.id
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -8,6 +8,7 @@
         Member, MemberRecord, OTHER_CENTRE_FANOUT, SAME_CENTRE_FANOUT, Tally, other_centre_interval,
     },
     effect::{Effect, Record},
+    event::Found,
     keys::MemberId,
     limits::Limits,
     node_status::{Extension, NodeStatus},
@@ -15,7 +16,7 @@
     report::LoadReport,
     target::{Health, TargetChange},
     time::Time,
-    watchers::{self, WatcherCandidate},
+    watchers::{self, RecorderScope, WatcherCandidate},
 };
 
 use super::Reducer;
@@ -30,7 +31,7 @@
 }
 
 /// The time for which a node includes its record in its status after its start, and after the store may have lost the
-/// record. By then other nodes have read it from the store, unless the store is unavailable.
+/// record. Later it does so only while the store does not hold the record.
 const RECORD_SEND_TIME: Duration = Duration::from_secs(10);
 
 /// The minimum interval of status datagrams to other data centres.
@@ -57,26 +58,30 @@
     pub(super) fn members_listed(
         &mut self,
         now: Time,
-        mut records: Vec<MemberRecord>,
+        records: Vec<MemberRecord>,
         out: &mut Vec<Effect>,
     ) {
-        records.retain(|record| !self.is_earlier_local(record));
+        let (ended, records): (Vec<_>, Vec<_>) =
+            records.into_iter().partition(|record| self.is_earlier_local(record));
         for record in &records {
             self.log_if_new(record, out);
         }
         self.directory.replace(now, records);
+        for record in ended {
+            self.directory.put_ended(now, record);
+        }
         if !std::mem::replace(&mut self.has_member_list, true) {
             self.send_status_now(now, out);
         }
         self.update_ready(out);
     }
 
-    pub(super) fn member_put(&mut self, record: MemberRecord, out: &mut Vec<Effect>) {
-        if record.id == self.local.id || self.is_earlier_local(&record) {
-            return;
+    pub(super) fn member_put(&mut self, now: Time, record: MemberRecord, out: &mut Vec<Effect>) {
+        if self.is_earlier_local(&record) {
+            return self.directory.put_ended(now, record);
         }
         self.log_if_new(&record, out);
-        self.directory.upsert(record);
+        self.directory.put(now, record);
     }
 
     pub(super) fn log_if_new(&self, record: &MemberRecord, out: &mut Vec<Effect>) {
@@ -94,7 +99,7 @@
     }
 
     /// Updates this node's own entry in the directory, since it receives no status from itself.
-    fn update_own_entry(&mut self, now: Time) {
+    pub(super) fn update_own_entry(&mut self, now: Time) {
         if let Some(key) = self.directory.key(self.local.id)
             && let Some(member) = self.directory.get_mut(key)
         {
@@ -140,9 +145,7 @@
         member.has_store = status.has_store;
         member.revisions = positions;
         member.config_version = config_version;
-        if status.is_stopping {
-            self.directory.mark_removed(now, status.from);
-        }
+        member.is_stopping = status.is_stopping;
         self.merge_suspects(now, &status.suspects, out);
         for rollout in &status.rollouts {
             self.merge_rollout(now, rollout);
@@ -159,16 +162,20 @@
             return;
         }
         self.log_if_new(record, out);
-        self.directory.upsert(record.clone());
+        self.directory.upsert(now, record.clone());
         let is_own_service = record.service == self.local.service;
         let suspects = if is_own_service { self.suspects_for_new_node(now) } else { Vec::new() };
         let (to, status) = (vec![record.address], self.node_status(now, suspects));
         out.push(Effect::SendStatus { to, status });
     }
 
-    pub(super) fn members_synced(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub(super) fn members_synced(&mut self, now: Time, found: Found, out: &mut Vec<Effect>) {
         self.is_synced = true;
+        if found == Found::Nobody {
+            self.start_deployment(now);
+        }
         self.update_watcher(now, out);
+        self.write_records(now, out);
         self.send_status_now(now, out);
     }
 
@@ -191,7 +198,16 @@
         };
         let nodes: Vec<WatcherCandidate> =
             responsive.map(|(_, member)| candidate(member)).collect();
-        let is_watcher = self.stopping_since.is_none() && watchers::is_watcher(&local, &nodes);
+        let is_running = self.stopping_since.is_none();
+        // The other nodes of a deployment that starts leave all duties to the one that they have found.
+        let is_founder = self.is_deployment_starting(now);
+        let scope = if is_founder {
+            Some(RecorderScope::All)
+        } else {
+            watchers::recorder_scope(&local, &nodes)
+        };
+        self.set_recorder(now, scope.filter(|_| is_running), out);
+        let is_watcher = is_running && (is_founder || watchers::is_watcher(&local, &nodes));
         if is_watcher != self.is_watcher {
             self.is_watcher = is_watcher;
             out.push(Effect::WatchStore(is_watcher));
@@ -199,9 +215,12 @@
         }
     }
 
-    /// Returns whether this node knows no other node.
-    pub(crate) fn is_alone(&self) -> bool {
-        self.directory.len() < 2
+    /// Returns whether another node has spoken to this one.
+    pub(crate) fn has_heard_others(&self, now: Time) -> bool {
+        let mut members = self.directory.iter().map(|(_, member)| member);
+        members.any(|member| {
+            !self.is_local(member.record.id) && !self.directory.is_silent(now, member)
+        })
     }
 
     /// Sends this node's status to other nodes if its load has changed significantly or the maximum interval has
@@ -259,6 +278,7 @@
             let is_same_centre = member.record.centre == self.local.centre;
             member.record.id != self.local.id
                 && is_same_centre == (locality == Locality::SameCentre)
+                && !(member.is_stopping && self.directory.is_silent(now, member))
         };
         let others = self.directory.iter().map(|(_, member)| member);
         let others: Vec<&Member> = others.filter(|member| is_recipient(member)).collect();
@@ -275,7 +295,8 @@
 
     pub(super) fn node_status(&self, now: Time, suspects: Vec<SuspectReport>) -> NodeStatus {
         let has_new_record = now.since(Time::ZERO) < RECORD_SEND_TIME
-            || self.is_just_restored(now, RECORD_SEND_TIME);
+            || self.is_just_restored(now, RECORD_SEND_TIME)
+            || !self.is_recorded();
         NodeStatus {
             from: self.local.id,
             revisions: self.revisions.map(|position| position.revision),
--- a/mesh/src/reducer/pulls.rs
+++ b/mesh/src/reducer/pulls.rs
@@ -26,6 +26,10 @@
 /// The time for which this node waits for busy nodes of its own data centre before it pulls from another one.
 const BUSY_CENTRE_PULL_DELAY: Duration = Duration::from_millis(800);
 
+/// The time for which this node waits before it pulls newer members, in which further changes are collected. Members that
+/// start announce themselves by their status datagrams, so the records are not urgent.
+const MEMBERS_PULL_DELAY: Duration = Duration::from_secs(1);
+
 /// The time in which a node that was read or refused a pull is not asked again, randomised by half of it.
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -141,6 +145,10 @@
             return None;
         }
         let lag = now.since(*self.pulls.behind_since[topic.index()].get_or_insert(now));
+        let is_first = self.revisions[topic.index()].revision == 0;
+        if topic == Topic::Members && !is_first && lag < MEMBERS_PULL_DELAY {
+            return None;
+        }
         let askable = sources.iter().filter(|source| source.is_askable);
         let near = askable.clone().filter(|source| source.is_near);
         if let Some(source) = near.choose(&mut self.rng) {
@@ -221,6 +229,15 @@
         self.continue_pull(now, out);
     }
 
+    /// Returns whether other nodes should learn of these revisions at once: they bring orders or states, or are the first
+    /// that this node knows.
+    fn is_first_or_urgent(&self, revisions: &Revisions) -> bool {
+        let members = Topic::Members.index();
+        let is_first = self.revisions[members].revision == 0;
+        let mut others = [Topic::Orders, Topic::Status].into_iter().map(Topic::index);
+        is_first || others.any(|topic| self.revisions[topic] != revisions[topic])
+    }
+
     pub(super) fn revisions_changed(
         &mut self,
         now: Time,
@@ -234,8 +251,11 @@
                     self.pulls.behind_since[topic] = None;
                 }
             }
+            let is_urgent = self.is_first_or_urgent(&revisions);
             self.revisions = revisions;
-            self.send_status_now(now, out);
+            if is_urgent {
+                self.send_status_now(now, out);
+            }
         }
     }
 }
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -9,6 +9,7 @@
 mod lifetimes;
 mod orders;
 mod pulls;
+mod records;
 mod slowdowns;
 mod spread;
 mod stale_config;
--- a/mesh/src/registry.rs
+++ b/mesh/src/registry.rs
@@ -1,25 +1,27 @@
-//! The record of this node in the store, and updates of the other members' records.
+//! The member records in the store: writes of those for which this node is responsible, and updates of all.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use rand::Rng as _;
-use tokio::{sync::watch, time};
+use tokio::{
+    sync::{mpsc, watch},
+    time::{self, Instant},
+};
 
 use crate::{
-    directory::MemberRecord,
+    directory::{MemberRecord, RecordBatch},
     driver::Driver,
     event::Event,
     keys::MemberId,
-    store::{Backoff, Change, Item, Lease, Result, Store, StoreError, Transaction, Update},
+    store::{Change, Item, Lease, Result, Store, StoreError, Transaction, Update},
 };
 
 /// The prefix of the keys of all members.
 pub(crate) const PREFIX: &str = "poplarbarrow/members/";
 
-/// The time-to-live of the lease of a member record. Members detect within two seconds that a node
-/// is gone; the record only serves nodes that start later.
+/// The time-to-live of the lease of member records. Members detect within two seconds that a node is gone; the records
+/// only serve nodes that start later.
 const LEASE_TTL: Duration = Duration::from_secs(20);
 
 /// The interval of lease renewal, with which two calls may fail without consequence.
@@ -28,24 +30,15 @@
 /// The interval of lease renewal after a failure.
 const RENEW_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The maximum delay before the record is written again after the store has returned from an earlier
-/// copy of its state, so that the writes of all nodes do not exceed the store's rate limit.
-const MAX_REWRITE_DELAY: Duration = Duration::from_secs(1);
-
 /// The maximum length of the description of an error in characters.
 const MAX_ERROR_CHARS: usize = 200;
 
-/// Dispatches an update of the member records to the reducer. `is_restored` tells whether the store
-/// has returned from an earlier copy of its state since the last update.
-pub(crate) fn apply_update(driver: &Driver, update: Update, is_restored: bool) {
+/// Dispatches an update of the member records to the reducer.
+pub(crate) fn apply_update(driver: &Driver, update: Update) {
     match update {
         Update::Listed(items) => {
             let records = items.iter().filter_map(|item| read_record(driver, item)).collect();
-            driver.dispatch(if is_restored {
-                Event::MembersRestored(records)
-            } else {
-                Event::Members(records)
-            });
+            driver.dispatch(Event::Members(records));
         }
         Update::Changed(changes) => {
             for change in changes {
@@ -68,81 +61,129 @@
     }
 }
 
-/// Keeps this node's record in the store under a lease until the task is cancelled. `store_era` is the
-/// era of the last return of the store from an earlier copy of its state.
-pub(crate) async fn publish<S: Store>(
+/// Writes batches of records under a lease, and renews it, until the task is cancelled.
+///
+/// The lease is granted with the first record. Once granted it is renewed as long as this process runs, because a node
+/// that becomes the recorder later writes only the records that the store lacks. `store_era` is the era of the last return
+/// of the store from an earlier copy of its state.
+pub(crate) async fn write_records<S: Store>(
     store: S,
-    record: MemberRecord,
+    mut batches: mpsc::UnboundedReceiver<RecordBatch>,
     driver: Arc<Driver>,
     mut store_era: watch::Receiver<u64>,
 ) {
-    let mut backoff = Backoff::new();
+    let mut recorder = Recorder { store, driver, lease: None, renew_at: Instant::now() };
     loop {
-        match write_record(&store, &record).await {
-            Ok(lease) => {
-                backoff = Backoff::new();
-                driver.dispatch(Event::Store { is_reachable: true });
-                driver.dispatch(Event::StoreEra(lease.era));
-                renew_until_lost(&store, lease, &mut store_era, &driver).await;
+        let lease = recorder.lease;
+        let renewal = async {
+            match lease {
+                Some(_) => time::sleep_until(recorder.renew_at).await,
+                None => std::future::pending().await,
             }
-            Err(error) => {
-                slog::warn!(driver.log(), "record-unwritten"; "error" => %error);
-                driver.dispatch(Event::Store { is_reachable: false });
-                backoff.wait().await;
+        };
+        let era_end = async {
+            let Some(lease) = lease else { return std::future::pending().await };
+            if store_era.wait_for(|era| *era > lease.era).await.is_err() {
+                std::future::pending::<()>().await;
             }
+        };
+        tokio::select! {
+            batch = batches.recv() => match batch {
+                Some(batch) => recorder.write(batch).await,
+                None => return,
+            },
+            () = renewal => recorder.renew().await,
+            // The id may denote another node's lease by now, so a renewal would prove nothing.
+            () = era_end => recorder.lose_lease(),
         }
     }
 }
 
-/// Renews the lease until the store reports that it has ended, or has lost it.
-async fn renew_until_lost<S: Store>(
-    store: &S,
-    lease: Lease,
-    store_era: &mut watch::Receiver<u64>,
-    driver: &Driver,
-) {
-    let mut interval = RENEW_INTERVAL;
-    loop {
-        let is_era_over = async { store_era.wait_for(|era| *era > lease.era).await.is_ok() };
-        tokio::select! {
-            () = time::sleep(interval) => {}
-            true = is_era_over => {
-                // The id may denote another node's lease by now, so a renewal would prove nothing.
-                slog::warn!(driver.log(), "lease-lost"; "lease" => lease.id, "era" => lease.era);
-                let delay = MAX_REWRITE_DELAY.mul_f64(rand::rng().random());
-                time::sleep(delay).await;
-                return;
+/// The lease of this node and the store in which it is held.
+struct Recorder<S> {
+    store: S,
+    driver: Arc<Driver>,
+    lease: Option<Lease>,
+    renew_at: Instant,
+}
+
+impl<S: Store> Recorder<S> {
+    async fn write(&mut self, batch: RecordBatch) {
+        match self.commit(&batch).await {
+            Ok(era) => {
+                slog::info!(self.driver.log(), "records-written";
+                    "put" => batch.puts.len(), "removed" => batch.removes.len());
+                self.driver.dispatch(Event::Store { is_reachable: true });
+                self.driver.dispatch(Event::StoreEra(era));
+                self.driver.dispatch(Event::RecordsWritten(batch));
+            }
+            Err(error) => {
+                slog::warn!(self.driver.log(), "records-unwritten"; "error" => %error);
+                if matches!(error, StoreError::NoLease) {
+                    self.lose_lease();
+                } else {
+                    self.driver.dispatch(Event::Store { is_reachable: false });
+                }
+                self.driver.dispatch(Event::RecordsUnwritten);
             }
         }
-        interval = match store.renew(lease).await {
+    }
+
+    /// Writes a batch and returns the era of the store.
+    async fn commit(&mut self, batch: &RecordBatch) -> Result<u64> {
+        let mut transaction = Transaction {
+            removes: batch.removes.iter().map(record_key).collect(),
+            ..Transaction::default()
+        };
+        if batch.puts.is_empty() {
+            return Ok(self.store.commit(transaction).await?.era);
+        }
+        let lease = match self.lease {
+            Some(lease) => lease,
+            None => self.store.grant(LEASE_TTL).await?,
+        };
+        if self.lease.is_none() {
+            (self.lease, self.renew_at) = (Some(lease), Instant::now() + RENEW_INTERVAL);
+        }
+        for record in &batch.puts {
+            transaction.writes.push((record_key(record), encode(record)?, Some(lease)));
+        }
+        let position = self.store.commit(transaction).await?;
+        if position.era != lease.era {
+            return Err(StoreError::NoLease);
+        }
+        Ok(position.era)
+    }
+
+    async fn renew(&mut self) {
+        let Some(lease) = self.lease else { return };
+        let interval = match self.store.renew(lease).await {
             Ok(era) => {
-                driver.dispatch(Event::StoreEra(era));
-                driver.dispatch(Event::Store { is_reachable: true });
+                self.driver.dispatch(Event::StoreEra(era));
+                self.driver.dispatch(Event::Store { is_reachable: true });
                 RENEW_INTERVAL
             }
-            Err(StoreError::NoLease) => {
-                slog::warn!(driver.log(), "lease-lost"; "lease" => lease.id);
-                return;
-            }
+            Err(StoreError::NoLease) => return self.lose_lease(),
             Err(error) => {
-                slog::warn!(driver.log(), "lease-unrenewed"; "error" => %error);
-                driver.dispatch(Event::Store { is_reachable: false });
+                slog::warn!(self.driver.log(), "lease-unrenewed"; "error" => %error);
+                self.driver.dispatch(Event::Store { is_reachable: false });
                 RENEW_RETRY_INTERVAL
             }
         };
+        self.renew_at = Instant::now() + interval;
+    }
+
+    fn lose_lease(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            slog::warn!(self.driver.log(), "lease-lost"; "lease" => lease.id, "era" => lease.era);
+        }
+        self.driver.dispatch(Event::RecordLeaseLost);
     }
 }
 
-async fn write_record<S: Store>(store: &S, record: &MemberRecord) -> Result<Lease> {
+fn encode(record: &MemberRecord) -> Result<Bytes> {
     let encode_error = |error| StoreError::Unreadable { reason: format_compact!("{error}") };
-    let value = serde_json::to_vec(record).map(Bytes::from).map_err(encode_error)?;
-    let lease = store.grant(LEASE_TTL).await?;
-    let writes = vec![(record_key(record), value, Some(lease))];
-    let position = store.commit(Transaction { writes, ..Transaction::default() }).await?;
-    if position.era != lease.era {
-        return Err(StoreError::NoLease);
-    }
-    Ok(lease)
+    serde_json::to_vec(record).map(Bytes::from).map_err(encode_error)
 }
 
 fn record_key(record: &MemberRecord) -> CompactString {
--- a/mesh/src/replica.rs
+++ b/mesh/src/replica.rs
@@ -99,6 +99,8 @@
     pruned_revision: u64,
     /// The revision of the last list. Keys that were added and removed before it are not known.
     listed_revision: u64,
+    /// Whether a preliminary list was applied.
+    has_preliminary: bool,
 }
 
 impl Replica {
@@ -123,14 +125,16 @@
     }
 
     /// Applies a list that may be older than other data of its position, such as the result of a
-    /// stale read, so that the replica has something until a list with a position arrives.
+    /// stale read, so that the replica has something until a list with a position arrives. The same list again has no effect.
     pub(crate) fn apply_preliminary(&mut self, items: Vec<Item>) -> Option<Update> {
         if self.position.revision > 0 {
             return None;
         }
         let entry = |item: Item| (item.key, (item.revision, Some(item.value)));
-        self.entries = items.into_iter().map(entry).collect();
-        Some(Update::Listed(self.items()))
+        let entries = items.into_iter().map(entry).collect();
+        let is_new = !std::mem::replace(&mut self.has_preliminary, true) || self.entries != entries;
+        self.entries = entries;
+        is_new.then(|| Update::Listed(self.items()))
     }
 
     /// Applies the changes that a watch returned. Changes of another era have no effect, because
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -1,10 +1,14 @@
 //! Synchronises this node's replicas with the store while this node is a watcher.
+//!
+//! [`startup`] gets the first data of a node.
+
+mod startup;
 
 use std::time::Duration;
 
-use rand::Rng as _;
 use tokio::{sync::watch, time};
 
+pub(crate) use self::startup::Startup;
 use crate::{
     event::Event,
     replica::Topic,
@@ -21,11 +25,10 @@
 /// batch.
 const BATCH_DELAY: Duration = Duration::from_millis(80);
 
-/// The delay after the start before the members that started at the same time are listed.
-const STARTUP_DELAY: Duration = Duration::from_millis(500);
+/// The same for members. In a large deployment they change all the time, and members that start announce themselves.
+const MEMBERS_BATCH_DELAY: Duration = Duration::from_secs(1);
 
-/// Synchronises one topic with the store: lists it at the start, and watches it while this node is
-/// a watcher.
+/// Synchronises one topic with the store while this node is a watcher.
 pub(crate) async fn follow<S: Store>(
     store: S,
     topic: Topic,
@@ -34,7 +37,6 @@
     mut is_watcher: watch::Receiver<bool>,
 ) {
     let prefix = prefixes.of(topic);
-    load_initial(&store, topic, prefix, &replicas).await;
     // A watch needs the position of a list.
     let mut freshness = None;
     let mut backoff = Backoff::new();
@@ -85,38 +87,6 @@
     }
 }
 
-/// Lists a topic at the start. The members are read as cheaply as possible; what is missing comes
-/// from a watch or from other nodes. The other topics must not be older than what has been confirmed
-/// to operators.
-async fn load_initial<S: Store>(store: &S, topic: Topic, prefix: &str, replicas: &TopicReplicas) {
-    let mut backoff = Backoff::new();
-    let freshness = match topic {
-        Topic::Members => Freshness::AllowStale,
-        Topic::Orders | Topic::Status => Freshness::Latest,
-    };
-    while let Err(error) = apply_list(store, topic, prefix, freshness, replicas).await {
-        slog::warn!(replicas.log(), "store-call-failed"; "topic" => topic.as_str(),
-            "error" => %error);
-        replicas.dispatch(Event::Store { is_reachable: false });
-        backoff.wait().await;
-    }
-    replicas.dispatch(Event::Store { is_reachable: true });
-    replicas.report_read(topic, false);
-    if topic == Topic::Members {
-        let jitter = rand::rng().random_range(0.8..1.2);
-        time::sleep(STARTUP_DELAY.mul_f64(jitter)).await;
-        // Nodes that started together are missing from each other's first list, and a node that
-        // knows no other one receives no status from any.
-        if replicas.is_alone()
-            && let Err(error) = apply_list(store, topic, prefix, Freshness::Latest, replicas).await
-        {
-            slog::warn!(replicas.log(), "store-call-failed"; "topic" => topic.as_str(),
-                "error" => %error);
-        }
-        replicas.dispatch(Event::Synced);
-    }
-}
-
 async fn apply_list<S: Store>(
     store: &S,
     topic: Topic,
@@ -148,7 +118,7 @@
     let is_changed = !changes.is_empty();
     replicas.apply(topic, |replica| replica.apply_changes(changes, position));
     if is_changed {
-        time::sleep(BATCH_DELAY).await;
+        time::sleep(if topic == Topic::Members { MEMBERS_BATCH_DELAY } else { BATCH_DELAY }).await;
     }
     Ok(())
 }
--- a/mesh/src/topic_replicas.rs
+++ b/mesh/src/topic_replicas.rs
@@ -119,7 +119,7 @@
         }
         if let Some(update) = update {
             match topic {
-                Topic::Members => registry::apply_update(&self.driver, update, is_restored),
+                Topic::Members => registry::apply_update(&self.driver, update),
                 Topic::Orders | Topic::Status => {
                     shared.handler.handle_update(&shared.node, topic, update);
                 }
@@ -278,9 +278,23 @@
         self.driver.dispatch(event);
     }
 
-    /// Returns whether this node knows no other node.
-    pub(crate) fn is_alone(&self) -> bool {
-        self.driver.inspect(|_, reducer| reducer.is_alone())
+    /// Returns whether another node has spoken to this one.
+    pub(crate) fn has_heard_others(&self) -> bool {
+        self.driver.inspect(|now, reducer| reducer.has_heard_others(now))
+    }
+
+    /// Returns the number of members that this node knows, itself included.
+    pub(crate) fn member_count(&self) -> usize {
+        self.driver.inspect(|_, reducer| reducer.member_count())
+    }
+
+    /// Returns whether this node has the orders and the states of rollouts, and the orders were those of the store a short
+    /// time ago.
+    pub(crate) fn has_current_orders(&self) -> bool {
+        let is_known = |topic| self.position(topic).revision > 0;
+        is_known(Topic::Orders)
+            && is_known(Topic::Status)
+            && self.driver.inspect(|now, reducer| reducer.has_confirmed_orders(now))
     }
 
     fn lock(&self) -> MutexGuard<'_, Shared> {
--- a/mesh/src/watchers.rs
+++ b/mesh/src/watchers.rs
@@ -39,5 +39,32 @@
         || is_among_first(&|_| true, MIN_WATCHERS)
 }
 
+/// The members that a node records in the store.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum RecorderScope {
+    /// Those of its data centre.
+    Centre,
+    /// Those of its data centre, and others that nobody has recorded for some time.
+    All,
+}
+
+/// Returns which members node `local` records: those of its data centre if it is the first one there that reaches the
+/// store, and all if it is the first of all.
+pub(crate) fn recorder_scope(
+    local: &WatcherCandidate,
+    nodes: &[WatcherCandidate],
+) -> Option<RecorderScope> {
+    let mut ahead = nodes.iter().filter(|node| node.has_store && node.id < local.id).peekable();
+    if !local.has_store {
+        None
+    } else if ahead.peek().is_none() {
+        Some(RecorderScope::All)
+    } else if ahead.all(|node| node.centre != local.centre) {
+        Some(RecorderScope::Centre)
+    } else {
+        None
+    }
+}
+
 #[cfg(test)]
 mod tests;
