--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -58,6 +58,7 @@
 mod route_failures;
 mod slowdown;
 mod sync;
+mod tally;
 mod target;
 mod topic_replicas;
 mod watchers;
--- a/mesh/src/node_status.rs
+++ b/mesh/src/node_status.rs
@@ -9,11 +9,12 @@
 
 use crate::{
     crash_guard::SuspectReport,
-    directory::{MemberRecord, Tally},
+    directory::MemberRecord,
     keys::MemberId,
     replica::{Position, Revisions},
     report::LoadReport,
     rollout::RolloutProgress,
+    tally::Tally,
 };
 
 /// The longest datagram in bytes that is read.
--- a/mesh/src/node_status/tests.rs
+++ b/mesh/src/node_status/tests.rs
@@ -2,11 +2,8 @@
 
 use super::{Extension, MAX_BYTES, NodeStatus};
 use crate::{
-    directory::{MemberRecord, Tally},
-    keys::MemberId,
-    replica::Position,
-    report::LoadReport,
-    rollout::RolloutProgress,
+    directory::MemberRecord, keys::MemberId, replica::Position, report::LoadReport,
+    rollout::RolloutProgress, tally::Tally,
 };
 
 fn status() -> NodeStatus {
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod pulls;
 mod records;
+mod statuses;
 mod versions;
 mod works;
 
@@ -32,7 +33,7 @@
     budget::RetryBudget,
     config::RouteTable,
     crash_guard::CrashGuard,
-    directory::{Directory, Member, MemberRecord, OTHER_CENTRE_FANOUT, SAME_CENTRE_FANOUT, Tally},
+    directory::{Directory, Member, MemberRecord, OTHER_CENTRE_FANOUT, SAME_CENTRE_FANOUT},
     effect::{Effect, Record},
     event::{Event, Timer},
     fanout::Fanout,
@@ -42,6 +43,7 @@
     replica::Revisions,
     report::LoadReport,
     rollout::{Rollout, RolloutRecord},
+    tally::Tally,
     target::{Heartbeat, HeartbeatReply, Lifetime, Target},
     time::Time,
 };
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -20,7 +20,7 @@
     budget::RetryBound,
     config::{Config, Route, RouteTable, Service, Share},
     crash_guard::RequestHash,
-    directory::{MemberRecord, Tally},
+    directory::MemberRecord,
     effect::{Attempt, CallStep, Effect, Hop, WorkStep},
     event::{CallEvent, CallHead, Event, Failure, Timer, WorkEvent, WorkHead},
     keys::{CallKey, MemberId, WorkKey},
@@ -29,6 +29,7 @@
     replica::{Position, Revisions},
     report::LoadReport,
     rollout::RolloutOrder,
+    tally::Tally,
     target::{Health, Heartbeat, Lifetime},
     time::Time,
 };
--- a/mesh/src/rollout/evidence.rs
+++ b/mesh/src/rollout/evidence.rs
@@ -11,9 +11,9 @@
 };
 
 use crate::{
-    directory::Tally,
     keys::MemberId,
     statistics::{MantelHaenszel, Proportion, fisher_exact},
+    tally::Tally,
     time::Time,
 };
 
--- a/mesh/src/rollout/tests.rs
+++ b/mesh/src/rollout/tests.rs
@@ -3,7 +3,7 @@
 use test_case::test_case;
 
 use super::{MemberSample, Rollout, RolloutOrder, RolloutRecord, RolloutState, Verdict};
-use crate::{directory::Tally, keys::MemberId, time::Time};
+use crate::{keys::MemberId, tally::Tally, time::Time};
 
 const MAX_EXPOSURE: f64 = 0.1;
 
