Start the watches of the store again when it goes and when it is back

Cause: a watch that is sent while the store is silent may never be answered, and the node waited for it for 28 s. The log shows the watcher sidecar-oax-b-3 reach the store again 0.3 s after its return, with the watch of the orders from 3 s before still open; version 6 arrived 4 s after its confirmation.

Change: a change of the store's reachability, seen by any call of the node, starts its watches again; while the store is away they wait for 0.5 s, so that one is answered soon after its return.

Test: store_calls::a_watch_of_an_outage_does_not_delay_the_orders_after_it failed before (no configuration within 20 s).

--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -27,6 +27,9 @@
     SendStatus { to: Vec<SocketAddr>, status: NodeStatus },
     /// Starts or stops watching the store on behalf of the other nodes.
     WatchStore(bool),
+    /// Starts the watches of the store again, because it became reachable or unreachable. A watch that was sent while the
+    /// store was away may never be answered.
+    RestartWatches { is_reachable: bool },
     /// Pulls the store data that another node has and this one lacks.
     Pull(SocketAddr),
     /// Changes member records in the store.
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -123,6 +123,7 @@
         let driver = Arc::new(Driver::new(reducer, log.clone(), metrics.clone()));
         let stop = watch::Sender::new(false);
         let (watcher_sender, is_watcher) = watch::channel(false);
+        let (watch_restarts, restarts) = watch::channel(true);
         let (store_era_sender, store_era) = watch::channel(0);
         let (record_batches, batches) = mpsc::unbounded_channel();
         let (pulls, pull_requests) = mpsc::unbounded_channel();
@@ -147,7 +148,9 @@
         let replicas = TopicReplicas::new(driver.clone(), node_handle, handler);
         for topic in Topic::ALL {
             let (prefixes, replicas) = (settings.prefixes.clone(), replicas.clone());
-            tasks.spawn(sync::follow(store.clone(), topic, prefixes, replicas, is_watcher.clone()));
+            let watches =
+                sync::WatchSignals { is_watcher: is_watcher.clone(), restarts: restarts.clone() };
+            tasks.spawn(sync::follow(store.clone(), topic, prefixes, replicas, watches));
         }
         tasks.spawn(registry::write_records(store.clone(), batches, driver.clone(), store_era));
         let startup =
@@ -226,6 +229,7 @@
         driver.start(EffectSinks {
             status_socket,
             is_watcher: watcher_sender,
+            watch_restarts,
             store_era: store_era_sender,
             record_batches,
             pulls,
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -58,6 +58,7 @@
     pub(super) fn store_changed(&mut self, is_reachable: bool, out: &mut Vec<Effect>) {
         if self.has_store != is_reachable {
             self.has_store = is_reachable;
+            out.push(Effect::RestartWatches { is_reachable });
             out.push(Effect::Log(Record::Store { is_reachable }));
         }
     }
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -21,6 +21,10 @@
 /// charged for.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(28);
 
+/// The same while the store does not answer. A watch that is sent during an outage may never be answered, so that a long
+/// one would delay what operators write after it.
+const OUTAGE_WATCH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The delay after a watch returned changes, so that changes in quick succession arrive in one
 /// batch.
 const BATCH_DELAY: Duration = Duration::from_millis(80);
@@ -28,14 +32,23 @@
 /// The same for members. In a large deployment they change all the time, and members that start announce themselves.
 const MEMBERS_BATCH_DELAY: Duration = Duration::from_secs(1);
 
+/// What the reducer tells the tasks that watch the store.
+pub(crate) struct WatchSignals {
+    /// Whether this node is a watcher.
+    pub(crate) is_watcher: watch::Receiver<bool>,
+    /// Whether the store is reachable. Each change starts the watches again.
+    pub(crate) restarts: watch::Receiver<bool>,
+}
+
 /// Synchronises one topic with the store while this node is a watcher.
 pub(crate) async fn follow<S: Store>(
     store: S,
     topic: Topic,
     prefixes: KeyPrefixes,
     replicas: TopicReplicas,
-    mut is_watcher: watch::Receiver<bool>,
+    signals: WatchSignals,
 ) {
+    let WatchSignals { mut is_watcher, mut restarts } = signals;
     let prefix = prefixes.of(topic);
     // A watch needs the position of a list.
     let mut freshness = None;
@@ -55,7 +68,14 @@
         let is_watch = freshness.is_none();
         let result = match freshness.take() {
             Some(freshness) => apply_list(&store, topic, prefix, freshness, &replicas).await,
-            None => apply_watch(&store, topic, prefix, &replicas).await,
+            None => {
+                let is_reachable = *restarts.borrow_and_update();
+                let wait = if is_reachable { WATCH_TIMEOUT } else { OUTAGE_WATCH_TIMEOUT };
+                tokio::select! {
+                    result = apply_watch(&store, topic, prefix, wait, &replicas) => result,
+                    Ok(()) = restarts.changed() => continue,
+                }
+            }
         };
         let log = replicas.log();
         match result {
@@ -107,10 +127,11 @@
     store: &S,
     topic: Topic,
     prefix: &str,
+    wait: Duration,
     replicas: &TopicReplicas,
 ) -> crate::store::Result<()> {
     let after = replicas.position(topic);
-    let (changes, position) = store.watch(prefix, after.revision, WATCH_TIMEOUT).await?;
+    let (changes, position) = store.watch(prefix, after.revision, wait).await?;
     if position.era > after.era {
         // The revision was one of an earlier era, so other changes may be missing.
         return Err(StoreError::Compacted);
