Log when orders are unconfirmed, the wait of a watch, and which attempts are open

The logs could not tell whether a node that holds a seat waits in a long watch or repeats short ones, since when a node serves by orders that nobody confirms, and at how many targets a request may run when it is sent to another one. event=orders has the first and last moment of an unconfirmed time, with its age and the configuration; event=watch the wait, when it changes; event=route the attempts that have ended and that are open, and the number of targets that the route allows. A gauge has the age of the orders. No decision changes. Log::discard is for programs and tests without output.

--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -120,6 +120,12 @@
         route: CompactString,
         service: CompactString,
         attempt: u32,
+        /// Earlier attempts that a target ran or may have run.
+        executions: u8,
+        /// Other attempts that have not ended.
+        open: usize,
+        /// The maximum number of targets that may run the request.
+        allowed: u8,
         member: MemberId,
         cost: Duration,
         compared: usize,
@@ -174,6 +180,14 @@
     Watcher { is_watcher: bool },
     /// The store became reachable or unreachable.
     Store { is_reachable: bool },
+    /// The orders of this node have not been known to be those of the store for some time, or are so again.
+    Orders {
+        is_confirmed: bool,
+        /// The time since the last confirmation, if there was one.
+        age: Option<Duration>,
+        /// The version of the configuration in force, or 0 if there is none.
+        config: u64,
+    },
     /// The store returned from an earlier copy of its state.
     StoreEra { previous: u64, era: u64 },
     /// A new configuration was applied.
--- a/mesh/src/gauges.rs
+++ b/mesh/src/gauges.rs
@@ -31,6 +31,8 @@
     pub(crate) config_version: u64,
     /// The time since this node applied that configuration.
     pub(crate) config_age: Duration,
+    /// The time since the orders of this node were known to be those of the store, if they ever were.
+    pub(crate) orders_age: Option<Duration>,
     /// Whether this node reaches the store.
     pub(crate) has_store: bool,
 }
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use slog::{Drain, Level, Logger, info, o};
+use slog::{Discard, Drain, Level, Logger, info, o};
 use slog_logfmt::Logfmt;
 
 use crate::{effect::Record, log_prefix, log_writer::LogWriter};
@@ -41,6 +41,11 @@
         Log { logger: Logger::root(drain.filter_level(Level::Info).fuse(), o!()), dropped }
     }
 
+    /// Creates a logger that writes nothing.
+    pub fn discard() -> Log {
+        Log { logger: Logger::root(Discard, o!()), dropped: Arc::default() }
+    }
+
     /// Returns the number of lines dropped because the writer was too slow.
     pub(crate) fn dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
@@ -51,10 +56,24 @@
 pub(crate) fn write(log: &Logger, record: &Record) {
     let ms = |time: &Duration| time.as_micros() as f64 / 1_000.0;
     match record {
-        Record::Route { id, route, service, attempt, member, cost, compared, age, config } => {
+        Record::Route {
+            id,
+            route,
+            service,
+            attempt,
+            executions,
+            open,
+            allowed,
+            member,
+            cost,
+            compared,
+            age,
+            config,
+        } => {
             if *attempt > 1 || is_sampled(id) {
                 info!(log, "route"; "id" => id.as_str(), "route" => route.as_str(),
-                    "service" => service.as_str(), "attempt" => attempt, "member" => %member,
+                    "service" => service.as_str(), "attempt" => attempt, "ended" => executions,
+                    "open" => open, "allowed" => allowed, "member" => %member,
                     "cost_ms" => ms(cost), "compared" => compared,
                     "report_age_ms" => age.as_ref().map(ms), "config" => config);
             }
@@ -100,6 +119,9 @@
         Record::Store { is_reachable } => {
             info!(log, "store"; "change" => if *is_reachable { "regained" } else { "lost" });
         }
+        Record::Orders { is_confirmed, age, config } => info!(log, "orders";
+            "change" => if *is_confirmed { "confirmed" } else { "unconfirmed" },
+            "age_ms" => age.as_ref().map(ms), "config" => config),
         Record::StoreEra { previous, era } => info!(log, "store-era";
             "era" => era, "previous" => previous),
         Record::Config { version, routes, previous } => info!(log, "config";
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -52,14 +52,17 @@
     ("recorders", "Changes of the duty to record the members of the data centre in the store"),
     ("seats", "Changes of the duty to watch the store"),
     ("store", "Times the store became reachable or unreachable"),
-    ("orders", "Configurations, evacuations and stages of rollouts that came into force"),
+    (
+        "orders",
+        "Configurations, evacuations and stages of rollouts that came into force, and their confirmations",
+    ),
     ("suspects", "Requests whose standing changed after a crash"),
     ("pauses", "Times for which this node did not run"),
     ("stops", "Graceful stops that began or ended"),
 ];
 
 /// Names and help texts of the gauges.
-const GAUGES: [(&str, &str); 14] = [
+const GAUGES: [(&str, &str); 15] = [
     ("calls_in_progress", "Callers' requests in progress at this entry node"),
     ("target_running", "Requests running at the target beside this node"),
     ("target_queued", "Requests waiting for that target"),
@@ -73,6 +76,10 @@
     ("repeats_left", "Repeats of requests left to this node"),
     ("config_version", "The version of the configuration in force"),
     ("config_age_seconds", "How long that configuration has been in force here"),
+    (
+        "orders_age_seconds",
+        "How long ago the orders of this node were known to be those of the store; -1 if never",
+    ),
     ("store_reachable", "Whether this node reaches the store"),
 ];
 
@@ -254,6 +261,8 @@
         Record::Store { is_reachable: true } => ("store", "regained"),
         Record::Store { .. } => ("store", "lost"),
         Record::StoreEra { .. } => ("store", "restored"),
+        Record::Orders { is_confirmed: true, .. } => ("orders", "confirmed"),
+        Record::Orders { .. } => ("orders", "unconfirmed"),
         Record::Config { .. } => ("orders", "configuration"),
         Record::Evacuated { .. } => ("orders", "evacuation"),
         Record::Rollout { stage, .. } => ("orders", *stage),
@@ -280,6 +289,7 @@
         values.retries_left,
         values.config_version as f64,
         values.config_age.as_secs_f64(),
+        values.orders_age.map_or(-1.0, |age| age.as_secs_f64()),
         flag(values.has_store),
     ]
 }
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -301,6 +301,7 @@
             retries_left: self.retry_budgets.values().map(RetryBudget::remaining).sum(),
             config_version: self.config_version(),
             config_age: now.since(self.config_since),
+            orders_age: self.orders_age(now),
             has_store: self.has_store,
         }
     }
@@ -343,6 +344,7 @@
         out.push(Effect::Arm { timer: Timer::Tick, after: TICK_INTERVAL });
         self.adjust_for_pause(now, out);
         self.expire_members(now, out);
+        self.log_confirmation(now, out);
         self.update_watcher(now, out);
         self.write_records(now, out);
         self.continue_pull(now, out);
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -71,6 +71,7 @@
         let chosen = candidates.iter().find(|candidate| candidate.key == choice.key);
         let age = chosen.and_then(|candidate| candidate.load).map(|(age, _)| age);
         let Some(call) = self.calls.get_mut(key) else { return false };
+        let (executions, open) = (call.executions, call.open.len());
         call.attempts += 1;
         call.tried.push(choice.key);
         call.open.push(OpenAttempt { number: call.attempts, member: choice.key });
@@ -86,6 +87,9 @@
             route: call.route.clone(),
             service,
             attempt: call.attempts,
+            executions,
+            open,
+            allowed: call.max_executions,
             member: member.record.id,
             cost: choice.cost,
             compared: choice.compared,
--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -23,6 +23,8 @@
     /// Whether this node watches the orders, and learns of each change as it is made.
     pub(super) is_watching: bool,
     confirmed_at: Option<Time>,
+    /// Whether the orders were confirmed when that was last logged.
+    was_confirmed: bool,
 }
 
 impl Reducer {
@@ -89,7 +91,17 @@
     }
 
     pub(super) fn orders_read(&mut self, now: Time, is_watching: bool) {
-        self.confirmation = Confirmation { is_watching, confirmed_at: Some(now) };
+        self.confirmation.is_watching = is_watching;
+        self.confirmation.confirmed_at = Some(now);
+    }
+
+    /// Logs when the orders of this node begin or cease to be confirmed, since requests are served by them meanwhile.
+    pub(super) fn log_confirmation(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let is_confirmed = self.has_confirmed_orders(now);
+        if std::mem::replace(&mut self.confirmation.was_confirmed, is_confirmed) != is_confirmed {
+            let (age, config) = (self.orders_age(now), self.config_version());
+            out.push(Effect::Log(Record::Orders { is_confirmed, age, config }));
+        }
     }
 
     /// Takes the age of the orders of another node over if its orders are not newer than those of this node.
--- a/mesh/src/sync.rs
+++ b/mesh/src/sync.rs
@@ -55,6 +55,7 @@
     let mut backoff = Backoff::new();
     // The delay before a list that follows another one without a successful watch in between.
     let mut relist_backoff = None;
+    let mut logged_wait = Duration::ZERO;
     loop {
         if !*is_watcher.borrow() {
             replicas.report_unwatched(topic);
@@ -71,6 +72,10 @@
             None => {
                 let is_reachable = *restarts.borrow_and_update();
                 let wait = if is_reachable { WATCH_TIMEOUT } else { OUTAGE_WATCH_TIMEOUT };
+                if std::mem::replace(&mut logged_wait, wait) != wait {
+                    slog::info!(replicas.log(), "watch"; "topic" => topic.as_str(),
+                        "wait_ms" => wait.as_millis());
+                }
                 tokio::select! {
                     result = apply_watch(&store, topic, prefix, wait, &replicas) => result,
                     Ok(()) = restarts.changed() => continue,
