--- a/mesh/src/budget/tests.rs
+++ b/mesh/src/budget/tests.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use test_case::test_case;
+
 use super::{RetryBound, RetryBudget, RetryKind};
 use crate::time::Time;
 
@@ -45,3 +47,23 @@
     assert!((1..=3).contains(&taken), "{taken}");
     assert!(budget.try_withdraw(Time::from_micros(20_000_000), &BOUND, 10, RetryKind::NotRun));
 }
+
+/// Guards against shares of the bound that are too large because each node knows only few others, as after many restarts at once.
+#[test_case(1; "each knows itself")]
+#[test_case(3; "each knows three")]
+fn nodes_that_do_not_know_each_other_yet_stay_below_the_bound(known: usize) {
+    const NODES: usize = 12;
+    let mut sent = 0;
+    for _ in 0..NODES {
+        let start = Time::from_micros(60_000_000);
+        let mut budget = RetryBudget::new(start, &BOUND, known);
+        for step in 0..100 {
+            let now = start + Duration::from_millis(step * 100);
+            let nodes = if step < 20 { known } else { NODES };
+            while budget.try_withdraw(now, &BOUND, nodes, RetryKind::NotRun) {
+                sent += 1;
+            }
+        }
+    }
+    assert!(f64::from(sent) <= BOUND.slack, "{sent} retries, allowed {}", BOUND.slack);
+}
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -3,9 +3,11 @@
 use slotmap::SlotMap;
 
 mod calls;
+mod confirmations;
 mod crashes;
 mod denials;
 mod eras;
+mod executions;
 mod identity;
 mod lifetimes;
 mod orders;
