Count open attempts among the targets that a route allows

Cause: a further attempt was allowed while the attempts that have ended were fewer than the maximum. One that was still open was in no count: the first one beside a hedge whose answer was lost, or the second one when the hedge timer fired after a 500.

Why it works: every attempt is started in one place, which now counts what has ended and what is open; the budget is asked only where that place would agree.

--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -80,7 +80,7 @@
     open: Vec<OpenAttempt>,
     /// Attempts started so far.
     attempts: u32,
-    /// Attempts that a target has run or may have run.
+    /// Attempts that have ended and that a target has run or may have run.
     executions: u8,
     may_have_run: bool,
     /// Refusals by nodes since the last resend.
@@ -102,6 +102,12 @@
         self.open.iter().map(|open| open.member)
     }
 
+    /// Returns whether the route allows one more target. An open attempt may run at its target at any time, so it counts as
+    /// one that has.
+    fn allows_another_target(&self) -> bool {
+        usize::from(self.executions) + self.open.len() < usize::from(self.max_executions)
+    }
+
     /// Returns whether an answer is being delivered.
     pub(super) fn is_answered(&self) -> bool {
         self.is_answered
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -41,7 +41,8 @@
     /// Starts an attempt at the best target that has not been tried yet. Returns `false` if there is none.
     pub(super) fn try_place(&mut self, now: Time, key: CallKey, out: &mut Vec<Effect>) -> bool {
         let Some(call) = self.calls.get(key) else { return false };
-        if call.deadline <= now || self.stop_end().is_some_and(|end| end <= now) {
+        let is_over = call.deadline <= now || self.stop_end().is_some_and(|end| end <= now);
+        if is_over || !call.allows_another_target() {
             return false;
         }
         if self.is_blocked(now, call.fingerprint) {
@@ -170,8 +171,7 @@
     /// Returns whether a request may be sent to another target, and if so takes one retry from the budget.
     pub(super) fn try_take_retry(&mut self, now: Time, key: CallKey) -> bool {
         let Some(call) = self.calls.get(key) else { return false };
-        let is_allowed =
-            call.can_resend && call.executions < call.max_executions && now < call.deadline;
+        let is_allowed = call.can_resend && call.allows_another_target() && now < call.deadline;
         let is_safe = call.is_idempotent || !call.may_have_run;
         if !is_allowed || !is_safe {
             return false;
