Let a watch confirm the orders only while the store answers

Callers got 404 for a route that had been added, from nodes that claimed to have the orders of the moment, for up to 28 s after the store had fallen silent.

Cause: a node that watches took the age of its orders for zero for as long as its watch waited, whatever became of the store. Change: the age counts from the last answer of the store to any call of this node. The test a_watching_node_without_the_history_does_not_deny_a_route took a watch of 20 s without a word of the store for a proof; it now expects 503 there, and 404 once the store has answered, and is stricter by that.

--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -212,7 +212,7 @@
             Event::Revisions(revisions) => self.revisions_changed(now, revisions, out),
             Event::StoreEra(era) => self.era_seen(now, era, out),
             Event::PullEnded(outcome) => self.pull_ended(now, outcome, out),
-            Event::Store { is_reachable } => self.store_changed(is_reachable, out),
+            Event::Store { is_reachable } => self.store_called(now, is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
             Event::OrdersRead { is_watching } => self.orders_read(now, is_watching),
             Event::OrdersUnwatched => self.confirmation.is_watching = false,
--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -22,6 +22,8 @@
 pub(super) struct Confirmation {
     /// Whether this node watches the orders, and learns of each change as it is made.
     pub(super) is_watching: bool,
+    /// When the store last answered a call of this node.
+    answered_at: Option<Time>,
     confirmed_at: Option<Time>,
     /// Whether the orders were confirmed when that was last logged.
     was_confirmed: bool,
@@ -81,13 +83,18 @@
         self.orders_age(now).is_some_and(|age| age <= MAX_ORDERS_AGE)
     }
 
-    /// Returns the time since the orders of this node were known to be those of the store: none while it watches them, or
-    /// else the time since it last read them or heard from a node whose orders are not newer, plus the age there.
+    /// Returns the time since the orders of this node were known to be those of the store: since it last read them, or heard
+    /// from a node whose orders are not newer, plus the age there. While it watches them, each answer of the store counts:
+    /// a watch alone says nothing, as it may wait for a store that is gone.
     pub(super) fn orders_age(&self, now: Time) -> Option<Duration> {
-        if self.confirmation.is_watching {
-            return Some(Duration::ZERO);
-        }
-        self.confirmation.confirmed_at.map(|at| now.since(at))
+        let Confirmation { is_watching, answered_at, confirmed_at, .. } = self.confirmation;
+        let confirmed_at = confirmed_at.max(answered_at.filter(|_| is_watching));
+        confirmed_at.map(|at| now.since(at))
+    }
+
+    /// Records that the store has answered a call of this node.
+    pub(super) fn store_answered(&mut self, now: Time) {
+        self.confirmation.answered_at = Some(now);
     }
 
     pub(super) fn orders_read(&mut self, now: Time, is_watching: bool) {
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -55,7 +55,11 @@
         }
     }
 
-    pub(super) fn store_changed(&mut self, is_reachable: bool, out: &mut Vec<Effect>) {
+    /// Handles the outcome of a call to the store.
+    pub(super) fn store_called(&mut self, now: Time, is_reachable: bool, out: &mut Vec<Effect>) {
+        if is_reachable {
+            self.store_answered(now);
+        }
         if self.has_store != is_reachable {
             self.has_store = is_reachable;
             out.push(Effect::RestartWatches { is_reachable });
--- a/mesh/src/reducer/tests/stale_config.rs
+++ b/mesh/src/reducer/tests/stale_config.rs
@@ -79,6 +79,12 @@
 fn a_watching_node_without_the_history_does_not_deny_a_route() {
     let mut node = TestNode::new(&[]);
     node.now = at_ms(20_000);
+    assert_eq!(
+        status_of_unknown_route(&mut node),
+        Some(503),
+        "the store has not answered for 20 s"
+    );
+    node.apply(Event::Store { is_reachable: true });
     assert_eq!(status_of_unknown_route(&mut node), Some(404), "it watches");
     node.apply(Event::OrdersUnwatched);
     assert_eq!(status_of_unknown_route(&mut node), Some(503));
