Add the time of a status to the age of the orders that it confirms

Callers got 404 for a route that had been added, from nodes that claimed to have the orders of the last 2 s.

Cause: a node takes over the age that another node states, and the time that the status was on its way is in no age. Nodes that confirm the orders to each other gain that time at each hop, so the age grows slowly or not at all. Change: each hop adds 150 ms, more than a status takes. Evidence: failed before, with six nodes, statuses each 120 ms and 50 ms on their way:

read 4 s ago, and current by these ages: [Some(700ms), Some(700ms), Some(700ms), Some(700ms), Some(700ms), Some(700ms)]

Why it works: at each hop the stated age is at least the true one, so it ends 2 s after the last reading, wherever it was passed on.

--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -17,6 +17,10 @@
 /// second.
 const MAX_ORDERS_AGE: Duration = Duration::from_secs(2);
 
+/// The time that a status may take from one node to another. It is added to the age of orders at each hop: if nodes that
+/// confirm the orders to each other left it out, the orders would never grow old.
+const MAX_STATUS_DELAY: Duration = Duration::from_millis(150);
+
 /// When the orders of this node were last known to be those of the store.
 #[derive(Copy, Clone, Debug, Default)]
 pub(super) struct Confirmation {
@@ -122,7 +126,7 @@
         if let Some(age) = age
             && known[orders] <= self.revisions[orders]
         {
-            let at = now.saturating_sub(age);
+            let at = now.saturating_sub(age + MAX_STATUS_DELAY);
             self.confirmation.confirmed_at = self.confirmation.confirmed_at.max(Some(at));
         }
     }
