Try the store from nodes that do not watch it while nobody confirms the orders

Callers would see requests handled by an old configuration for as long as the nodes that watch are cut off from the store: the others, which may reach it, had lost it once and never tried again.

Cause: a node outside the first ones watches only if it reaches the store, and it learns that it does only by watching. Change: while its orders are unconfirmed, a node watches for 1.2 s now and then. The nodes of a data centre draw their moments from a round that grows with their number, so that about two trials a second begin there, however many nodes there are. A node whose trial succeeds reaches the store, and so takes the duty by the rule that there is. Cost: none while the orders are confirmed. During an outage a trial makes three pings, at a tenth of a call each.

--- a/mesh/src/directory.rs
+++ b/mesh/src/directory.rs
@@ -396,6 +396,11 @@
     pub(crate) fn len(&self) -> usize {
         self.members.len()
     }
+
+    /// Returns the number of members of the own data centre.
+    pub(crate) fn centre_len(&self) -> usize {
+        self.same_centre_count
+    }
 }
 
 #[cfg(test)]
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -16,6 +16,7 @@
 mod records;
 mod statuses;
 mod stops;
+mod store_trials;
 mod versions;
 mod works;
 
@@ -54,7 +55,7 @@
 pub(crate) use self::denials::RequestSize;
 use self::{
     calls::Call, configuration::Confirmation, eras::Eras, measurements::Unmeasured,
-    orders::KeptOrders, pulls::Pulls, records::Records, works::Work,
+    orders::KeptOrders, pulls::Pulls, records::Records, store_trials::StoreTrials, works::Work,
 };
 
 /// The interval of [`Timer::Tick`].
@@ -135,6 +136,7 @@
     records: Records,
     /// Whether this node watches the store for the other nodes.
     is_watcher: bool,
+    store_trials: StoreTrials,
     is_ready: bool,
     has_queue_timer: bool,
     /// When the last tick was handled.
@@ -179,6 +181,7 @@
             pulls: Pulls::default(),
             records: Records::default(),
             is_watcher: false,
+            store_trials: StoreTrials::default(),
             is_ready: false,
             has_queue_timer: false,
             last_tick: Time::ZERO,
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -176,7 +176,8 @@
             watchers::recorder_scope(&local, &nodes)
         };
         self.set_recorder(now, scope.filter(|_| is_running), out);
-        let is_watcher = is_running && (is_founder || watchers::is_watcher(&local, &nodes));
+        let has_duty = is_founder || watchers::is_watcher(&local, &nodes);
+        let is_watcher = is_running && (has_duty || self.is_trying_store(now));
         if is_watcher != self.is_watcher {
             self.is_watcher = is_watcher;
             out.push(Effect::WatchStore(is_watcher));
