Give a node its share of the retries only once it knows the fleet

Cause: each node holds an equal part of the fleet's fixed number of retries, by the number of nodes that it knows, and has it from its first request on. Nodes that start know only few others, a node that is restarted has the part that the process before it has used, and nodes that are cut off from each other forget the others once their leases have ended. Change: the part refills from nothing, from the time when the node has the list of the others, and a larger number of nodes counts for a minute longer.

Why it works: at any time the parts of all nodes together are at most the fixed number, whatever each of them knows.

--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -40,6 +40,48 @@
     pub window: Duration,
 }
 
+/// The time for which a larger number of nodes is remembered. Nodes that are cut off from each other forget the others, and
+/// would all use larger shares of the bound.
+const PEAK_HOLD_TIME: Duration = Duration::from_secs(60);
+
+/// What a node knows of the nodes that share the bound.
+#[derive(Copy, Clone, Debug, Default)]
+pub(crate) struct Fleet {
+    /// The number of nodes, which follows a smaller count after [`PEAK_HOLD_TIME`].
+    nodes: usize,
+    counted_at: Time,
+    /// Since when this node has had a list of the others.
+    known_since: Option<Time>,
+}
+
+impl Fleet {
+    /// Updates the number of nodes.
+    pub(crate) fn count(&mut self, now: Time, nodes: usize) {
+        if nodes >= self.nodes || now.since(self.counted_at) > PEAK_HOLD_TIME {
+            (self.nodes, self.counted_at) = (nodes, now);
+        }
+    }
+
+    /// Records that this node has a list of the others.
+    pub(crate) fn set_known(&mut self, now: Time) {
+        self.known_since.get_or_insert(now);
+    }
+
+    /// Returns this node's share of the fixed number of retries. It counts twice in a window, as the balance at its start
+    /// and as the refill within it, hence the division by two.
+    fn share(&self, bound: &RetryBound) -> f64 {
+        bound.slack * USED_SHARE / 2.0 / self.nodes.max(1) as f64
+    }
+
+    /// Returns the part of the share that has refilled since `start`. A node that has just started has none: the process
+    /// before it may have used the share, and the number of nodes is not yet known.
+    fn refill(&self, now: Time, bound: &RetryBound, start: Time) -> f64 {
+        let Some(known_since) = self.known_since else { return 0.0 };
+        let time = now.since(start.max(known_since));
+        self.share(bound) * time.as_secs_f64() / bound.window.as_secs_f64()
+    }
+}
+
 /// The retries that this node may still send to one service.
 #[derive(Clone, Debug)]
 pub(crate) struct RetryBudget {
@@ -51,14 +93,15 @@
 }
 
 impl RetryBudget {
-    pub(crate) fn new(now: Time, bound: &RetryBound, nodes: usize) -> RetryBudget {
-        RetryBudget { deposits: 0.0, reserve: node_share(bound, nodes), refilled_at: now }
+    pub(crate) fn new(now: Time, bound: &RetryBound, fleet: &Fleet) -> RetryBudget {
+        let reserve = fleet.refill(now, bound, Time::ZERO).min(fleet.share(bound));
+        RetryBudget { deposits: 0.0, reserve, refilled_at: now }
     }
 
     /// Adds the retries that a caller's request to the service permits.
-    pub(crate) fn deposit(&mut self, bound: &RetryBound, nodes: usize) {
+    pub(crate) fn deposit(&mut self, bound: &RetryBound, fleet: &Fleet) {
         // All nodes may spend their balances within one window, in addition to what that window adds.
-        let max = node_share(bound, nodes).max(1.0);
+        let max = fleet.share(bound).max(1.0);
         self.deposits = (self.deposits + bound.ratio * USED_SHARE).min(max);
     }
 
@@ -72,13 +115,12 @@
         &mut self,
         now: Time,
         bound: &RetryBound,
-        nodes: usize,
+        fleet: &Fleet,
         kind: RetryKind,
     ) -> bool {
-        let share = node_share(bound, nodes);
-        let refill = share * now.since(self.refilled_at).as_secs_f64() / bound.window.as_secs_f64();
+        let refill = fleet.refill(now, bound, self.refilled_at);
         self.refilled_at = now;
-        self.reserve = (self.reserve + refill).min(share.max(1.0));
+        self.reserve = (self.reserve + refill).min(fleet.share(bound).max(1.0));
         let cost = kind.cost();
         if self.deposits + self.reserve < cost {
             return false;
@@ -90,11 +132,5 @@
     }
 }
 
-/// Returns this node's share of the fixed number of retries. It counts twice in a window, as the balance at its start
-/// and as the refill within it, hence the division by two.
-fn node_share(bound: &RetryBound, nodes: usize) -> f64 {
-    bound.slack * USED_SHARE / 2.0 / nodes.max(1) as f64
-}
-
 #[cfg(test)]
 mod tests;
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -33,7 +33,7 @@
 
 use crate::{
     admission::AdmissionController,
-    budget::RetryBudget,
+    budget::{Fleet, RetryBudget},
     config::RouteTable,
     crash_guard::CrashGuard,
     directory::{Directory, Member, MemberRecord, OTHER_CENTRE_FANOUT, SAME_CENTRE_FANOUT},
@@ -117,6 +117,8 @@
     calls: SecondaryMap<CallKey, Call>,
     works: SecondaryMap<WorkKey, Work>,
     retry_budgets: HashMap<CompactString, RetryBudget>,
+    /// The nodes that share the bound on retries.
+    fleet: Fleet,
     estimates: HashMap<calls::ServiceRoute, calls::RouteEstimate>,
     /// The scheduler of each route that splits its requests among services.
     splits: HashMap<CompactString, SplitScheduler>,
@@ -168,6 +170,7 @@
             calls: SecondaryMap::new(),
             works: SecondaryMap::new(),
             retry_budgets: HashMap::new(),
+            fleet: Fleet::default(),
             estimates: HashMap::new(),
             splits: HashMap::new(),
             caller_timeouts: HashMap::new(),
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -211,9 +211,10 @@
         });
         let service = self.pick_service(route);
         let bound = self.local.limits.retries;
-        let nodes = self.directory.len();
+        self.fleet.count(now, self.directory.len());
+        let fleet = self.fleet;
         let budget = self.retry_budgets.entry(service.clone());
-        budget.or_insert_with(|| RetryBudget::new(now, &bound, nodes)).deposit(&bound, nodes);
+        budget.or_insert_with(|| RetryBudget::new(now, &bound, &fleet)).deposit(&bound, &fleet);
         Call {
             id: head.id,
             route: route.name.clone(),
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -176,13 +176,12 @@
         if !is_allowed || !is_safe {
             return false;
         }
-        let nodes = self.directory.len();
         let bound = self.local.limits.retries;
         let is_hedge = !call.open.is_empty();
         let Some(budget) = self.retry_budgets.get_mut(&call.service) else { return false };
         let kind =
             if call.may_have_run || is_hedge { RetryKind::MayHaveRun } else { RetryKind::NotRun };
-        budget.try_withdraw(now, &bound, nodes, kind)
+        budget.try_withdraw(now, &bound, &self.fleet, kind)
     }
 
     /// Arms the hedge timer of a request that may be sent to two targets at once.
--- a/mesh/src/reducer/members.rs
+++ b/mesh/src/reducer/members.rs
@@ -31,6 +31,7 @@
             self.log_if_new(record, out);
         }
         self.directory.replace(now, records);
+        self.fleet.set_known(now);
         for record in ended {
             self.directory.put_ended(now, record);
         }
