--- a/mesh/src/budget/tests.rs
+++ b/mesh/src/budget/tests.rs
@@ -117,3 +117,24 @@
     cut_off.count(Time::from_micros(70_000_000), 4);
     assert_eq!(cut_off.share(&BOUND), fleet(4).share(&BOUND), "they are gone");
 }
+
+/// Guards against savings of many nodes that together exceed the bound of a service with few requests.
+#[test]
+fn a_large_fleet_with_few_requests_stays_below_the_bound() {
+    const NODES: usize = 64;
+    const REQUESTS: usize = 2;
+    let mut sent = 0;
+    for _ in 0..NODES {
+        let mut budget = RetryBudget::new(Time::ZERO, &BOUND, &fleet(NODES));
+        for _ in 0..100 {
+            budget.deposit(&BOUND, &fleet(NODES));
+        }
+        let now = Time::from_micros(600_000_000);
+        for _ in 0..REQUESTS {
+            budget.deposit(&BOUND, &fleet(NODES));
+            sent += usize::from(budget.try_withdraw(now, &BOUND, &fleet(NODES), RetryKind::NotRun));
+        }
+    }
+    let allowed = BOUND.ratio * (NODES * REQUESTS) as f64 + BOUND.slack;
+    assert!(sent as f64 <= allowed, "{sent} retries, allowed {allowed}");
+}
