--- a/mesh/src/limits.rs
+++ b/mesh/src/limits.rs
@@ -9,8 +9,9 @@
 pub struct Limits {
     /// The bound on retries.
     pub retries: RetryBound,
-    /// The maximum share of requests that a version may receive while it may be faulty.
-    pub max_exposure: f64,
+    /// The maximum share of requests that a version may receive while it may be faulty; `None` where the deployment has no
+    /// rollouts, whose orders are then ignored.
+    pub max_exposure: Option<f64>,
     /// The maximum rate of requests to a cold target, as a multiple of the rate that it tolerates.
     pub cold_ratio: f64,
     /// The requests per second allowed in addition to `cold_ratio` times that rate.
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -61,7 +61,7 @@
         service: "own".into(),
         limits: Limits {
             retries,
-            max_exposure: 0.1,
+            max_exposure: Some(0.1),
             cold_ratio: 1.5,
             cold_slack: 5.0,
             grace: Duration::from_secs(6),
--- a/mesh/src/reducer/tests/orders.rs
+++ b/mesh/src/reducer/tests/orders.rs
@@ -92,3 +92,13 @@
     assert_eq!(ordered_version(&node), Some("v2"));
     assert_eq!(node.reducer.evacuated, names(&["b"]));
 }
+
+/// Guards against a rollout in a deployment that states no bound on the exposure of a faulty version.
+#[test]
+fn rollout_orders_are_ignored_without_a_bound_on_exposure() {
+    let mut node = TestNode::new(&THREE_MEMBERS);
+    let limits = Limits { max_exposure: None, ..local_node().limits };
+    node.apply(Event::Limits(limits));
+    node.apply(Event::Rollout { service: "stock".into(), order: Some(order("v2")) });
+    assert!(!node.reducer.has_active_rollout("stock"));
+}
--- a/mesh/src/reducer/versions.rs
+++ b/mesh/src/reducer/versions.rs
@@ -63,6 +63,9 @@
             None => {
                 self.rollouts.remove(&service);
             }
+            Some(order) if self.local.limits.max_exposure.is_none() => {
+                self.log_rollout(&Rollout::new(now, order), "ignored", out);
+            }
             Some(order) => {
                 let is_known = self.rollouts.get(&service).is_some_and(|known| {
                     known.order.version == order.version && known.order.duration == order.duration
@@ -142,7 +145,7 @@
     pub(super) fn pick_versions(&mut self, now: Time, service: &str) -> VersionFilter {
         let Some(rollout) = self.rollouts.get(service) else { return VersionFilter::Any };
         let version = rollout.order.version.clone();
-        let share = rollout.share(now, self.local.limits.max_exposure);
+        let share = rollout.share(now, self.local.limits.max_exposure.unwrap_or(0.0));
         if rollout.state == Some(RolloutState::Completed) || rollout.uses_both_versions(now) {
             return VersionFilter::Any;
         }
--- a/mesh/tests/silent_store.rs
+++ b/mesh/tests/silent_store.rs
@@ -91,7 +91,7 @@
         prefixes: KeyPrefixes { orders: "op/", status: "status/" },
         limits: Limits {
             retries: RetryBound { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
-            max_exposure: 0.1,
+            max_exposure: Some(0.1),
             cold_ratio: 1.5,
             cold_slack: 5.0,
             grace: Duration::from_secs(6),
