Deliver only valid final responses of a target

The HTTP library refuses a status of 000, but takes 600 to 999, a switch of the protocol that nobody has asked for and version 1.0, and callers got these as answers. They count as lost now: the caller gets a 502, and an idempotent request is sent again within its budget.

--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -1,9 +1,11 @@
 //! Forwards admitted requests to the local target and validates its answers.
 
-use std::{future::poll_fn, sync::Arc, time::Duration};
+use std::{future::poll_fn, ops::RangeInclusive, sync::Arc, time::Duration};
 
 use compact_str::CompactString;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http::{
+    HeaderMap, HeaderValue, Request, Response, StatusCode, Version, header, request::Parts,
+};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use tokio::time::{self, Instant};
@@ -133,7 +135,7 @@
             }
         };
         let headers = answer.headers();
-        if let Err(cause) = check_answer(answer.status(), headers, id.as_ref(), &self.names) {
+        if let Err(cause) = check_answer(&answer, id.as_ref(), &self.names) {
             // Requests and answers on the connection may be out of sync, so it is closed.
             slog::warn!(self.driver.log(), "answer-rejected"; "cause" => cause.as_str(),
                 "id" => id.as_ref().and_then(|id| id.to_str().ok()),
@@ -231,6 +233,8 @@
 /// The reason for which an answer is not taken as the target's answer to a request.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 enum Mismatch {
+    /// Its status or version is not that of a final response.
+    NotFinal,
     /// It names no request.
     MissingId,
     /// It answers another request.
@@ -245,6 +249,7 @@
     /// Returns the name used in logs.
     const fn as_str(self) -> &'static str {
         match self {
+            Mismatch::NotFinal => "not-final",
             Mismatch::MissingId => "missing-id",
             Mismatch::OtherId => "other-id",
             Mismatch::NotSigned => "not-signed",
@@ -256,12 +261,15 @@
 /// Checks whether an answer can be the target's answer to the request with this id, and is proof of what it states.
 ///
 /// Targets echo the id. An answer without it may belong to an earlier request or health check on the connection.
-fn check_answer(
-    status: StatusCode,
-    headers: &HeaderMap,
+fn check_answer<B>(
+    answer: &Response<B>,
     id: Option<&HeaderValue>,
     names: &HeaderNames,
 ) -> Result<(), Mismatch> {
+    if !is_final(answer) {
+        return Err(Mismatch::NotFinal);
+    }
+    let (status, headers) = (answer.status(), answer.headers());
     let id = id.filter(|id| !id.is_empty());
     let mut echoes = headers.get_all(&names.request_id).iter().filter(|echo| !echo.is_empty());
     if !echoes.all(|echo| Some(echo) == id) {
@@ -286,6 +294,15 @@
     Ok(())
 }
 
+/// The valid statuses of a final response. The HTTP library also takes a switch of the protocol that nobody has asked for, and
+/// statuses up to 999.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Returns whether an answer is a valid final response of the protocol.
+fn is_final<B>(answer: &Response<B>) -> bool {
+    answer.version() == Version::HTTP_11 && FINAL_STATUSES.contains(&answer.status().as_u16())
+}
+
 /// The load that a target reports in its answers.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) struct TargetLoad {
