--- a/mesh/src/admission.rs
+++ b/mesh/src/admission.rs
@@ -63,14 +63,17 @@
 }
 
 impl Queued {
-    /// Returns the sort key of the queue: lateness, whether the route mostly fails, priority and objective.
-    fn order(&self) -> (bool, bool, u8, Time) {
+    /// Returns the sort key of the queue: lateness, whether the route mostly fails, priority, whether it is a new request and
+    /// not a nested call, and objective.
+    fn order(&self) -> QueueOrder {
         queue_order(&self.request, self.mostly_fails)
     }
 }
 
-fn queue_order(request: &AdmissionRequest, mostly_fails: bool) -> (bool, bool, u8, Time) {
-    (request.is_late, mostly_fails, request.priority, request.objective)
+type QueueOrder = (bool, bool, u8, bool, Time);
+
+fn queue_order(request: &AdmissionRequest, mostly_fails: bool) -> QueueOrder {
+    (request.is_late, mostly_fails, request.priority, !request.is_nested, request.objective)
 }
 
 /// Admits, queues and refuses requests for one target.
--- a/mesh/src/admission/request.rs
+++ b/mesh/src/admission/request.rs
@@ -18,6 +18,8 @@
     pub(crate) deadline: Time,
     /// Whether the entry node found that no target can meet the objective.
     pub(crate) is_late: bool,
+    /// Whether a target waits for the answer while it runs another request, which holds one of its slots.
+    pub(crate) is_nested: bool,
     /// The objective of the route, counted from the caller's first attempt.
     pub(crate) full_objective: Duration,
     /// The nominal service time assumed until this node has measured one.
--- a/mesh/src/admission/tests.rs
+++ b/mesh/src/admission/tests.rs
@@ -57,6 +57,7 @@
         objective: at(objective),
         deadline: at(objective + 1_000),
         is_late: false,
+        is_nested: false,
         full_objective: ms(300),
         nominal_service: ms(100),
     }
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -76,6 +76,8 @@
     pub(crate) number: u32,
     pub(crate) hop: Hop,
     pub(crate) spec: AttemptSpec,
+    /// Whether the request is a nested call.
+    pub(crate) is_nested: bool,
 }
 
 /// The node through which a target is reached.
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -203,6 +203,8 @@
     pub(crate) nominal_service: Duration,
     /// Whether the entry node found that no target can meet the objective.
     pub(crate) is_late: bool,
+    /// Whether the entry node found that the request is a nested call.
+    pub(crate) is_nested: bool,
     /// A hash that is equal for all sends of the same request.
     pub(crate) fingerprint: RequestHash,
 }
--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -76,6 +76,7 @@
             timeout: spec.timeout,
             nominal_service: spec.nominal_service,
             is_late: spec.is_late,
+            is_nested: parts.headers.contains_key(&headers::NESTED),
             fingerprint: fingerprint(&parts, &payload, &self.names.caller),
         };
         let Some(mut work) = WorkGuard::open(&self.driver) else {
--- a/mesh/src/headers.rs
+++ b/mesh/src/headers.rs
@@ -34,6 +34,9 @@
 /// The service time of the request's route at normal speed, in microseconds.
 pub(crate) const NOMINAL_SERVICE: HeaderName = HeaderName::from_static("poplarbarrow-usual");
 
+/// Present if the request is a nested call: one that a target makes while it runs another request.
+pub(crate) const NESTED: HeaderName = HeaderName::from_static("poplarbarrow-nested");
+
 /// The outcome of an attempt that has no answer from the target.
 pub(crate) const ATTEMPT_OUTCOME: HeaderName = HeaderName::from_static("poplarbarrow-ending");
 
@@ -66,7 +69,7 @@
 
 /// Removes the headers used between nodes, which a caller could forge.
 pub(crate) fn strip_internal(headers: &mut HeaderMap) {
-    for name in [&ATTEMPT_ENVELOPE, &LOAD_REPORT, &NOMINAL_SERVICE, &ATTEMPT_OUTCOME] {
+    for name in [&ATTEMPT_ENVELOPE, &LOAD_REPORT, &NOMINAL_SERVICE, &NESTED, &ATTEMPT_OUTCOME] {
         headers.remove(name);
     }
 }
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -157,9 +157,12 @@
         parts: &Parts,
         payload: &mut Payload,
     ) -> BoxFuture<'static, (u32, Reply)> {
-        let Attempt { number, hop, spec } = attempt;
+        let Attempt { number, hop, spec, is_nested } = attempt;
         let this = self.clone();
-        let parts = parts.clone();
+        let mut parts = parts.clone();
+        if is_nested {
+            parts.headers.insert(headers::NESTED, HeaderValue::from_static("1"));
+        }
         let Some(payload) = payload.for_attempt() else {
             return async move { (number, Reply::failed(Failure::BodyCut)) }.boxed();
         };
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -12,6 +12,7 @@
 mod members;
 mod measurements;
 mod orders;
+mod parents;
 mod pulls;
 mod records;
 mod statuses;
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -67,6 +67,8 @@
     objective: Time,
     /// The end of the caller's timeout or of the route's, whichever is first.
     deadline: Time,
+    /// Whether the local target makes the call while it runs another request.
+    is_nested: bool,
     /// The objective of the route, counted from the caller's first attempt.
     full_objective: Duration,
     /// The service time assumed until one has been measured.
@@ -209,6 +211,8 @@
         let elapsed = head.timeout.map_or(Duration::ZERO, |timeout| {
             self.caller_timeouts.entry(route.name.clone()).or_default().record(timeout)
         });
+        let objective = now + route.objective.saturating_sub(elapsed);
+        let parent = self.find_parent(now, &head);
         let service = self.pick_service(route);
         let bound = self.local.limits.retries;
         self.fleet.count(now, self.directory.len());
@@ -220,11 +224,12 @@
             route: route.name.clone(),
             service,
             is_idempotent: route.is_idempotent,
-            priority: route.priority,
+            priority: parent.map_or(route.priority, |parent| parent.priority.min(route.priority)),
             max_executions: route.attempts.max(1),
             arrived: now,
-            objective: now + route.objective.saturating_sub(elapsed),
+            objective: parent.map_or(objective, |parent| parent.objective.max(objective)),
             deadline: now + time,
+            is_nested: parent.is_some(),
             full_objective: route.objective,
             assumed_service: route.objective.mul_f64(ASSUMED_OBJECTIVE_SHARE),
             can_resend: head.can_resend,
@@ -309,7 +314,7 @@
             nominal_service: self.expected_service_time(call),
             is_late: call.is_late,
         };
-        Some(Attempt { number: call.attempts, hop, spec })
+        Some(Attempt { number: call.attempts, hop, spec, is_nested: call.is_nested })
     }
 }
 
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -212,6 +212,7 @@
         full_objective: Duration::from_millis(500),
         nominal_service: Duration::from_millis(50),
         is_late: false,
+        is_nested: false,
         fingerprint: RequestHash::of([path.as_bytes()]),
     }
 }
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -26,7 +26,12 @@
     id: CompactString,
     route: CompactString,
     arrived: Time,
-    deadline: Time,
+    pub(super) priority: u8,
+    /// The latest time at which the answer counts as in time.
+    pub(super) objective: Time,
+    pub(super) deadline: Time,
+    /// The nominal service time, measured or assumed.
+    pub(super) nominal_service: Duration,
     /// The id of the lifetime to which the request was sent.
     lifetime: CompactString,
     /// When the request was sent to the target.
@@ -90,6 +95,7 @@
             objective: now + head.objective,
             deadline: now + head.timeout,
             is_late: head.is_late,
+            is_nested: head.is_nested,
             full_objective: head.full_objective,
             nominal_service: head.nominal_service,
         };
@@ -133,7 +139,10 @@
             id: head.id.clone(),
             route: head.route.clone(),
             arrived: now,
+            priority: head.priority,
+            objective: request.objective,
             deadline: request.deadline,
+            nominal_service: self.nominal_service_time(&head.route).unwrap_or(head.nominal_service),
             lifetime: CompactString::default(),
             started: None,
             fingerprint: head.fingerprint,
