--- a/mesh/src/admission/tests.rs
+++ b/mesh/src/admission/tests.rs
@@ -255,3 +255,22 @@
     // Eight slots at 160 ms per request serve 50 requests per second, for ten seconds.
     assert!(succeeded > 350, "{succeeded} of 500 requests succeeded");
 }
+
+/// Guards against a nested call that waits behind new requests of the same priority, whose own calls would then find no room
+/// either, and against one that goes ahead of more urgent requests.
+#[test]
+fn nested_calls_go_before_new_requests_of_the_same_priority() {
+    let mut harness = Harness::new();
+    let running = harness.fill(at(0));
+    let nested = AdmissionRequest { is_nested: true, ..request(1, 60_000) };
+    let arrivals = [request(1, 30_000), request(0, 50_000), nested, request(2, 20_000)];
+    let queued: Vec<WorkKey> =
+        arrivals.iter().map(|request| harness.admit(at(0), request).0).collect();
+    let started: Vec<Dequeued> = running
+        .into_iter()
+        .take(4)
+        .flat_map(|key| harness.controller.finish(at(100), key, WorkOutcome::Answer))
+        .collect();
+    let expected = [queued[1], queued[2], queued[0], queued[3]].map(Dequeued::Run);
+    assert_eq!(started, expected);
+}
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -134,6 +134,7 @@
         /// The age of the load report used for the choice.
         age: Option<Duration>,
         config: u64,
+        is_nested: bool,
     },
     /// An attempt ended without an answer for the caller.
     Retry { id: CompactString, attempt: u32, cause: &'static str, is_resent: bool },
--- a/mesh/src/headers/tests.rs
+++ b/mesh/src/headers/tests.rs
@@ -1,7 +1,7 @@
 use http::{HeaderMap, HeaderValue, Request, header};
 use test_case::test_case;
 
-use super::{ATTEMPT_ENVELOPE, head_size, strip_hop_by_hop, strip_internal};
+use super::{ATTEMPT_ENVELOPE, NESTED, head_size, strip_hop_by_hop, strip_internal};
 
 fn headers() -> HeaderMap {
     let mut headers = HeaderMap::new();
@@ -10,6 +10,7 @@
     headers.insert("keep-alive", HeaderValue::from_static("timeout=5"));
     headers.insert("x-end", HeaderValue::from_static("1"));
     headers.insert(ATTEMPT_ENVELOPE, HeaderValue::from_static("forged"));
+    headers.insert(NESTED, HeaderValue::from_static("forged"));
     headers
 }
 
@@ -18,7 +19,7 @@
 fn hop_by_hop_headers_are_removed() {
     let mut headers = headers();
     strip_hop_by_hop(&mut headers);
-    assert_eq!(headers.len(), 2);
+    assert_eq!(headers.len(), 3);
     assert!(headers.contains_key("x-end"));
 }
 
@@ -27,7 +28,7 @@
 fn internal_headers_are_removed() {
     let mut headers = headers();
     strip_internal(&mut headers);
-    assert!(!headers.contains_key(ATTEMPT_ENVELOPE));
+    assert!(!headers.contains_key(ATTEMPT_ENVELOPE) && !headers.contains_key(NESTED));
 }
 
 /// Guards against a head that counts as larger than the bytes that the caller sent.
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -69,13 +69,14 @@
             compared,
             age,
             config,
+            is_nested,
         } => {
             if *attempt > 1 || is_sampled(id) {
                 info!(log, "route"; "id" => id.as_str(), "route" => route.as_str(),
                     "service" => service.as_str(), "attempt" => attempt, "ended" => executions,
                     "open" => open, "allowed" => allowed, "member" => %member,
                     "cost_ms" => ms(cost), "compared" => compared,
-                    "report_age_ms" => age.as_ref().map(ms), "config" => config);
+                    "report_age_ms" => age.as_ref().map(ms), "config" => config, "nested" => is_nested);
             }
         }
         Record::Retry { id, attempt, cause, is_resent } => info!(log, "retry";
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -96,6 +96,7 @@
             compared: choice.compared,
             age,
             config: self.config.as_ref().map_or(0, |config| config.config.version),
+            is_nested: call.is_nested,
         }));
         out.push(Effect::Call(key, CallStep::Attempt(attempt)));
         true
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -11,6 +11,7 @@
 mod identity;
 mod lifetimes;
 mod orders;
+mod parents;
 mod pulls;
 mod records;
 mod slowdowns;
