--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -76,6 +76,8 @@
     pub(crate) number: u32,
     pub(crate) hop: Hop,
     pub(crate) spec: AttemptSpec,
+    /// Whether the request is a nested call.
+    pub(crate) is_nested: bool,
 }
 
 /// The node through which a target is reached.
@@ -132,6 +134,7 @@
         /// The age of the load report used for the choice.
         age: Option<Duration>,
         config: u64,
+        is_nested: bool,
     },
     /// An attempt ended without an answer for the caller.
     Retry { id: CompactString, attempt: u32, cause: &'static str, is_resent: bool },
