Recognise a nested call by the id of its parent

Most nested calls state a shorter time than their parent has left, so that their end did not show the parent.

--- a/mesh/src/reducer/parents.rs
+++ b/mesh/src/reducer/parents.rs
@@ -12,6 +12,9 @@
 /// milliseconds, and the call is under way for some of them.
 const END_TOLERANCE: Duration = Duration::from_millis(6);
 
+/// Separates the id of a nested call from that of its parent before it, where targets form ids so.
+const ID_SEPARATOR: char = '.';
+
 /// What a nested call inherits from the request that it serves.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(super) struct Parent {
@@ -23,12 +26,18 @@
 impl Reducer {
     /// Returns the request at the local target that a caller's request serves, if it is a nested call.
     ///
-    /// Nested calls end when their parent does. Of several requests with that end, the call may serve any, so it gets the
-    /// best priority.
+    /// The id of a nested call may extend that of its parent. Otherwise a call that ends when a running request does is taken
+    /// as its nested call; of several requests with that end, the one of the best priority counts.
     pub(super) fn find_parent(&self, now: Time, head: &CallHead) -> Option<Parent> {
+        let running = || self.works.values().filter(|work| work.started.is_some());
+        if let Some((parent_id, _)) = head.id.rsplit_once(ID_SEPARATOR)
+            && let Some(work) = running().find(|work| work.id == parent_id)
+        {
+            return Some(parent(now, work));
+        }
         let end = now + head.timeout?;
-        let is_parent = |work: &&Work| work.started.is_some() && is_same_end(work.deadline, end);
-        let parents = self.works.values().filter(is_parent).map(|work| parent(now, work));
+        let parents = running().filter(|work| is_same_end(work.deadline, end));
+        let parents = parents.map(|work| parent(now, work));
         parents.min_by_key(|parent| (parent.priority, parent.objective))
     }
 }
--- a/mesh/src/reducer/tests/parents.rs
+++ b/mesh/src/reducer/tests/parents.rs
@@ -14,11 +14,15 @@
 
 /// Returns the attempt of a request on a route of priority 5 whose caller waits for `timeout` milliseconds.
 fn attempt_of(node: &mut TestNode, timeout: Option<u64>) -> Attempt {
+    attempt_with_id(node, "nested", timeout)
+}
+
+fn attempt_with_id(node: &mut TestNode, id: &str, timeout: Option<u64>) -> Attempt {
     let mut config = config(2);
     config.routes[0].priority = 5;
     node.apply(Event::Config(Arc::new(RouteTable::new(config))));
     let head = CallHead {
-        id: "nested".into(),
+        id: id.into(),
         host: "shop".into(),
         path: "/read/1".into(),
         timeout: timeout.map(Duration::from_millis),
@@ -53,6 +57,24 @@
     assert_eq!(attempt.spec.priority, inherited.unwrap_or(5));
 }
 
+/// Guards against a nested call with a shorter time than its parent that is taken for an ordinary request, and against a
+/// request that names one which does not run here.
+#[test_case("id.1", true; "the id of the parent and a suffix")]
+#[test_case("id.", true; "an empty suffix")]
+#[test_case("id", false; "the id of the parent itself")]
+#[test_case("other.1", false; "an id that does not run here")]
+#[test_case(".1", false; "no id before the suffix")]
+#[test_case("id.1.2", false; "a call of a call that runs elsewhere")]
+fn a_nested_call_names_its_parent(id: &str, is_nested: bool) {
+    let mut node = TestNode::new(&THREE_MEMBERS).with_target();
+    node.work_with(WorkHead { priority: 1, ..work_head("/own/") });
+    let attempt = attempt_with_id(&mut node, id, Some(400));
+    assert_eq!(
+        (attempt.is_nested, attempt.spec.priority),
+        (is_nested, if is_nested { 1 } else { 5 })
+    );
+}
+
 /// Guards against a nested call that is refused because it would miss the objective of its own route, while the request that
 /// it serves would still be in time.
 #[test]
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -23,7 +23,7 @@
 pub(super) struct Work {
     /// The node that sent the request, unless this node is its entry node.
     pub(super) from: Option<MemberId>,
-    id: CompactString,
+    pub(super) id: CompactString,
     route: CompactString,
     arrived: Time,
     pub(super) priority: u8,
