Check the time of a head when it begins

Cause: Activity::wait_until_idle slept until the end of the idle timeout. A head that began after that check was only looked at when the sleep ended, so between nodes a slow head could take 90 s instead of 10 s. This is the failure of an_endless_request_ends::test_case_6_a_slow_head_of_a_node, seen once under load.

Change: the wait is recomputed each time the task of the connection is polled, which happens when bytes arrive, and its timer is moved forward if the result is earlier.

--- a/mesh/src/activity.rs
+++ b/mesh/src/activity.rs
@@ -1,11 +1,11 @@
 //! What happens on a server's connection, by which the server decides that it is idle or that the caller has left.
 
 use std::{
-    future::poll_fn,
+    future::{Future as _, poll_fn},
     io::{self, IoSlice},
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -55,15 +55,25 @@
 
     /// Waits until the connection has been idle for the timeouts that are then in force. It is never idle while a
     /// request is running.
+    ///
+    /// This must be polled by the same task as the server and after it: a head that begins may end the wait earlier.
     pub(crate) async fn wait_until_idle(&self, limits: &watch::Receiver<HeadLimits>) {
-        loop {
-            let HeadLimits { timeout, head_timeout, .. } = *limits.borrow();
-            let left = self.lock().time_left(timeout, head_timeout);
-            if left.is_zero() {
-                return;
+        let mut check = pin!(time::sleep(Duration::ZERO));
+        poll_fn(|cx| {
+            loop {
+                let HeadLimits { timeout, head_timeout, .. } = *limits.borrow();
+                let left = self.lock().time_left(timeout, head_timeout);
+                if left.is_zero() {
+                    return Poll::Ready(());
+                }
+                let due = Instant::now() + left;
+                if due < check.deadline() || check.is_elapsed() {
+                    check.as_mut().reset(due);
+                }
+                ready!(check.as_mut().poll(cx));
             }
-            time::sleep(left).await;
-        }
+        })
+        .await;
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
--- a/mesh/src/serve/tests.rs
+++ b/mesh/src/serve/tests.rs
@@ -104,6 +104,20 @@
     assert_eq!(caller.start.elapsed().as_secs(), 75);
 }
 
+/// Guards against a slow head that outlasts its time because the connection was checked before it began, and again only
+/// after the idle timeout.
+#[test_case(5_000; "soon after the connection began")]
+#[test_case(40_000; "later")]
+#[tokio::test]
+async fn a_head_that_begins_after_a_check_has_its_own_time(begin_ms: u64) {
+    let mut caller = Caller::open(0, ANSWER_TIME).await;
+    for ms in [0, 3_000, 6_000] {
+        caller.send_at(begin_ms + ms, "GET").await;
+    }
+    assert_eq!(caller.receive().await, b"");
+    assert_eq!(caller.start.elapsed().as_secs(), begin_ms / 1_000 + 10);
+}
+
 /// Guards against an answer that is cut while a slow caller receives its last chunk, which the server took long before.
 #[tokio::test]
 async fn an_answer_to_a_slow_reader_is_complete() {
