Start idempotent requests that were sent ahead at once

Cause: the requests of a connection ran one after the other, because the HTTP library calls the service for a request only after the answer to the one before, so a request that a caller had sent ahead waited although targets had capacity.

Change: a scanner sees every byte that is read from a caller's connection and finds the heads. The library's call for it takes the answer of its run if both read the same head; otherwise, and when the connection closes, the caller leaves or the node stops, the run is cancelled. A request that waited behind others is served with the rest of its deadline. A run whose route is no longer idempotent by the configuration in force when its attempt is to be sent has not run and is served in its turn. Requests in turn take the same path as before.

--- a/mesh/src/activity.rs
+++ b/mesh/src/activity.rs
@@ -17,7 +17,7 @@
     time::{self, Instant},
 };
 
-use crate::serve::HeadLimits;
+use crate::{early_runs::ConnectionRuns, serve::HeadLimits};
 
 /// The minimum interval of checks while a request is running, whatever the timeouts of the configuration.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -120,6 +120,8 @@
 struct Socket {
     stream: TcpStream,
     read_ahead: BytesMut,
+    /// The early runs, which see each byte once, when it is read from the stream.
+    early_runs: Option<ConnectionRuns>,
     /// Whether the server waits for bytes, and so notices the end of the connection itself.
     is_awaited: bool,
 }
@@ -134,8 +136,13 @@
 }
 
 impl TrackedStream {
-    pub(crate) fn new(stream: TcpStream, activity: Activity) -> TrackedStream {
-        let socket = Socket { stream, read_ahead: BytesMut::new(), is_awaited: false };
+    pub(crate) fn new(
+        stream: TcpStream,
+        activity: Activity,
+        early_runs: Option<ConnectionRuns>,
+    ) -> TrackedStream {
+        let read_ahead = BytesMut::new();
+        let socket = Socket { stream, read_ahead, early_runs, is_awaited: false };
         TrackedStream { socket: Arc::new(Mutex::new(socket)), activity }
     }
 
@@ -163,8 +170,12 @@
             self.read_ahead.advance(len);
             return Poll::Ready(Ok(()));
         }
+        let filled_before = buf.filled().len();
         let received = Pin::new(&mut self.stream).poll_read(cx, buf);
         self.is_awaited = received.is_pending();
+        if let Some(early_runs) = &self.early_runs {
+            early_runs.receive(&buf.filled()[filled_before..]);
+        }
         received
     }
 }
@@ -180,7 +191,7 @@
             return Poll::Pending;
         }
         let mut socket = self.socket.lock().unwrap_or_else(PoisonError::into_inner);
-        let Socket { stream, read_ahead, is_awaited } = &mut *socket;
+        let Socket { stream, read_ahead, early_runs, is_awaited } = &mut *socket;
         if *is_awaited {
             return Poll::Pending;
         }
@@ -191,6 +202,9 @@
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
                     read_ahead.extend_from_slice(buf.filled());
+                    if let Some(early_runs) = early_runs {
+                        early_runs.receive(buf.filled());
+                    }
                 }
                 Poll::Ready(Ok(()) | Err(_)) => return Poll::Ready(()),
             }
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     driver::Driver,
+    early_runs::{Arrival, EarlyHandler},
     effect::{Attempt, CallStep, Hop},
     event::{AnswerHead, CallEvent, CallHead, Event, Failure},
     fingerprint::fingerprint,
@@ -45,10 +46,19 @@
     /// Serves one request and returns the target's answer or a refusal.
     pub(crate) async fn serve(&self, req: Request<Incoming>) -> Response<Body> {
         let (parts, body) = req.into_parts();
+        // Only a request that started early is to be served anew.
+        let answer = self.answer(parts, Some(body)).await;
+        answer.unwrap_or_else(|| refusal_response(&overloaded()))
+    }
+
+    /// Serves a request, which started early if it comes without `body`. Returns `None` if it did not run and must be
+    /// served in its turn.
+    async fn answer(&self, parts: Parts, body: Option<Incoming>) -> Option<Response<Body>> {
         let id = parts.headers.get(&self.names.request_id).cloned();
         let mut answer = match self.accept(parts, body).await {
             Ok(answer) => answer,
-            Err(refusal) => refusal_response(&refusal),
+            Err(Rejection::Refused(refusal)) => refusal_response(&refusal),
+            Err(Rejection::NotIdempotent) => return None,
         };
         let headers = answer.headers_mut();
         if let Some(id) = id
@@ -56,18 +66,21 @@
         {
             headers.insert(self.names.request_id.clone(), id);
         }
-        if self.driver.inspect(|_, reducer| reducer.is_stopping()) {
-            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
-        }
-        answer
+        self.prepare_delivery(&mut answer);
+        Some(answer)
     }
 
-    async fn accept(&self, parts: Parts, body: Incoming) -> Result<Response<Body>, Refusal> {
+    async fn accept(
+        &self,
+        parts: Parts,
+        body: Option<Incoming>,
+    ) -> Result<Response<Body>, Rejection> {
         let id: CompactString =
             headers::text(&parts.headers, &self.names.request_id).unwrap_or_default().into();
+        let is_early = body.is_none();
         match self.read(id.clone(), parts, body).await {
-            Ok((head, parts, payload)) => self.route(head, parts, payload).await,
-            Err(reason) => Err(self.driver.refuse(&id, reason)),
+            Ok((head, parts, payload)) => self.route(head, parts, payload, is_early).await,
+            Err(reason) => Err(self.driver.refuse(&id, reason).into()),
         }
     }
 
@@ -76,21 +89,29 @@
         &self,
         id: CompactString,
         mut parts: Parts,
-        body: Incoming,
+        body: Option<Incoming>,
     ) -> Result<(CallHead, Parts, Payload), Reason> {
-        let size = RequestSize { head: headers::head_size(&parts), body: body.size_hint().lower() };
+        let body_len = body.as_ref().map_or(0, |body| body.size_hint().lower());
+        let size = RequestSize { head: headers::head_size(&parts), body: body_len };
         if let Some(reason) = self.driver.inspect(|_, reducer| reducer.find_excess(size)) {
             return Err(reason);
         }
-        let timeout = head::read_timeout(&parts.headers, &self.names.deadline)?;
+        let mut timeout = head::read_timeout(&parts.headers, &self.names.deadline)?;
+        if let Some(Arrival(at)) = parts.extensions.remove() {
+            timeout = timeout.map(|timeout| timeout.saturating_sub(at.elapsed()));
+        }
         head::set_origin_form(&mut parts);
         let host = headers::text(&parts.headers, &header::HOST).ok_or(Reason::Malformed)?.into();
-        let read =
-            tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), Payload::read(body));
-        let payload = match read.await {
-            Ok(Ok(payload)) => payload,
-            Ok(Err(_)) => return Err(Reason::BodyCut),
-            Err(_) => return Err(Reason::BodyTimeout),
+        let payload = match body {
+            None => Payload::empty(),
+            Some(body) => {
+                let timeout = timeout.unwrap_or(DEFAULT_BODY_TIMEOUT);
+                match tokio::time::timeout(timeout, Payload::read(body)).await {
+                    Ok(Ok(payload)) => payload,
+                    Ok(Err(_)) => return Err(Reason::BodyCut),
+                    Err(_) => return Err(Reason::BodyTimeout),
+                }
+            }
         };
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
@@ -112,10 +133,10 @@
         head: CallHead,
         parts: Parts,
         mut payload: Payload,
-    ) -> Result<Response<Body>, Refusal> {
+        is_early: bool,
+    ) -> Result<Response<Body>, Rejection> {
         let Some(call) = CallGuard::open(&self.driver) else {
-            let retry_after = Some(Duration::from_secs(1));
-            return Err(Refusal { reason: Reason::Overloaded, may_have_run: false, retry_after });
+            return Err(overloaded().into());
         };
         call.dispatch(CallEvent::Arrived(head));
         let sent = payload.buffered.len() as u64;
@@ -125,6 +146,10 @@
             tokio::select! {
                 biased;
                 step = call.next() => match step {
+                    // The configuration has changed since the request started.
+                    Some(CallStep::Attempt(attempt)) if is_early && !attempt.spec.is_idempotent => {
+                        return Err(Rejection::NotIdempotent);
+                    }
                     Some(CallStep::Attempt(attempt)) => {
                         attempts.push(self.attempt(attempt, &parts, &mut payload));
                     }
@@ -134,10 +159,11 @@
                         let (_, answer) = answers.swap_remove(index);
                         return Ok(answer.map(|body| body.on_end(move || drop(call))));
                     }
-                    Some(CallStep::Refuse(refusal)) => return Err(refusal),
+                    Some(CallStep::Refuse(refusal)) => return Err(refusal.into()),
                     None => {
                         let reason = Reason::Stopping;
-                        return Err(Refusal { reason, may_have_run: true, retry_after: None });
+                        let refusal = Refusal { reason, may_have_run: true, retry_after: None };
+                        return Err(refusal.into());
                     }
                 },
                 Some((attempt, reply)) = attempts.next() => {
@@ -184,6 +210,46 @@
     }
 }
 
+impl EarlyHandler for Ingress {
+    fn can_start(&self, parts: &Parts) -> bool {
+        // In absolute form, which is rare, the URI names the host.
+        let is_absolute = parts.uri.authority().is_some();
+        let Some(host) = headers::text(&parts.headers, &header::HOST) else { return false };
+        let path = parts.uri.path();
+        !is_absolute && self.driver.inspect(|_, reducer| reducer.may_start_early(host, path))
+    }
+
+    fn run(&self, parts: Parts) -> BoxFuture<'static, Option<Response<Body>>> {
+        let this = self.clone();
+        async move { this.answer(parts, None).await }.boxed()
+    }
+
+    fn prepare_delivery(&self, answer: &mut Response<Body>) {
+        if self.driver.inspect(|_, reducer| reducer.is_stopping()) {
+            answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+}
+
+/// The reason for which a request has no answer of a target.
+enum Rejection {
+    Refused(Refusal),
+    /// The request started early, and may only run in its turn. It has not run.
+    NotIdempotent,
+}
+
+impl From<Refusal> for Rejection {
+    fn from(refusal: Refusal) -> Rejection {
+        Rejection::Refused(refusal)
+    }
+}
+
+/// Returns the refusal of a request beyond the most that the process serves.
+fn overloaded() -> Refusal {
+    let retry_after = Some(Duration::from_secs(1));
+    Refusal { reason: Reason::Overloaded, may_have_run: false, retry_after }
+}
+
 /// Splits a reply into the event for the reducer and the answer, if any. `sent` is the size of the buffered part of
 /// the request body in bytes.
 fn split_reply(attempt: u32, reply: Reply, sent: u64) -> (CallEvent, Option<Response<Body>>) {
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -125,6 +125,7 @@
     target_times: RouteHistograms,
     queue_times: Histogram,
     store_calls: Family<StoreCallLabels, Counter>,
+    early_runs: Family<KindLabel, Counter>,
     gauges: Vec<Gauge<f64, AtomicU64>>,
     dropped: Counter,
     routes: Mutex<HashSet<CompactString>>,
@@ -158,6 +159,9 @@
         registry.register("queue_seconds", help, queue_times.clone());
         let store_calls = Family::default();
         registry.register("store_calls", "Calls to the store", store_calls.clone());
+        let early_runs = Family::default();
+        let help = "Requests sent ahead that were started, delayed by a bound or discarded";
+        registry.register("early_runs", help, early_runs.clone());
         let dropped = Counter::default();
         registry.register("log_lines_dropped", "Log lines that did not fit", dropped.clone());
         Metrics {
@@ -168,6 +172,7 @@
             target_times,
             queue_times,
             store_calls,
+            early_runs,
             gauges,
             dropped,
             routes: Mutex::default(),
@@ -202,6 +207,11 @@
         self.store_calls.get_or_create(&StoreCallLabels { call, outcome }).inc();
     }
 
+    /// Counts a request that was sent ahead, by what became of its early run.
+    pub(crate) fn count_early_run(&self, kind: &'static str) {
+        self.early_runs.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self, values: &GaugeValues, dropped: u64) -> String {
         for (gauge, value) in self.gauges.iter().zip(gauge_values(values)) {
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     driver::{Driver, EffectSinks},
+    early_runs::EarlyRuns,
     event::Event,
     forwarder::Forwarder,
     health,
@@ -35,7 +36,7 @@
     registry,
     replica::Topic,
     rollout::RolloutRecord,
-    serve::{self, HeadLimits},
+    serve::{self, HeadLimits, Server},
     settings::Settings,
     store::Store,
     sync::{self, Startup, WatchSignals},
@@ -171,11 +172,14 @@
             peers: peer_pools.clone(),
             forwarder: forwarder.clone(),
         };
+        let early_runs = EarlyRuns::new(Arc::new(ingress.clone()), metrics.clone());
         let handle = move |req: Request<Incoming>| {
             let ingress = ingress.clone();
             async move { ingress.serve(req).await }
         };
-        tasks.spawn(serve::serve(callers, stop.subscribe(), head_limits, log.clone(), handle));
+        let early_runs = Some(Arc::new(early_runs));
+        let server = Server { stop: stop.subscribe(), limits: head_limits, early_runs, handle };
+        tasks.spawn(server.serve(callers, log.clone()));
         let peer_server = PeerServer { driver: driver.clone(), forwarder, replicas };
         let handle = move |req: Request<Incoming>| {
             let peer_server = peer_server.clone();
--- a/mesh/src/payload.rs
+++ b/mesh/src/payload.rs
@@ -32,6 +32,11 @@
 pub struct IncompleteBody;
 
 impl Payload {
+    /// Returns the body of a request without one.
+    pub(crate) fn empty() -> Payload {
+        Payload { buffered: Bytes::new(), rest: None, length: Some(0), is_consumed: false }
+    }
+
     /// Buffers a body until it ends or exceeds [`MAX_BUFFERED_BYTES`].
     pub(crate) async fn read(mut body: Incoming) -> Result<Payload, IncompleteBody> {
         let length = body.size_hint().exact();
--- a/mesh/src/reducer/denials.rs
+++ b/mesh/src/reducer/denials.rs
@@ -32,6 +32,13 @@
         (size.body > limits.max_body_bytes).then_some(Reason::BodyTooLarge)
     }
 
+    /// Returns whether a request may be started while those before it on its connection are running. It would not have been
+    /// read if a stop ends the connection, and then it must not have run either unless it is idempotent.
+    pub(crate) fn may_start_early(&self, host: &str, path: &str) -> bool {
+        let route = self.config().and_then(|table| table.find(host, path));
+        !self.is_stopping() && route.is_some_and(|route| route.is_idempotent)
+    }
+
     /// Refuses a request for which no call has been opened.
     pub(crate) fn refuse_early(
         &self,
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -1,6 +1,6 @@
 //! The HTTP server of a node, with graceful shutdown of its connections.
 
-use std::{convert::Infallible, future::Future, time::Duration};
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -15,6 +15,7 @@
 use crate::{
     activity::{Activity, TrackedStream},
     config::CallerLimits,
+    early_runs::{ConnectionRuns, EarlyRuns},
     payload::Body,
     pool,
 };
@@ -93,7 +94,7 @@
 /// Accepts connections until `stop` becomes true, then shuts them down gracefully.
 pub async fn serve<H, F>(
     listener: TcpListener,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     limits: watch::Receiver<HeadLimits>,
     log: Logger,
     handle: H,
@@ -101,70 +102,129 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let (stop, limits) = (stop.clone(), limits.clone());
-                tokio::spawn(serve_connection(stream, stop, limits, handle.clone()));
+    Server { stop, limits, early_runs: None, handle }.serve(listener, log).await;
+}
+
+/// A server and what its connections share.
+#[derive(Clone)]
+pub(crate) struct Server<H> {
+    pub(crate) stop: watch::Receiver<bool>,
+    pub(crate) limits: watch::Receiver<HeadLimits>,
+    /// The runs of requests that are sent ahead; without them the requests of a connection run one after the other.
+    pub(crate) early_runs: Option<Arc<EarlyRuns>>,
+    pub(crate) handle: H,
+}
+
+impl<H, F> Server<H>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    /// Accepts connections until `stop` becomes true, then shuts them down gracefully.
+    pub(crate) async fn serve(mut self, listener: TcpListener, log: Logger) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = async { self.stop.wait_for(|stop| *stop).await.is_ok() } => return,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve_connection(stream));
+                }
+                Err(error) => {
+                    slog::warn!(log, "accept-failed"; "error" => %error);
+                    time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
             }
-            Err(error) => {
-                slog::warn!(log, "accept-failed"; "error" => %error);
-                time::sleep(ACCEPT_RETRY_DELAY).await;
+        }
+    }
+
+    async fn serve_connection(self, stream: TcpStream) {
+        let Server { mut stop, limits, early_runs, handle } = self;
+        pool::set_socket_options(&stream);
+        let activity = Activity::new();
+        let runs = early_runs.map(|runs| ConnectionRuns::new(runs, activity.clone()));
+        let stream = TrackedStream::new(stream, activity.clone(), runs.clone());
+        let close_monitor = stream.close_monitor();
+        let (requests, service_runs) = (activity.clone(), runs.clone());
+        let service = service_fn(move |req| {
+            let guard = requests.start();
+            let answer = answer(req, handle.clone(), service_runs.clone());
+            async move { Ok::<_, Infallible>(answer.await.map(|body| body.on_end(move || drop(guard)))) }
+        });
+        let HeadLimits { buffer_bytes, max_fields, .. } = *limits.borrow();
+        let mut builder = http1::Builder::new();
+        // The timeout of the builder would be the one in force when the connection was accepted.
+        builder
+            .auto_date_header(false)
+            .timer(TokioTimer::new())
+            .header_read_timeout(None)
+            .max_buf_size(buffer_bytes)
+            .max_headers(max_fields);
+        let conn = builder.serve_connection(TokioIo::new(stream), service);
+        let mut conn = std::pin::pin!(conn);
+        // It is dropped before the connection, whose answers would start further requests when they are dropped.
+        let closing = CloseOnDrop(runs);
+        // Errors are ignored: the requests on the connection observe them.
+        tokio::select! {
+            biased;
+            _ = conn.as_mut() => {}
+            _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => {
+                conn.as_mut().graceful_shutdown();
+                // What the library has not passed on yet was not read.
+                closing.close();
+                tokio::select! {
+                    biased;
+                    _ = conn => {}
+                    () = close_monitor.closed() => {}
+                }
             }
+            // Dropping the connection cancels the requests on it.
+            () = close_monitor.closed() => {}
+            // The connection was polled before this branch and no request is running, so none is lost when it is dropped.
+            () = activity.wait_until_idle(&limits) => {}
         }
     }
 }
 
-async fn serve_connection<H, F>(
-    stream: TcpStream,
-    mut stop: watch::Receiver<bool>,
-    limits: watch::Receiver<HeadLimits>,
+/// Answers a request that the library passes on: by its early run, if there is one.
+async fn answer<H, F>(
+    req: Request<Incoming>,
     handle: H,
-) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    runs: Option<ConnectionRuns>,
+) -> Response<Body>
+where
+    H: Fn(Request<Incoming>) -> F,
+    F: Future<Output = Response<Body>>,
 {
-    pool::set_socket_options(&stream);
-    let activity = Activity::new();
-    let stream = TrackedStream::new(stream, activity.clone());
-    let close_monitor = stream.close_monitor();
-    let requests = activity.clone();
-    let service = service_fn(move |req: Request<Incoming>| {
-        let guard = requests.start();
-        let answer = handle(req);
-        async move { Ok::<_, Infallible>(answer.await.map(|body| body.on_end(move || drop(guard)))) }
-    });
-    let HeadLimits { buffer_bytes, max_fields, .. } = *limits.borrow();
-    let mut builder = http1::Builder::new();
-    // The timeout of the builder would be the one in force when the connection was accepted.
-    builder
-        .auto_date_header(false)
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(buffer_bytes)
-        .max_headers(max_fields);
-    let conn = builder.serve_connection(TokioIo::new(stream), service);
-    let mut conn = std::pin::pin!(conn);
-    // Errors are ignored: the requests on the connection observe them.
-    tokio::select! {
-        biased;
-        _ = conn.as_mut() => {}
-        _ = async { stop.wait_for(|stop| *stop).await.is_ok() } => {
-            conn.as_mut().graceful_shutdown();
-            tokio::select! {
-                biased;
-                _ = conn => {}
-                () = close_monitor.closed() => {}
-            }
+    let Some(runs) = runs else { return handle(req).await };
+    let (mut parts, body) = req.into_parts();
+    let early = match runs.take(&mut parts) {
+        Some(run) => run.answer().await,
+        None => None,
+    };
+    let answer = match early {
+        Some(answer) => answer,
+        None => handle(Request::from_parts(parts, body)).await,
+    };
+    runs.observe(&answer);
+    answer.map(|body| body.on_complete(move || runs.finish()))
+}
+
+/// Cancels the early runs of a connection when it is dropped.
+struct CloseOnDrop(Option<ConnectionRuns>);
+
+impl CloseOnDrop {
+    fn close(&self) {
+        if let Some(runs) = &self.0 {
+            runs.close();
         }
-        // Dropping the connection cancels the requests on it.
-        () = close_monitor.closed() => {}
-        // The connection was polled before this branch and no request is running, so none is lost when it is dropped.
-        () = activity.wait_until_idle(&limits) => {}
+    }
+}
+
+impl Drop for CloseOnDrop {
+    fn drop(&mut self) {
+        self.close();
     }
 }
 
