--- a/mesh/src/early_runs.rs
+++ b/mesh/src/early_runs.rs
@@ -79,7 +79,9 @@
 impl EarlyRun {
     /// Returns the answer when the turn of the request has come; `None` if the request must be served anew.
     pub(crate) async fn answer(mut self) -> Option<Response<Body>> {
-        let mut answer = (&mut self.task).await.ok().flatten()?;
+        let answer = (&mut self.task).await.ok().flatten();
+        // A large answer may have waited too long for its turn to be sent to its end.
+        let mut answer = answer.filter(|answer| !answer.body().is_expired())?;
         self.shared.handler.prepare_delivery(&mut answer);
         self.is_used = true;
         Some(answer)
--- a/mesh/src/early_runs/connection.rs
+++ b/mesh/src/early_runs/connection.rs
@@ -69,6 +69,9 @@
 
     /// Takes bytes that were read from the connection, and starts the requests among them that may run early.
     pub(crate) fn receive(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
         let mut runs = self.lock();
         if runs.is_closed || runs.scanner.is_ended() {
             return;
@@ -76,6 +79,9 @@
         for head in runs.scanner.scan(bytes) {
             runs.add(head);
         }
+        if runs.scanner.is_ended() {
+            runs.shared.metrics.count_early_run("untracked");
+        }
         runs.start_next();
     }
 
@@ -133,12 +139,14 @@
     fn add(&mut self, head: Head) {
         let number = self.found;
         self.found += 1;
-        if self.requests.len() < MAX_HEADS {
-            let arrival = (number > self.ended).then(|| Arrival(Instant::now()));
-            let (is_free, is_delayed) = ((head.body_len > 0).then_some(false), false);
-            let found = Found { number, head, arrival, is_free, is_delayed, run: None };
-            self.requests.push_back(found);
+        if self.requests.len() >= MAX_HEADS {
+            self.shared.metrics.count_early_run("delayed");
+            return;
         }
+        let arrival = (number > self.ended).then(|| Arrival(Instant::now()));
+        let (is_free, is_delayed) = ((head.body_len > 0).then_some(false), false);
+        let found = Found { number, head, arrival, is_free, is_delayed, run: None };
+        self.requests.push_back(found);
     }
 
     /// Removes the requests before the one with this number, whose answers have ended.
--- a/mesh/src/payload.rs
+++ b/mesh/src/payload.rs
@@ -136,6 +136,11 @@
         self
     }
 
+    /// Returns whether the body can only fail, because its deadline has passed.
+    pub(crate) fn is_expired(&self) -> bool {
+        self.deadline.as_ref().is_some_and(|deadline| deadline.deadline() <= Instant::now())
+    }
+
     fn add_callback(mut self, end: impl FnOnce(bool) + Send + 'static) -> Body {
         match self.end.take() {
             None => self.end = Some(Box::new(end)),
