--- a/mesh/src/early_runs.rs
+++ b/mesh/src/early_runs.rs
@@ -24,8 +24,8 @@
 /// buffered, the bytes in its connection to the target, and its head.
 pub(crate) const MAX_PER_CONNECTION: usize = 16;
 
-/// The most runs of the process, whose answers hold about 16 MiB together. The rest of their connections is served one
-/// request after the other.
+/// The most runs of the process, whose answers have 16 MiB in their buffers together. Requests beyond are served in their
+/// turn.
 pub(crate) const MAX_PER_PROCESS: usize = 128;
 
 /// What serves the requests of the connections.
