--- a/mesh/src/metrics/tests.rs
+++ b/mesh/src/metrics/tests.rs
@@ -25,6 +25,7 @@
     }
     metrics.count(&answer("read", 1));
     metrics.count_store_call("get", "done");
+    metrics.count_early_run("started");
     observe(&metrics.target_times, metrics.route_name(&"read".into()), Duration::ZERO);
     let text = metrics.encode_text(&GaugeValues::default(), 0);
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
