Bound the time for which an answer waits for its turn

Cause: a caller that sends requests ahead and does not read the answers kept the places of its runs, of which the process has 128, until it left.

Change: an answer that has waited for 30 s is discarded; its request is served anew in its turn.

--- a/mesh/src/early_runs.rs
+++ b/mesh/src/early_runs.rs
@@ -6,14 +6,14 @@
 
 mod connection;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use futures_util::future::BoxFuture;
 use http::{Response, request::Parts};
 use tokio::{
-    sync::{OwnedSemaphorePermit, Semaphore},
+    sync::{Notify, Semaphore},
     task::JoinHandle,
-    time::Instant,
+    time::{self, Instant},
 };
 
 use crate::{activity::ActivityGuard, metrics::Metrics, payload::Body};
@@ -28,6 +28,10 @@
 /// turn.
 pub(crate) const MAX_PER_PROCESS: usize = 128;
 
+/// The longest time for which an answer waits for its turn. Beyond that the caller probably does not read the answers before
+/// it, and must not keep the memory and the place of the run from others.
+const MAX_HELD: Duration = Duration::from_secs(30);
+
 /// What serves the requests of the connections.
 pub(crate) trait EarlyHandler: Send + Sync + 'static {
     /// Returns whether a request without a body may run while those before it on its connection are running.
@@ -56,29 +60,37 @@
         EarlyRuns { handler, permits: Arc::new(Semaphore::new(MAX_PER_PROCESS)), metrics }
     }
 
-    /// Starts a run, unless the process has as many as it may.
+    /// Starts a run, unless the process has as many as it may. The guard shows that the connection is not idle, also in the
+    /// moment in which the library goes from one request to the next.
     fn start(self: &Arc<Self>, parts: Parts, guard: ActivityGuard) -> Option<EarlyRun> {
         let permit = self.permits.clone().try_acquire_owned().ok()?;
         self.metrics.count_early_run("started");
-        let task = tokio::spawn(self.handler.run(parts));
-        let shared = self.clone();
-        Some(EarlyRun { task, shared, is_used: false, _permit: permit, _guard: guard })
+        let answer = self.handler.run(parts);
+        let turn = Arc::new(Notify::new());
+        let has_come = turn.clone();
+        let task = tokio::spawn(async move {
+            let _held = (permit, guard);
+            let answer = answer.await?;
+            time::timeout(MAX_HELD, has_come.notified()).await.ok()?;
+            Some(answer)
+        });
+        Some(EarlyRun { task, turn, shared: self.clone(), is_used: false })
     }
 }
 
 /// A request that runs early. Dropping it cancels the run.
 pub(crate) struct EarlyRun {
     task: JoinHandle<Option<Response<Body>>>,
+    /// Tells the task that the turn of the request has come.
+    turn: Arc<Notify>,
     shared: Arc<EarlyRuns>,
     is_used: bool,
-    _permit: OwnedSemaphorePermit,
-    /// Shows that the connection is not idle, also in the moment in which the library goes from one request to the next.
-    _guard: ActivityGuard,
 }
 
 impl EarlyRun {
     /// Returns the answer when the turn of the request has come; `None` if the request must be served anew.
     pub(crate) async fn answer(mut self) -> Option<Response<Body>> {
+        self.turn.notify_one();
         let answer = (&mut self.task).await.ok().flatten();
         // A large answer may have waited too long for its turn to be sent to its end.
         let mut answer = answer.filter(|answer| !answer.body().is_expired())?;
--- a/mesh/src/early_runs/tests.rs
+++ b/mesh/src/early_runs/tests.rs
@@ -19,7 +19,7 @@
 };
 
 use super::{
-    Arrival, ConnectionRuns, EarlyHandler, EarlyRuns, MAX_PER_CONNECTION, MAX_PER_PROCESS,
+    Arrival, ConnectionRuns, EarlyHandler, EarlyRuns, MAX_HELD, MAX_PER_CONNECTION, MAX_PER_PROCESS,
 };
 use crate::{
     activity::Activity,
@@ -181,6 +181,12 @@
     format!("GET {target} HTTP/1.1\r\nhost: s\r\n{body}")
 }
 
+/// Returns what the library passes on for [`request`].
+fn parts(target: &str) -> Parts {
+    let req = Request::builder().uri(target).header("host", "s").body(());
+    req.expect("a request").into_parts().0
+}
+
 /// Guards against requests that wait for the one before them, and against an answer that takes the place of another.
 #[tokio::test]
 async fn requests_run_at_the_same_time_and_answers_keep_their_order() {
@@ -320,10 +326,6 @@
     runs.receive(text.as_bytes());
     let expected = ["early /free/b", "early /free/c", "early /free/d"];
     assert_eq!(stub.events(&expected).await, expected);
-    let parts = |target: &str| {
-        let req = Request::builder().uri(target).header("host", "s").body(());
-        req.expect("a request").into_parts().0
-    };
     let mut first = parts("/free/a");
     assert!(runs.take(&mut first).is_none() && first.extensions.get::<Arrival>().is_none());
     let mut second = parts("/free/b");
@@ -340,6 +342,25 @@
     assert!(runs.take(&mut parts("/free/d")).is_none());
 }
 
+/// Guards against a caller that does not read its answers and so keeps the places of others.
+#[tokio::test(start_paused = true)]
+async fn an_answer_is_not_held_for_ever() {
+    let stub = Arc::new(Stub::default());
+    stub.released.send_replace(BTreeSet::from(["all".to_owned()]));
+    let shared = Arc::new(EarlyRuns::new(Arc::new(stub.clone()), Arc::new(Metrics::new())));
+    let runs = ConnectionRuns::new(shared.clone(), Activity::new());
+    runs.receive(["/free/a", "/free/b", "/free/c"].map(request).concat().as_bytes());
+    assert!(runs.take(&mut parts("/free/a")).is_none());
+    sleep(MAX_HELD / 2).await;
+    let run = runs.take(&mut parts("/free/b")).expect("a run");
+    assert!(run.answer().await.is_some());
+    assert_eq!(shared.permits.available_permits(), MAX_PER_PROCESS - 1);
+    sleep(MAX_HELD).await;
+    assert_eq!(shared.permits.available_permits(), MAX_PER_PROCESS);
+    let run = runs.take(&mut parts("/free/c")).expect("a run");
+    assert!(run.answer().await.is_none());
+}
+
 /// Guards against a scanner that counts other requests than the library: in any sequence of requests, however it is cut,
 /// each gets its own answer and no run is discarded.
 #[tokio::test]
