--- a/mesh/src/activity.rs
+++ b/mesh/src/activity.rs
@@ -1,11 +1,11 @@
 //! What happens on a server's connection, by which the server decides that it is idle or that the caller has left.
 
 use std::{
-    future::poll_fn,
+    future::{Future as _, poll_fn},
     io::{self, IoSlice},
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -17,7 +17,7 @@
     time::{self, Instant},
 };
 
-use crate::serve::HeadLimits;
+use crate::{early_runs::ConnectionRuns, serve::HeadLimits};
 
 /// The minimum interval of checks while a request is running, whatever the timeouts of the configuration.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -55,15 +55,25 @@
 
     /// Waits until the connection has been idle for the timeouts that are then in force. It is never idle while a
     /// request is running.
+    ///
+    /// This must be polled by the same task as the server and after it: a head that begins may end the wait earlier.
     pub(crate) async fn wait_until_idle(&self, limits: &watch::Receiver<HeadLimits>) {
-        loop {
-            let HeadLimits { timeout, head_timeout, .. } = *limits.borrow();
-            let left = self.lock().time_left(timeout, head_timeout);
-            if left.is_zero() {
-                return;
+        let mut check = pin!(time::sleep(Duration::ZERO));
+        poll_fn(|cx| {
+            loop {
+                let HeadLimits { timeout, head_timeout, .. } = *limits.borrow();
+                let left = self.lock().time_left(timeout, head_timeout);
+                if left.is_zero() {
+                    return Poll::Ready(());
+                }
+                let due = Instant::now() + left;
+                if due < check.deadline() || check.is_elapsed() {
+                    check.as_mut().reset(due);
+                }
+                ready!(check.as_mut().poll(cx));
             }
-            time::sleep(left).await;
-        }
+        })
+        .await;
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
@@ -110,6 +120,8 @@
 struct Socket {
     stream: TcpStream,
     read_ahead: BytesMut,
+    /// The early runs, which see each byte once, when it is read from the stream.
+    early_runs: Option<ConnectionRuns>,
     /// Whether the server waits for bytes, and so notices the end of the connection itself.
     is_awaited: bool,
 }
@@ -124,8 +136,13 @@
 }
 
 impl TrackedStream {
-    pub(crate) fn new(stream: TcpStream, activity: Activity) -> TrackedStream {
-        let socket = Socket { stream, read_ahead: BytesMut::new(), is_awaited: false };
+    pub(crate) fn new(
+        stream: TcpStream,
+        activity: Activity,
+        early_runs: Option<ConnectionRuns>,
+    ) -> TrackedStream {
+        let read_ahead = BytesMut::new();
+        let socket = Socket { stream, read_ahead, early_runs, is_awaited: false };
         TrackedStream { socket: Arc::new(Mutex::new(socket)), activity }
     }
 
@@ -153,8 +170,12 @@
             self.read_ahead.advance(len);
             return Poll::Ready(Ok(()));
         }
+        let filled_before = buf.filled().len();
         let received = Pin::new(&mut self.stream).poll_read(cx, buf);
         self.is_awaited = received.is_pending();
+        if let Some(early_runs) = &self.early_runs {
+            early_runs.receive(&buf.filled()[filled_before..]);
+        }
         received
     }
 }
@@ -170,7 +191,7 @@
             return Poll::Pending;
         }
         let mut socket = self.socket.lock().unwrap_or_else(PoisonError::into_inner);
-        let Socket { stream, read_ahead, is_awaited } = &mut *socket;
+        let Socket { stream, read_ahead, early_runs, is_awaited } = &mut *socket;
         if *is_awaited {
             return Poll::Pending;
         }
@@ -181,6 +202,9 @@
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
                     read_ahead.extend_from_slice(buf.filled());
+                    if let Some(early_runs) = early_runs {
+                        early_runs.receive(buf.filled());
+                    }
                 }
                 Poll::Ready(Ok(()) | Err(_)) => return Poll::Ready(()),
             }
--- a/mesh/src/payload.rs
+++ b/mesh/src/payload.rs
@@ -32,6 +32,11 @@
 pub struct IncompleteBody;
 
 impl Payload {
+    /// Returns the body of a request without one.
+    pub(crate) fn empty() -> Payload {
+        Payload { buffered: Bytes::new(), rest: None, length: Some(0), is_consumed: false }
+    }
+
     /// Buffers a body until it ends or exceeds [`MAX_BUFFERED_BYTES`].
     pub(crate) async fn read(mut body: Incoming) -> Result<Payload, IncompleteBody> {
         let length = body.size_hint().exact();
@@ -131,6 +136,11 @@
         self
     }
 
+    /// Returns whether the body can only fail, because its deadline has passed.
+    pub(crate) fn is_expired(&self) -> bool {
+        self.deadline.as_ref().is_some_and(|deadline| deadline.deadline() <= Instant::now())
+    }
+
     fn add_callback(mut self, end: impl FnOnce(bool) + Send + 'static) -> Body {
         match self.end.take() {
             None => self.end = Some(Box::new(end)),
