Answer requests that run early before a planned stop closes their connection

The next answer of a stopping node closed the connection and cancelled the runs behind it, although they had been passed on to targets: in a planned stop these requests count as lost. The answers keep the connection open until the runs behind them have been delivered.

--- a/mesh/src/early_runs/connection.rs
+++ b/mesh/src/early_runs/connection.rs
@@ -121,8 +121,20 @@
         drop(discarded);
     }
 
-    /// Cancels the runs behind an answer that closes the connection: the requests were not read.
-    pub(crate) fn observe(&self, answer: &Response<Body>) {
+    /// Returns whether requests behind the one that the library passed on last are running.
+    fn has_runs(&self) -> bool {
+        self.lock().requests.iter().any(|found| found.run.is_some())
+    }
+
+    /// Decides whether an answer closes the connection; what lies behind one that does was not read.
+    ///
+    /// A node that stops closes its connections with their answers, but a request that has been passed on to a target must
+    /// be answered. So the connection stays open until the runs behind the answer have been delivered; none starts meanwhile.
+    pub(crate) fn observe(&self, answer: &mut Response<Body>) {
+        if self.has_runs() {
+            answer.headers_mut().remove(header::CONNECTION);
+            return;
+        }
         let values = answer.headers().get_all(header::CONNECTION);
         let mut options = values.iter().flat_map(|value| value.as_bytes().split(|b| *b == b','));
         if options.any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close")) {
--- a/mesh/src/early_runs/tests.rs
+++ b/mesh/src/early_runs/tests.rs
@@ -242,7 +242,6 @@
 /// Guards against runs for a caller that has left or whose connection closes: the requests were not read.
 #[test_case(true, false, "/free/a"; "the caller leaves")]
 #[test_case(false, true, "/free/a"; "a planned stop")]
-#[test_case(false, false, "/free/close"; "behind an answer that closes")]
 #[tokio::test]
 async fn runs_are_cancelled(leaves: bool, stops: bool, first: &str) {
     let mut fixture = Fixture::start().await;
@@ -272,6 +271,24 @@
     assert_eq!((fixture.count("started"), fixture.count("discarded")), (2, 2));
 }
 
+/// Guards against a planned stop that closes a connection before the requests behind have been answered, although they run at
+/// targets.
+#[tokio::test]
+async fn an_answer_does_not_close_before_the_runs_behind_it() {
+    let mut fixture = Fixture::start().await;
+    fixture.send(&["/free/close", "/free/b", "/free/c"]).await;
+    let started = ["early /free/b", "early /free/c", "served /free/close"];
+    assert_eq!(fixture.stub.events(&started).await, started);
+    fixture.release("all");
+    for (is_early, target) in [(false, "/free/close"), (true, "/free/b"), (true, "/free/c")] {
+        assert_eq!(fixture.receive().await, Some((is_early, target.to_owned())));
+    }
+    assert_eq!((fixture.count("started"), fixture.count("discarded")), (2, 0));
+    fixture.send(&["/free/close", "/turn/d"]).await;
+    assert_eq!(fixture.receive().await, Some((false, "/free/close".to_owned())));
+    assert_eq!(fixture.receive().await, None, "nothing runs behind the answer");
+}
+
 /// Guards against a request that is lost when its run finds that it may run only in its turn, or when the time of its answer
 /// has passed before its turn.
 #[test_case("/free/anew"; "only in its turn")]
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -10,7 +10,7 @@
     future::{BoxFuture, FutureExt},
     stream::FuturesUnordered,
 };
-use http::{HeaderValue, Request, Response, header, request::Parts};
+use http::{HeaderValue, Request, Response, Version, header, request::Parts};
 use http_body::Body as _;
 use hyper::body::Incoming;
 
@@ -101,6 +101,8 @@
             timeout = timeout.map(|timeout| timeout.saturating_sub(at.elapsed()));
         }
         head::set_origin_form(&mut parts);
+        // Nodes and targets speak this version, whatever the caller does.
+        parts.version = Version::HTTP_11;
         let host = headers::text(&parts.headers, &header::HOST).ok_or(Reason::Malformed)?.into();
         let payload = match body {
             None => Payload::empty(),
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -203,11 +203,11 @@
         Some(run) => run.answer().await,
         None => None,
     };
-    let answer = match early {
+    let mut answer = match early {
         Some(answer) => answer,
         None => handle(Request::from_parts(parts, body)).await,
     };
-    runs.observe(&answer);
+    runs.observe(&mut answer);
     answer.map(|body| body.on_complete(move || runs.finish()))
 }
 
