Identify callers' teams by their keys

Configurations may hold teams with keys. A request on a route that is not public needs one of them, or it gets 401, or 503 while a newer configuration may hold its key. The entry node decides by the configuration in force on arrival, together with the route, and puts the team's name in place of the key and of what the caller stated. A team's priority replaces that of the route.

The binary layout that nodes exchange stays; teams and public routes follow what earlier builds read. A configuration without them leaves those in force, and its unknown keys get 503.

--- a/mesh/src/config.rs
+++ b/mesh/src/config.rs
@@ -1,11 +1,16 @@
 //! The operators' configuration in the form that decisions use: routes, services and limits on
 //! callers.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::teams::{Identity, KeyDigest, Team, TeamIndex};
+
 /// One version of the configuration. A node never replaces it by an older version.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
@@ -17,6 +22,24 @@
     pub services: HashMap<CompactString, Service>,
     /// The limits on callers' requests.
     pub limits: CallerLimits,
+    /// The teams whose keys are accepted; `None` if requests need no key. An empty list accepts no key.
+    ///
+    /// Nodes exchange a configuration in a layout without field names, which earlier builds read. So this field travels
+    /// apart from it, as [`Access`](crate::teams::Access).
+    #[serde(skip)]
+    pub teams: Option<Vec<Team>>,
+}
+
+impl Config {
+    /// Takes the teams and the public routes of another configuration over.
+    pub(crate) fn inherit_access(&mut self, other: &Config) {
+        let public = other.routes.iter().filter(|route| route.is_public);
+        let public: HashSet<&str> = public.map(|route| route.name.as_str()).collect();
+        for route in &mut self.routes {
+            route.is_public = public.contains(route.name.as_str());
+        }
+        self.teams.clone_from(&other.teams);
+    }
 }
 
 /// A class of requests and how they are handled.
@@ -40,6 +63,9 @@
     pub attempts: u8,
     /// The services that serve the route, with their weights.
     pub shares: Vec<Share>,
+    /// Whether requests need no key. It travels between nodes like [`Config::teams`].
+    #[serde(skip)]
+    pub is_public: bool,
 }
 
 /// A service's share of the requests of a route.
@@ -97,6 +123,8 @@
     pub config: Config,
     /// The indexes of the routes of each host, the longest prefix first.
     hosts: HashMap<CompactString, Vec<usize>>,
+    /// The teams by their keys, if there are teams.
+    teams: Option<TeamIndex>,
 }
 
 impl RouteTable {
@@ -109,7 +137,8 @@
         for indexes in hosts.values_mut() {
             indexes.sort_by_key(|&index| std::cmp::Reverse(config.routes[index].prefix.len()));
         }
-        RouteTable { config, hosts }
+        let teams = config.teams.as_deref().map(TeamIndex::new);
+        RouteTable { config, hosts, teams }
     }
 
     /// Returns the route of the host whose prefix is the longest that matches the path.
@@ -127,6 +156,18 @@
         routes.into_iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns who sends a request with this key on this route, or `None` if the request is not allowed.
+    pub fn identify(&self, route: &Route, key: Option<KeyDigest>) -> Option<Identity> {
+        let Some(teams) = &self.teams else { return Some(Identity::default()) };
+        let team = key.and_then(|key| teams.find(&key)).cloned();
+        (team.is_some() || route.is_public).then_some(Identity { team, hides_key: true })
+    }
+
+    /// Returns whether requests carry the keys of teams.
+    pub fn has_teams(&self) -> bool {
+        self.teams.is_some()
+    }
+
     /// Returns the configuration of a service.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.config.services.get(name)
--- a/mesh/src/config/tests.rs
+++ b/mesh/src/config/tests.rs
@@ -15,6 +15,7 @@
         priority: 0,
         attempts: 2,
         shares: vec![Share { service: "stock".into(), weight: 1 }],
+        is_public: false,
     }
 }
 
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -14,6 +14,7 @@
     node_status::NodeStatus,
     refusal::{Reason, Refusal},
     rollout::RolloutRecord,
+    teams::Identity,
 };
 
 /// One effect, executed by the driver.
@@ -76,6 +77,8 @@
     pub(crate) number: u32,
     pub(crate) hop: Hop,
     pub(crate) spec: AttemptSpec,
+    /// Who sends the request, which its headers must tell the target.
+    pub(crate) identity: Identity,
 }
 
 /// The node through which a target is reached.
--- a/mesh/src/event.rs
+++ b/mesh/src/event.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 use crate::{
-    config::RouteTable,
+    config::{Config, RouteTable},
     crash_guard::RequestHash,
     directory::{MemberRecord, RecordBatch},
     keys::{CallKey, MemberId, WorkKey},
@@ -16,6 +16,7 @@
     report::LoadReport,
     rollout::{RolloutOrder, RolloutRecord},
     target::Health,
+    teams::KeyDigest,
 };
 
 /// One event. The reducer gets it together with its time.
@@ -53,6 +54,8 @@
     Store { is_reachable: bool },
     /// A configuration was read.
     Config(Arc<RouteTable>),
+    /// A configuration came from a node of an earlier build, which does not know whether it has teams.
+    ConfigWithoutAccess(Config),
     /// This node read the newest orders from the store, and watches them from now on if it is a watcher.
     OrdersRead { is_watching: bool },
     /// This node no longer watches the orders, or lacks changes that were made meanwhile.
@@ -162,6 +165,8 @@
     pub(crate) timeout: Option<Duration>,
     /// Whether the whole body is buffered, so that it can be sent again.
     pub(crate) can_resend: bool,
+    /// The key of the caller's team, if the request carries one.
+    pub(crate) key: Option<KeyDigest>,
     /// A hash that is equal for all sends of the same request.
     pub(crate) fingerprint: RequestHash,
 }
@@ -203,6 +208,8 @@
     pub(crate) nominal_service: Duration,
     /// Whether the entry node found that no target can meet the objective.
     pub(crate) is_late: bool,
+    /// The caller's team, as the entry node stated it.
+    pub(crate) team: Option<CompactString>,
     /// A hash that is equal for all sends of the same request.
     pub(crate) fingerprint: RequestHash,
 }
--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -20,6 +20,7 @@
     payload::{Body, Payload},
     pool::{IdHash, Pool, PooledConnection, SendError},
     refusal::Reason,
+    teams,
 };
 
 /// Extra time, beyond the caller's timeout, for a request that continues after its caller has gone away.
@@ -76,6 +77,7 @@
             timeout: spec.timeout,
             nominal_service: spec.nominal_service,
             is_late: spec.is_late,
+            team: teams::read_team(&parts.headers, &self.names.team),
             fingerprint: fingerprint(&parts, &payload, &self.names.caller),
         };
         let Some(mut work) = WorkGuard::open(&self.driver) else {
@@ -220,6 +222,10 @@
     ) -> Option<Request<Body>> {
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
+        // An entry node of an earlier build, or one with an earlier configuration, leaves the key in place.
+        if self.driver.inspect(|_, reducer| reducer.config().is_some_and(|c| c.has_teams())) {
+            teams::remove_keys(&mut parts.headers);
+        }
         headers::set(&mut parts.headers, &self.names.target, lifetime);
         let ms = timeout.as_millis().max(1).to_string();
         headers::set(&mut parts.headers, &self.names.deadline, &ms);
--- a/mesh/src/headers.rs
+++ b/mesh/src/headers.rs
@@ -23,6 +23,8 @@
     pub instance: HeaderName,
     /// The remaining cold-start time of the target in milliseconds.
     pub cold: HeaderName,
+    /// The team that sent the request, as its entry node states it.
+    pub team: HeaderName,
 }
 
 /// The envelope of an attempt: sender, receiver and parameters.
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -27,6 +27,7 @@
     peers::Peers,
     reducer::RequestSize,
     refusal::{Reason, Refusal},
+    teams,
 };
 
 /// Timeout for reading a request body when the caller sets no deadline.
@@ -92,16 +93,20 @@
             Ok(Err(_)) => return Err(Reason::BodyCut),
             Err(_) => return Err(Reason::BodyTimeout),
         };
+        // A caller may declare the field with the key hop-by-hop, since it is meant for this node.
+        let key = teams::read_key(&parts.headers);
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
         let service = self.driver.inspect(|_, reducer| reducer.local_service().clone());
         headers::set(&mut parts.headers, &self.names.caller, &service);
+        parts.headers.remove(&self.names.team);
         let head = CallHead {
             id,
             host,
             path: parts.uri.path().to_compact_string(),
             timeout,
             can_resend: payload.is_complete(),
+            key,
             fingerprint: fingerprint(&parts, &payload, &self.names.caller),
         };
         Ok((head, parts, payload))
@@ -157,9 +162,10 @@
         parts: &Parts,
         payload: &mut Payload,
     ) -> BoxFuture<'static, (u32, Reply)> {
-        let Attempt { number, hop, spec } = attempt;
+        let Attempt { number, hop, spec, identity } = attempt;
         let this = self.clone();
-        let parts = parts.clone();
+        let mut parts = parts.clone();
+        identity.apply(&mut parts.headers, &self.names.team);
         let Some(payload) = payload.for_attempt() else {
             return async move { (number, Reply::failed(Failure::BodyCut)) }.boxed();
         };
@@ -235,6 +241,9 @@
     *answer.status_mut() = refusal.status();
     let headers = answer.headers_mut();
     headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
+    if refusal.reason == Reason::UnknownKey {
+        headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Token"));
+    }
     if let Some(after) = refusal.retry_after {
         headers::set(headers, &header::RETRY_AFTER, &format!("{:.3}", after.as_secs_f64()));
     }
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod settings;
 pub mod statistics;
 pub mod store;
+pub mod teams;
 pub mod time;
 pub mod timer;
 
--- a/mesh/src/pull.rs
+++ b/mesh/src/pull.rs
@@ -10,6 +10,7 @@
     config::Config,
     keys::MemberId,
     replica::{Delta, Position, Replica, Revisions, Topic},
+    teams::Access,
 };
 
 /// What the pulling node knows.
@@ -68,6 +69,8 @@
     pub(crate) deltas: Vec<Delta>,
     /// The configuration in force, if it is newer than that of the pulling node.
     pub(crate) config: Option<Config>,
+    /// What the configuration says of teams; `None` if the node's build does not know teams.
+    pub(crate) access: Option<Access>,
 }
 
 /// The part of an answer that follows the deltas.
@@ -87,11 +90,12 @@
     /// Returns the approximate size in bytes.
     pub(crate) fn size(&self) -> usize {
         let routes = self.config.as_ref().map_or(0, |config| config.routes.len());
-        self.deltas.iter().map(Delta::size).sum::<usize>() + routes * ROUTE_BYTES
+        let deltas: usize = self.deltas.iter().map(Delta::size).sum();
+        deltas + routes * ROUTE_BYTES + self.access.as_ref().map_or(0, Access::size)
     }
 
     pub(crate) fn encode(self) -> Vec<u8> {
-        let PullAnswer { mut deltas, config } = self;
+        let PullAnswer { mut deltas, config, access } = self;
         let mut eras = [0; 3];
         let mut keys = [None, None, None];
         for delta in &mut deltas {
@@ -101,20 +105,23 @@
         let encoded = postcard::to_stdvec(&deltas);
         let encoded =
             encoded.and_then(|bytes| postcard::to_extend(&Extension { eras, config, keys }, bytes));
+        let encoded = encoded.and_then(|bytes| postcard::to_extend(&access, bytes));
         encoded.unwrap_or_default()
     }
 
     /// Decodes an answer, or returns `None` if it is invalid.
     pub(crate) fn decode(bytes: &[u8]) -> Option<PullAnswer> {
         let (mut deltas, rest) = postcard::take_from_bytes::<Vec<Delta>>(bytes).ok()?;
-        let Ok((Extension { eras, config, mut keys }, _)) = postcard::take_from_bytes(rest) else {
-            return Some(PullAnswer { deltas, config: None });
+        let Ok((extension, rest)) = postcard::take_from_bytes(rest) else {
+            return Some(PullAnswer { deltas, config: None, access: None });
         };
+        let Extension { eras, config, mut keys } = extension;
+        let access = postcard::from_bytes(rest).unwrap_or_default();
         for delta in &mut deltas {
             delta.era = Some(eras[delta.topic.index()]);
             delta.keys = keys[delta.topic.index()].take();
         }
-        Some(PullAnswer { deltas, config })
+        Some(PullAnswer { deltas, config, access })
     }
 }
 
--- a/mesh/src/pull/tests.rs
+++ b/mesh/src/pull/tests.rs
@@ -4,6 +4,7 @@
     keys::MemberId,
     replica::{Delta, Position, Replica, Topic},
     store::Item,
+    teams::{Access, KeyDigest, Team},
 };
 
 fn replica(era: u64) -> Replica {
@@ -33,7 +34,7 @@
     let bytes = postcard::to_stdvec(&vec![&delta]).expect("a message");
     delta.era = None;
     let answer = PullAnswer::decode(&bytes).expect("an answer");
-    assert_eq!(answer, PullAnswer { deltas: vec![delta], config: None });
+    assert_eq!(answer, PullAnswer { deltas: vec![delta], config: None, access: None });
 }
 
 /// Guards against an answer that a node of an earlier build cannot read, or that loses the eras or the configuration.
@@ -41,8 +42,15 @@
 fn an_answer_survives_encoding() {
     let mut delta = replica(4).delta_since(Topic::Orders, Position::default());
     let config = Config { version: 17, ..Config::default() };
-    let answer = PullAnswer { deltas: vec![delta.clone()], config: Some(config) };
+    let team = Team { name: "a".into(), keys: vec![KeyDigest::of(b"k")], priority: Some(1) };
+    let access = Access::of(&Config { teams: Some(vec![team]), ..Config::default() });
+    let deltas = vec![delta.clone()];
+    let answer = PullAnswer { deltas, config: Some(config), access: Some(access) };
     let bytes = answer.clone().encode();
+    // An earlier build writes nothing behind the extension.
+    let without = PullAnswer { access: None, ..answer.clone() };
+    let length = without.clone().encode().len() - 1;
+    assert_eq!(PullAnswer::decode(&bytes[..length]), Some(without));
     let earlier: Vec<Delta> = postcard::from_bytes(&bytes).expect("deltas");
     delta.era = None;
     assert_eq!(earlier, [delta]);
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -97,6 +97,8 @@
     /// When the configuration in `config` took effect on this node.
     config_since: Time,
     confirmation: Confirmation,
+    /// Whether what the configuration in force says of teams is that of an earlier one.
+    lacks_access: bool,
     /// Whether the store holds a newer configuration that this node cannot read.
     has_unreadable_config: bool,
     directory: Directory,
@@ -156,6 +158,7 @@
             config: None,
             config_since: Time::ZERO,
             confirmation: Confirmation::default(),
+            lacks_access: false,
             has_unreadable_config: false,
             has_member_list: false,
             is_synced: false,
@@ -220,6 +223,7 @@
             Event::PullEnded(outcome) => self.pull_ended(now, outcome, out),
             Event::Store { is_reachable } => self.store_called(now, is_reachable, out),
             Event::Config(table) => self.set_config(now, table, out),
+            Event::ConfigWithoutAccess(config) => self.config_without_access(now, config, out),
             Event::OrdersRead { is_watching } => self.orders_read(now, is_watching),
             Event::OrdersUnwatched => self.confirmation.is_watching = false,
             Event::ConfigUnreadable => self.has_unreadable_config = true,
--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -17,6 +17,7 @@
     keys::{CallKey, MemberKey},
     placement::Demand,
     refusal::{Reason, Refusal},
+    teams::Identity,
     time::Time,
 };
 
@@ -74,6 +75,7 @@
     can_resend: bool,
     /// Identifies the request over repeated sends.
     fingerprint: RequestHash,
+    identity: Identity,
     /// Members that refused the request, failed it or are running it.
     tried: Vec<MemberKey>,
     /// Attempts that have not ended.
@@ -187,6 +189,9 @@
         let Some(route) = table.find(&head.host, &head.path) else {
             return self.refuse_on_arrival(key, &head, self.deny(now, Reason::NoRoute), out);
         };
+        let Some(identity) = table.identify(route, head.key) else {
+            return self.refuse_on_arrival(key, &head, self.deny(now, Reason::UnknownKey), out);
+        };
         let time = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         if self.would_outlast_stop(now, time) {
             let retry_after = Some(STOP_RETRY_AFTER);
@@ -196,7 +201,7 @@
         if self.is_blocked(now, head.fingerprint) {
             return self.refuse_on_arrival(key, &head, refuse(Reason::CrashSuspect), out);
         }
-        let call = self.open_call(now, route, head);
+        let call = self.open_call(now, route, head, identity);
         let time = call.deadline.since(now);
         self.calls.insert(key, call);
         out.push(Effect::Arm { timer: Timer::CallDeadline(key), after: time });
@@ -204,7 +209,7 @@
         self.arm_hedge(now, key, out);
     }
 
-    fn open_call(&mut self, now: Time, route: &Route, head: CallHead) -> Call {
+    fn open_call(&mut self, now: Time, route: &Route, head: CallHead, identity: Identity) -> Call {
         let time = head.timeout.unwrap_or(route.timeout).min(route.timeout);
         let elapsed = head.timeout.map_or(Duration::ZERO, |timeout| {
             self.caller_timeouts.entry(route.name.clone()).or_default().record(timeout)
@@ -220,7 +225,7 @@
             route: route.name.clone(),
             service,
             is_idempotent: route.is_idempotent,
-            priority: route.priority,
+            priority: identity.priority().unwrap_or(route.priority),
             max_executions: route.attempts.max(1),
             arrived: now,
             objective: now + route.objective.saturating_sub(elapsed),
@@ -229,6 +234,7 @@
             assumed_service: route.objective.mul_f64(ASSUMED_OBJECTIVE_SHARE),
             can_resend: head.can_resend,
             fingerprint: head.fingerprint,
+            identity,
             tried: Vec::new(),
             open: Vec::new(),
             attempts: 0,
@@ -309,7 +315,8 @@
             nominal_service: self.expected_service_time(call),
             is_late: call.is_late,
         };
-        Some(Attempt { number: call.attempts, hop, spec })
+        let identity = call.identity.clone();
+        Some(Attempt { number: call.attempts, hop, spec, identity })
     }
 }
 
--- a/mesh/src/reducer/configuration.rs
+++ b/mesh/src/reducer/configuration.rs
@@ -8,6 +8,7 @@
     effect::{Effect, Record},
     node_status::NodeStatus,
     replica::{Revisions, Topic},
+    teams::Access,
     time::Time,
 };
 
@@ -40,9 +41,10 @@
         if version >= previous {
             self.has_unreadable_config = false;
         }
-        if self.config.is_some() && version <= previous {
+        if self.config.is_some() && (version, self.lacks_access) <= (previous, false) {
             return;
         }
+        self.lacks_access = false;
         let routes = table.config.routes.len();
         out.push(Effect::LimitCallers(table.config.limits.clone()));
         self.config = Some(table);
@@ -53,6 +55,25 @@
         self.update_ready(out);
     }
 
+    /// Applies a configuration of which this node does not know whether it has teams: those of the one in force remain.
+    ///
+    /// A key that is unknown by them is not refused for good, as if this node could not read the configuration.
+    pub(super) fn config_without_access(
+        &mut self,
+        now: Time,
+        mut config: Config,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(current) = self.config.clone() else { return };
+        if config.version <= current.config.version {
+            return;
+        }
+        config.inherit_access(&current.config);
+        self.set_config(now, Arc::new(RouteTable::new(config)), out);
+        self.lacks_access = true;
+        self.has_unreadable_config = true;
+    }
+
     /// Returns the current configuration.
     pub(crate) fn config(&self) -> Option<&Arc<RouteTable>> {
         self.config.as_ref()
@@ -63,10 +84,12 @@
         self.config.as_ref().map_or(0, |table| table.config.version)
     }
 
-    /// Returns the configuration in force if it is newer than the given version.
-    pub(crate) fn config_newer_than(&self, version: u64) -> Option<Config> {
+    /// Returns the configuration in force if it is newer than the given version, and what it says of teams, if this node
+    /// knows that.
+    pub(crate) fn config_newer_than(&self, version: u64) -> Option<(Config, Option<Access>)> {
         let config = self.config.as_ref().map(|table| &table.config);
-        config.filter(|config| config.version > version).cloned()
+        let config = config.filter(|config| config.version > version)?;
+        Some((config.clone(), (!self.lacks_access).then(|| Access::of(config))))
     }
 
     /// Returns whether no newer configuration can be in force as far as this node knows: its orders have been confirmed
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -17,6 +17,7 @@
 mod spread;
 mod stale_config;
 mod stops;
+mod teams;
 
 use super::{Limits, LocalNode, Reducer};
 use crate::{
@@ -81,6 +82,7 @@
         priority: 0,
         attempts: 2,
         shares: vec![Share { service: "stock".into(), weight: 1 }],
+        is_public: false,
     }
 }
 
@@ -163,6 +165,7 @@
             path: path.into(),
             timeout: Some(Duration::from_secs(1)),
             can_resend,
+            key: None,
             fingerprint: RequestHash::of([path.as_bytes()]),
         };
         let key = self.calls.insert(());
@@ -212,6 +215,7 @@
         full_objective: Duration::from_millis(500),
         nominal_service: Duration::from_millis(50),
         is_late: false,
+        team: None,
         fingerprint: RequestHash::of([path.as_bytes()]),
     }
 }
--- a/mesh/src/reducer/tests/denials.rs
+++ b/mesh/src/reducer/tests/denials.rs
@@ -73,7 +73,7 @@
 #[test]
 fn a_node_that_cannot_read_the_newest_configuration_denies_nothing() {
     let mut node = TestNode::new(&THREE_MEMBERS);
-    let denied = [Reason::HeadTooLarge, Reason::BodyTooLarge, Reason::NoRoute];
+    let denied = [Reason::HeadTooLarge, Reason::BodyTooLarge, Reason::NoRoute, Reason::UnknownKey];
     let refuse = |node: &mut TestNode, reason| {
         let mut out = Vec::new();
         let refusal = node.reducer.refuse_early(node.now, "id", reason, &mut out);
--- a/mesh/src/reducer/tests/eras.rs
+++ b/mesh/src/reducer/tests/eras.rs
@@ -54,7 +54,7 @@
     assert!(!pulls(&mut node, status_with(Some([2; 3]), [4; 3], 1)));
     assert!(pulls(&mut node, status_with(Some([2; 3]), [4; 3], 2)));
     assert_eq!(node.reducer.config_newer_than(1), None);
-    assert_eq!(node.reducer.config_newer_than(0), Some(config(1)));
+    assert_eq!(node.reducer.config_newer_than(0).map(|(config, _)| config), Some(config(1)));
 }
 
 /// Returns the eras in which this node ends the use of its lease.
--- a/mesh/src/reducer/tests/stops.rs
+++ b/mesh/src/reducer/tests/stops.rs
@@ -42,6 +42,7 @@
             path: "/pay/1".into(),
             timeout: Some(Duration::from_secs(timeout_s)),
             can_resend: true,
+            key: None,
             fingerprint: RequestHash::of(["pay".as_bytes()]),
         };
         let key = node.calls.insert(());
@@ -158,6 +159,7 @@
         path: "/pay/1".into(),
         timeout: Some(Duration::from_secs(12)),
         can_resend: true,
+        key: None,
         fingerprint: RequestHash::of(["pay".as_bytes()]),
     };
     let key = node.calls.insert(());
--- a/mesh/src/refusal.rs
+++ b/mesh/src/refusal.rs
@@ -22,6 +22,8 @@
     BodyTimeout,
     /// No route of the configuration matches.
     NoRoute,
+    /// The request carries no key of a team, and its route is not public.
+    UnknownKey,
     /// The node has not received a configuration yet.
     NoConfig,
     /// The configuration of this node does not allow the request, but may not be the one in force.
@@ -48,13 +50,14 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub(crate) const ALL: [Reason; 17] = [
+    pub(crate) const ALL: [Reason; 18] = [
         Reason::Malformed,
         Reason::HeadTooLarge,
         Reason::BodyTooLarge,
         Reason::BodyCut,
         Reason::BodyTimeout,
         Reason::NoRoute,
+        Reason::UnknownKey,
         Reason::NoConfig,
         Reason::StaleConfig,
         Reason::NoTarget,
@@ -77,6 +80,7 @@
             Reason::BodyCut => "body-cut",
             Reason::BodyTimeout => "body-timeout",
             Reason::NoRoute => "no-route",
+            Reason::UnknownKey => "unknown-key",
             Reason::NoConfig => "no-config",
             Reason::StaleConfig => "stale-config",
             Reason::NoTarget => "no-target",
@@ -100,7 +104,10 @@
 
     /// Returns whether another configuration may allow the request.
     pub(crate) const fn depends_on_config(self) -> bool {
-        matches!(self, Reason::HeadTooLarge | Reason::BodyTooLarge | Reason::NoRoute)
+        matches!(
+            self,
+            Reason::HeadTooLarge | Reason::BodyTooLarge | Reason::NoRoute | Reason::UnknownKey
+        )
     }
 
     /// Parses a name returned by [`Reason::as_str`].
@@ -130,6 +137,7 @@
             Reason::BodyTimeout if !self.may_have_run => StatusCode::REQUEST_TIMEOUT,
             Reason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::NoRoute => StatusCode::NOT_FOUND,
+            Reason::UnknownKey => StatusCode::UNAUTHORIZED,
             Reason::Deadline if self.may_have_run => StatusCode::GATEWAY_TIMEOUT,
             _ if self.may_have_run => StatusCode::BAD_GATEWAY,
             _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/mesh/src/refusal/tests.rs
+++ b/mesh/src/refusal/tests.rs
@@ -19,6 +19,7 @@
 #[test_case(Reason::Deadline, 503)]
 #[test_case(Reason::BodyTimeout, 408)]
 #[test_case(Reason::NoRoute, 404)]
+#[test_case(Reason::UnknownKey, 401)]
 #[test_case(Reason::HeadTooLarge, 431)]
 #[test_case(Reason::BodyTooLarge, 413)]
 #[test_case(Reason::StaleConfig, 503; "a node with an old configuration answers 503")]
--- a/mesh/src/topic_replicas.rs
+++ b/mesh/src/topic_replicas.rs
@@ -170,7 +170,8 @@
             .config_version
             .filter(|_| !has_orders)
             .and_then(|known| self.driver.inspect(|_, reducer| reducer.config_newer_than(known)));
-        PullAnswer { deltas, config }
+        let (config, access) = config.unzip();
+        PullAnswer { deltas, config, access: access.flatten() }
     }
 
     /// Pulls what another node knows beyond this one.
@@ -244,14 +245,19 @@
             }
         };
         let answer = PullAnswer::decode(&bytes).ok_or(PullError::Unreadable)?;
-        let PullAnswer { deltas, config } = answer;
+        let PullAnswer { deltas, config, access } = answer;
         let topics: Vec<&str> = deltas.iter().map(|delta| delta.topic.as_str()).collect();
         let topics = topics.join(",").into();
         for delta in deltas {
             self.apply(delta.topic, |replica| replica.merge(delta));
         }
-        if let Some(config) = config {
-            self.driver.dispatch(Event::Config(Arc::new(RouteTable::new(config))));
+        match (config, access) {
+            (Some(mut config), Some(access)) => {
+                access.restore(&mut config);
+                self.driver.dispatch(Event::Config(Arc::new(RouteTable::new(config))));
+            }
+            (Some(config), None) => self.driver.dispatch(Event::ConfigWithoutAccess(config)),
+            (None, _) => {}
         }
         Ok(topics)
     }
