Share a target's starts fairly among teams

Within one priority the team with the fewest requests running and recently started goes first, a full queue refuses the team far above its share first, and a team that gets much less than all together goes ahead of other priorities until it has caught up. Before the first request of a team nothing is counted or reordered.

--- a/mesh/src/admission.rs
+++ b/mesh/src/admission.rs
@@ -1,19 +1,22 @@
 //! Admission control at the target's node: the concurrency limit, the queue and the rate limit of a cold start.
 //!
 //! A target gets slower when nearly all of its slots are taken, so the concurrency limit leaves some of them free. The
-//! queue is ordered by priority; requests of routes that mostly fail come last. A request that cannot finish within its
+//! queue is ordered by priority, and among requests of teams by their [shares](team_shares); requests of routes that
+//! mostly fail come last. A request that cannot finish within its
 //! objective is refused early, while its entry node can still send it to another target; the refusal states the
 //! expected wait.
 
 mod cold_start;
+mod fair_queue;
 mod request;
+mod team_shares;
 
 use std::time::Duration;
 
 use compact_str::CompactString;
 
-use self::cold_start::ColdStartLimiter;
 pub(crate) use self::request::{AdmissionRequest, Decision, Dequeued, WorkOutcome};
+use self::{cold_start::ColdStartLimiter, fair_queue::Place, team_shares::TeamShares};
 use crate::{
     keys::WorkKey,
     refusal::Reason,
@@ -29,9 +32,6 @@
 /// The share of the concurrency limit open to late requests, so that they do not delay requests that are in time.
 const LATE_SHARE: f64 = 0.5;
 
-/// The most queued requests per slot; further requests are refused.
-const QUEUE_PER_SLOT: usize = 3;
-
 /// The weight of a new outcome in the moving average of the failure rate.
 const FAILURE_WEIGHT: f64 = 0.06;
 
@@ -50,6 +50,7 @@
 struct Running {
     work: WorkKey,
     route: CompactString,
+    team: Option<CompactString>,
     since: Time,
     slowdown: f64,
 }
@@ -87,6 +88,7 @@
     slowdown_at: Option<Time>,
     service_times: ServiceTimes,
     route_failures: RouteFailures,
+    team_shares: TeamShares,
     failure_rate: f64,
     outcome_at: Time,
     cold_limiter: Option<ColdStartLimiter>,
@@ -103,6 +105,7 @@
             slowdown_at: None,
             service_times: ServiceTimes::default(),
             route_failures: RouteFailures::default(),
+            team_shares: TeamShares::default(),
             failure_rate: 0.0,
             outcome_at: Time::ZERO,
             cold_limiter: None,
@@ -165,7 +168,8 @@
             return Decision::Refuse { reason: Reason::Deadline, wait: Duration::ZERO };
         }
         let mostly_fails = self.route_failures.mostly_fails(now, &request.route);
-        let position = self.position(request, mostly_fails);
+        self.team_shares.record_arrival(now, request.team.as_ref());
+        let Place { position, may_displace } = self.place(now, request, mostly_fails);
         let wait = self.queue_wait(now, position);
         let expected_end = now + wait + self.service_time(request);
         if request.is_late {
@@ -179,10 +183,10 @@
             return Decision::Refuse { reason: Reason::Overloaded, wait };
         }
         if position == 0 && self.has_room(now) {
-            self.start(now, work, request.route.clone());
+            self.start(now, work, request);
             return Decision::Run;
         }
-        if self.queue.len() >= usize::from(self.slots) * QUEUE_PER_SLOT {
+        if self.queue.len() >= self.max_queue() && !may_displace {
             return Decision::Refuse { reason: Reason::Overloaded, wait };
         }
         self.queue.insert(position, Queued { work, request: request.clone(), mostly_fails });
@@ -201,6 +205,7 @@
             return Vec::new();
         };
         let running = self.running.swap_remove(index);
+        self.team_shares.record_end(running.team.as_ref());
         match outcome {
             WorkOutcome::Answer => {
                 let took = now.since(running.since);
@@ -222,6 +227,7 @@
     pub(crate) fn advance(&mut self, now: Time) -> Vec<Dequeued> {
         let mut dequeued = Vec::new();
         let mut position = 0;
+        self.reorder(now);
         while position < self.queue.len() {
             let request = &self.queue[position].request;
             let wait = self.queue_wait(now, position);
@@ -231,12 +237,14 @@
                 dequeued.push(Dequeued::Refuse { work, reason: Reason::Overloaded, wait });
             } else if position == 0 && self.has_room(now) {
                 let Queued { work, request, .. } = self.queue.remove(0);
-                self.start(now, work, request.route);
+                self.start(now, work, &request);
                 dequeued.push(Dequeued::Run(work));
+                self.reorder(now);
             } else {
                 position += 1;
             }
         }
+        dequeued.extend(self.refuse_displaced(now));
         dequeued
     }
 
@@ -325,18 +333,14 @@
         has_slot && self.cold_limiter.as_mut().is_none_or(|limiter| limiter.wait(now).is_zero())
     }
 
-    fn start(&mut self, now: Time, work: WorkKey, route: CompactString) {
+    fn start(&mut self, now: Time, work: WorkKey, request: &AdmissionRequest) {
         if let Some(limiter) = &mut self.cold_limiter {
             limiter.take();
         }
         let slowdown = self.slowdown.get();
-        self.running.push(Running { work, route, since: now, slowdown });
-    }
-
-    /// Returns the position of a request in the queue.
-    fn position(&self, request: &AdmissionRequest, mostly_fails: bool) -> usize {
-        let own = queue_order(request, mostly_fails);
-        self.queue.partition_point(|queued| queued.order() <= own)
+        let AdmissionRequest { route, team, .. } = request.clone();
+        self.team_shares.record_start(now, team.as_ref());
+        self.running.push(Running { work, route, team, since: now, slowdown });
     }
 
     /// Returns the expected time until the request at a position of the queue starts.
--- a/mesh/src/admission/request.rs
+++ b/mesh/src/admission/request.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct AdmissionRequest {
     pub(crate) route: CompactString,
+    /// The caller's team, if it has one.
+    pub(crate) team: Option<CompactString>,
     /// The priority; 0 is the highest.
     pub(crate) priority: u8,
     /// The latest time at which the answer counts as in time.
--- a/mesh/src/admission/tests.rs
+++ b/mesh/src/admission/tests.rs
@@ -53,6 +53,7 @@
 fn request(priority: u8, objective: u64) -> AdmissionRequest {
     AdmissionRequest {
         route: "stock".into(),
+        team: None,
         priority,
         objective: at(objective),
         deadline: at(objective + 1_000),
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -86,6 +86,7 @@
         }
         let request = AdmissionRequest {
             route: head.route.clone(),
+            team: head.team.clone(),
             priority: head.priority,
             objective: now + head.objective,
             deadline: now + head.timeout,
