--- a/mesh/src/admission/fair_queue.rs
+++ b/mesh/src/admission/fair_queue.rs
@@ -38,18 +38,12 @@
     }
 
     /// Returns the place of an arriving request in the queue.
-    pub(super) fn place(
-        &mut self,
-        now: Time,
-        request: &AdmissionRequest,
-        mostly_fails: bool,
-    ) -> Place {
+    pub(super) fn place(&self, now: Time, request: &AdmissionRequest, mostly_fails: bool) -> Place {
         if !self.team_shares.has_teams() {
             let own = queue_order(request, mostly_fails);
             let position = self.queue.partition_point(|queued| queued.order() <= own);
             return Place { position, may_displace: false };
         }
-        self.reorder(now);
         let queued = self.queue.iter().map(Queued::waiting);
         let all: Vec<Waiting<'_>> = queued.chain([waiting(request, mostly_fails)]).collect();
         let mut keys = self.team_shares.keys(now, &all);
