--- a/mesh/src/admission/fair_queue.rs
+++ b/mesh/src/admission/fair_queue.rs
@@ -37,6 +37,11 @@
         usize::from(self.slots) * QUEUE_PER_SLOT
     }
 
+    /// Returns the number of teams whose shares are counted.
+    pub(crate) fn team_count(&self) -> usize {
+        self.team_shares.len()
+    }
+
     /// Returns the place of an arriving request in the queue.
     pub(super) fn place(&self, now: Time, request: &AdmissionRequest, mostly_fails: bool) -> Place {
         if !self.team_shares.has_teams() {
@@ -44,6 +49,9 @@
             let position = self.queue.partition_point(|queued| queued.order() <= own);
             return Place { position, may_displace: false };
         }
+        if self.queue.is_empty() {
+            return Place::default();
+        }
         let queued = self.queue.iter().map(Queued::waiting);
         let all: Vec<Waiting<'_>> = queued.chain([waiting(request, mostly_fails)]).collect();
         let mut keys = self.team_shares.keys(now, &all);
--- a/mesh/src/admission/team_shares.rs
+++ b/mesh/src/admission/team_shares.rs
@@ -27,8 +27,9 @@
 /// The starts that a team must lack before it is owed any, so that the first requests of a team do not go ahead.
 const OWED_STARTS: f64 = 1.0;
 
-/// The number of teams that are counted; requests of further ones count as those without a team.
-const MAX_TEAMS: usize = 1_024;
+/// The number of teams that are counted; requests of further ones count as those without a team. Each decision looks at
+/// all of them.
+const MAX_TEAMS: usize = 256;
 
 /// The activity below which a team is forgotten.
 const MIN_ACTIVITY: f64 = 0.01;
@@ -114,6 +115,11 @@
         self.has_teams
     }
 
+    /// Returns the number of teams that are counted.
+    pub(super) fn len(&self) -> usize {
+        self.usages.len()
+    }
+
     /// Records that a request arrived.
     pub(super) fn record_arrival(&mut self, now: Time, team: Option<&CompactString>) {
         self.has_teams |= team.is_some();
--- a/mesh/src/gauges.rs
+++ b/mesh/src/gauges.rs
@@ -19,6 +19,8 @@
     pub(crate) is_open: bool,
     /// Whether the local target is in cold start.
     pub(crate) is_cold: bool,
+    /// Teams whose shares of the local target are counted, those without a team included.
+    pub(crate) teams: usize,
     /// Members in the directory, including this node.
     pub(crate) members: usize,
     /// Members that have been silent for longer than the limit.
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -62,7 +62,7 @@
 ];
 
 /// Names and help texts of the gauges.
-const GAUGES: [(&str, &str); 15] = [
+const GAUGES: [(&str, &str); 16] = [
     ("calls_in_progress", "Callers' requests in progress at this entry node"),
     ("target_running", "Requests running at the target beside this node"),
     ("target_queued", "Requests waiting for that target"),
@@ -70,6 +70,7 @@
     ("target_pace", "How long work takes there, as a multiple of the usual time"),
     ("target_open", "Whether that target takes new work"),
     ("target_cold", "Whether that target is in cold start"),
+    ("target_teams", "Teams whose shares of that target are counted"),
     ("members_known", "Members that this node knows"),
     ("members_silent", "Members from which nothing was heard for long"),
     ("members_cold", "Members whose targets are in cold start"),
@@ -283,6 +284,7 @@
         values.slowdown,
         flag(values.is_open),
         flag(values.is_cold),
+        values.teams as f64,
         values.members as f64,
         values.silent as f64,
         values.cold as f64,
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -305,6 +305,7 @@
             slowdown: self.admission.slowdown(),
             is_open: report.is_open,
             is_cold: report.is_cold,
+            teams: self.admission.team_count(),
             members: self.directory.len(),
             silent: members().filter(|member| self.directory.is_silent(now, member)).count(),
             cold: members().filter(is_cold).count(),
