--- a/mesh/src/config.rs
+++ b/mesh/src/config.rs
@@ -24,8 +24,8 @@
     pub limits: CallerLimits,
     /// The teams whose keys are accepted; `None` if requests need no key. An empty list accepts no key.
     ///
-    /// Nodes exchange a configuration in a layout without field names, which earlier builds read. So this field travels
-    /// apart from it, as [`Access`](crate::teams::Access).
+    /// Nodes exchange a configuration in a layout without field names, which earlier builds read. So this field is not part
+    /// of it and follows it separately.
     #[serde(skip)]
     pub teams: Option<Vec<Team>>,
 }
