--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -14,6 +14,7 @@
     node_status::NodeStatus,
     refusal::{Reason, Refusal},
     rollout::RolloutRecord,
+    teams::Identity,
 };
 
 /// One effect, executed by the driver.
@@ -78,6 +79,8 @@
     pub(crate) spec: AttemptSpec,
     /// Whether the request is a nested call.
     pub(crate) is_nested: bool,
+    /// Who sends the request, which its headers must tell the target.
+    pub(crate) identity: Identity,
 }
 
 /// The node through which a target is reached.
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -18,6 +18,7 @@
 mod spread;
 mod stale_config;
 mod stops;
+mod teams;
 
 use super::{Limits, LocalNode, Reducer};
 use crate::{
@@ -82,6 +83,7 @@
         priority: 0,
         attempts: 2,
         shares: vec![Share { service: "stock".into(), weight: 1 }],
+        is_public: false,
     }
 }
 
@@ -164,6 +166,7 @@
             path: path.into(),
             timeout: Some(Duration::from_secs(1)),
             can_resend,
+            key: None,
             fingerprint: RequestHash::of([path.as_bytes()]),
         };
         let key = self.calls.insert(());
@@ -214,6 +217,7 @@
         nominal_service: Duration::from_millis(50),
         is_late: false,
         is_nested: false,
+        team: None,
         fingerprint: RequestHash::of([path.as_bytes()]),
     }
 }
--- a/mesh/src/reducer/tests/parents.rs
+++ b/mesh/src/reducer/tests/parents.rs
@@ -27,6 +27,7 @@
         path: "/read/1".into(),
         timeout: timeout.map(Duration::from_millis),
         can_resend: true,
+        key: None,
         fingerprint: RequestHash::of([b"nested".as_slice()]),
     };
     let key = node.calls.insert(());
--- a/mesh/src/reducer/works.rs
+++ b/mesh/src/reducer/works.rs
@@ -91,6 +91,7 @@
         }
         let request = AdmissionRequest {
             route: head.route.clone(),
+            team: head.team.clone(),
             priority: head.priority,
             objective: now + head.objective,
             deadline: now + head.timeout,
