Report usage by one node at a time

Cause: the platform wants one report of the requests of each team for each window, from one holder at a time. Change: nodes count what their targets begin; one holds the duty under a lease and a fence number, collects the counts, records the report in the store and sends it. Off without `cloud` and the duty `usage_report` in the settings.

--- a/mesh/src/forwarder.rs
+++ b/mesh/src/forwarder.rs
@@ -20,6 +20,7 @@
     payload::{Body, Payload},
     pool::{IdHash, Pool, PooledConnection, SendError},
     refusal::Reason,
+    usage::Usage,
 };
 
 /// Extra time, beyond the caller's timeout, for a request that continues after its caller has gone away.
@@ -38,6 +39,7 @@
     pub(crate) driver: Arc<Driver>,
     pub(crate) names: Arc<HeaderNames>,
     pub(crate) pool: Pool,
+    pub(crate) usage: Usage,
 }
 
 /// The outcome of an attempt at the target's node.
@@ -117,15 +119,23 @@
             return AttemptOutcome::Failed(Failure::BodyCut);
         };
         let id_hash = IdHash::of(id.as_ref().map_or(b"", HeaderValue::as_bytes));
+        let begun = self.usage.begin(req.headers(), &self.names);
+        let undo_count = || {
+            if let Some(begun) = begun {
+                begun.undo();
+            }
+        };
         let sent = self.pool.send_unless_refused(req, Some(id_hash)).await;
         let (answer, mut conn) = match sent {
             Ok(sent) => sent,
             Err(SendError::Unreachable) => {
+                undo_count();
                 work.close(WorkEvent::Failed(Failure::NotSent));
                 self.driver.dispatch(Event::Health(None));
                 return AttemptOutcome::Refused { reason: Reason::NoTarget, wait: Duration::ZERO };
             }
             Err(SendError::NotSent) => {
+                undo_count();
                 work.close(WorkEvent::Failed(Failure::NotSent));
                 return AttemptOutcome::Refused { reason: Reason::NoTarget, wait: Duration::ZERO };
             }
@@ -152,6 +162,7 @@
         let is_shed = headers.contains_key(&self.names.not_executed);
         if is_shed || answer.status() == StatusCode::MISDIRECTED_REQUEST {
             conn.mark_refused(id_hash);
+            undo_count();
         }
         if answer.status() == StatusCode::MISDIRECTED_REQUEST {
             let is_other = headers::text(headers, &self.names.instance)
--- a/mesh/src/forwarder/tests.rs
+++ b/mesh/src/forwarder/tests.rs
@@ -18,6 +18,7 @@
         caller: name("x-caller"),
         instance: name("x-instance"),
         cold: name("x-cold"),
+        team: name("x-team"),
     }
 }
 
--- a/mesh/src/headers.rs
+++ b/mesh/src/headers.rs
@@ -23,6 +23,8 @@
     pub instance: HeaderName,
     /// The remaining cold-start time of the target in milliseconds.
     pub cold: HeaderName,
+    /// The team whose key the request bears.
+    pub team: HeaderName,
 }
 
 /// The envelope of an attempt: sender, receiver and parameters.
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod store;
 pub mod time;
 pub mod timer;
+pub mod usage;
 
 mod activity;
 mod admission;
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -39,7 +39,7 @@
 const BUCKET_COUNT: u16 = 14;
 
 /// Names and help texts of the counters.
-const COUNTERS: [(&str, &str); 16] = [
+const COUNTERS: [(&str, &str); 17] = [
     ("attempts", "Attempts of callers' requests at targets"),
     ("retries", "Attempts that ended without an answer that is passed on, by cause"),
     ("refusals", "Callers' requests refused, by reason"),
@@ -59,6 +59,7 @@
     ("suspects", "Requests whose standing changed after a crash"),
     ("pauses", "Times for which this node did not run"),
     ("stops", "Graceful stops that began or ended"),
+    ("usage", "Usage reports by outcome, and changes of the duty to send them"),
 ];
 
 /// Names and help texts of the gauges.
@@ -127,6 +128,7 @@
     store_calls: Family<StoreCallLabels, Counter>,
     gauges: Vec<Gauge<f64, AtomicU64>>,
     dropped: Counter,
+    usage_holder: Gauge<f64, AtomicU64>,
     routes: Mutex<HashSet<CompactString>>,
 }
 
@@ -160,6 +162,9 @@
         registry.register("store_calls", "Calls to the store", store_calls.clone());
         let dropped = Counter::default();
         registry.register("log_lines_dropped", "Log lines that did not fit", dropped.clone());
+        let usage_holder = Gauge::default();
+        let help = "Whether this node holds the duty to report usage";
+        registry.register("usage_holder", help, usage_holder.clone());
         Metrics {
             registry,
             counters,
@@ -170,6 +175,7 @@
             store_calls,
             gauges,
             dropped,
+            usage_holder,
             routes: Mutex::default(),
         }
     }
@@ -202,6 +208,17 @@
         self.store_calls.get_or_create(&StoreCallLabels { call, outcome }).inc();
     }
 
+    /// Counts usage reports by outcome, or changes of the duty to send them.
+    pub(crate) fn count_usage(&self, kind: &'static str, count: u64) {
+        if let Some(family) = self.counters.get("usage") {
+            family.get_or_create(&KindLabel { kind }).inc_by(count);
+        }
+    }
+
+    pub(crate) fn set_usage_holder(&self, is_holder: bool) {
+        self.usage_holder.set(f64::from(u8::from(is_holder)));
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self, values: &GaugeValues, dropped: u64) -> String {
         for (gauge, value) in self.gauges.iter().zip(gauge_values(values)) {
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -41,6 +41,7 @@
     sync::{self, Startup, WatchSignals},
     timer::Timers,
     topic_replicas::{TopicReplicas, UpdateHandler},
+    usage::{self, ReportSink, Usage, UsageSettings, task::UsageContext},
 };
 
 pub use crate::handle::NodeHandle;
@@ -85,6 +86,7 @@
     stop: watch::Sender<bool>,
     tasks: JoinSet<()>,
     rollout_records: Option<mpsc::UnboundedReceiver<RolloutRecord>>,
+    usage: UsageContext,
 }
 
 impl Node {
@@ -164,7 +166,18 @@
         let peer_pools = Peers::default();
         tasks.spawn(pull(pull_requests, peer_pools.clone(), replicas.clone()));
         tasks.spawn(recall::send_recalls(recall_orders, peer_pools.clone(), driver.clone()));
-        let forwarder = Forwarder { driver: driver.clone(), names: names.clone(), pool };
+        let usage = UsageContext {
+            usage: Usage::default(),
+            driver: driver.clone(),
+            peers: peer_pools.clone(),
+            metrics: metrics.clone(),
+        };
+        let forwarder = Forwarder {
+            driver: driver.clone(),
+            names: names.clone(),
+            pool,
+            usage: usage.usage.clone(),
+        };
         let ingress = Ingress {
             driver: driver.clone(),
             names,
@@ -243,7 +256,7 @@
             peers: peer_pools,
             timers,
         });
-        Ok(Node { driver, id, stop, tasks, rollout_records: Some(rollout_records) })
+        Ok(Node { driver, id, stop, tasks, rollout_records: Some(rollout_records), usage })
     }
 
     /// Returns the member id, which is new at each start.
@@ -261,6 +274,18 @@
         self.rollout_records.take()
     }
 
+    /// Starts to count requests of teams, and to take part in the duty to report them through `sink`.
+    pub fn report_usage<S: Store, K: ReportSink>(
+        &mut self,
+        store: S,
+        sink: K,
+        settings: UsageSettings,
+    ) {
+        let context = self.usage.clone();
+        let store = MeteredStore::new(store, context.metrics.clone());
+        self.tasks.spawn(usage::task::run(context, store, sink, settings));
+    }
+
     /// Begins a graceful stop: the node accepts no new requests and completes those in progress.
     pub fn stop(&self) {
         self.driver.dispatch(Event::Stop);
--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -22,6 +22,7 @@
     refusal::Reason,
     report::LoadReport,
     topic_replicas::{self, TopicReplicas},
+    usage,
 };
 
 /// Timeout for reading the body of a request that states none.
@@ -148,6 +149,9 @@
             let is_compressed = encodings == Some(compression::ENCODING);
             return self.replicas.serve_pull(req.uri().query(), is_compressed);
         }
+        if req.uri().path() == usage::gather::PATH {
+            return usage::gather::serve(&self.forwarder.usage, req.uri().query());
+        }
         if req.uri().path() == recall::PATH {
             return self.recalled(req.uri().query().and_then(Recall::parse));
         }
--- a/mesh/src/pool.rs
+++ b/mesh/src/pool.rs
@@ -225,7 +225,7 @@
 }
 
 /// Sets TCP keep-alive and the user timeout, so that a connection fails if its peer disappeared without a reset.
-pub(crate) fn set_socket_options(stream: &TcpStream) {
+pub fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -17,6 +17,7 @@
 mod statuses;
 mod stops;
 mod store_trials;
+mod usage;
 mod versions;
 mod works;
 
--- a/mesh/tests/silent_store.rs
+++ b/mesh/tests/silent_store.rs
@@ -87,6 +87,7 @@
             load: name("load"),
             caller: name("caller"),
             cold: name("cold"),
+            team: name("team"),
         },
         prefixes: KeyPrefixes { orders: "op/", status: "status/" },
         limits: Limits {
