--- a/mesh/src/usage/duty.rs
+++ b/mesh/src/usage/duty.rs
@@ -18,11 +18,11 @@
 mod candidate;
 mod holder;
 
+pub(crate) use self::candidate::Turn;
 use self::{
     candidate::{Attempt, Candidate, Progress},
     holder::Holding,
 };
-pub(crate) use self::candidate::Turn;
 
 /// The time after the end of a window before its counts are collected. Clocks of machines differ by less, and an attempt
 /// that a target rejects is taken back within it.
@@ -278,7 +278,8 @@
                 match confirmed {
                     Some(snapshot) => {
                         let fence = holder.fence;
-                        let holding = Holding::new(now, since, lease, fence, snapshot, &self.settings);
+                        let holding =
+                            Holding::new(now, since, lease, fence, snapshot, &self.settings);
                         self.phase = Phase::Holding(Box::new(holding));
                         out.push(Action::Note(Note::Taken { fence }));
                     }
--- a/mesh/src/usage/duty/candidate.rs
+++ b/mesh/src/usage/duty/candidate.rs
@@ -32,10 +32,21 @@
 pub(super) enum Attempt {
     Reading,
     /// `since` is the time at which the lease was asked for, from which its validity counts.
-    Granting { snapshot: Snapshot, since: Duration },
-    Committing { holder: HolderRecord, lease: Lease, since: Duration },
+    Granting {
+        snapshot: Snapshot,
+        since: Duration,
+    },
+    Committing {
+        holder: HolderRecord,
+        lease: Lease,
+        since: Duration,
+    },
     /// The keys are read once more: the answer to the transaction may be lost, and does not name the revision of each key.
-    Confirming { holder: HolderRecord, lease: Lease, since: Duration },
+    Confirming {
+        holder: HolderRecord,
+        lease: Lease,
+        since: Duration,
+    },
 }
 
 pub(super) enum Progress {
--- a/mesh/src/usage/duty/holder.rs
+++ b/mesh/src/usage/duty/holder.rs
@@ -1,11 +1,11 @@
 //! What the holder of the duty does: it keeps its lease, records the report of one window after the other, and sends what
 //! is recorded.
 
+use super::Now;
 use super::{
     Action, Commit, CompactString, Counts, Duration, GATHER_SHARE, Lease, Note, Report, Reports,
     SETTLE_TIME, SendOutcome, Snapshot, UsageSettings, VecDeque, counter, records,
 };
-use super::Now;
 
 /// The part of a lease after which it is renewed. Two renewals may fail before it ends.
 const RENEW_SHARE: f64 = 0.3;
@@ -286,7 +286,8 @@
         if self.is_sending {
             return;
         }
-        let due = |report: &Report| counter::window_end(report.window, settings.window) + settings.late;
+        let due =
+            |report: &Report| counter::window_end(report.window, settings.window) + settings.late;
         while let Some(report) = self.unsent.front().filter(|report| now.unix >= due(report)) {
             let window = report.window;
             out.push(Action::Note(Note::Missed { window, count: 1, cause: "unsent" }));
--- a/mesh/src/usage/gather.rs
+++ b/mesh/src/usage/gather.rs
@@ -15,13 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{self, Instant};
 
-use crate::{
-    driver::Driver,
-    keys::MemberId,
-    payload::Body,
-    peers::Peers,
-    pool::Pool,
-};
+use crate::{driver::Driver, keys::MemberId, payload::Body, peers::Peers, pool::Pool};
 
 use super::{
     Usage,
@@ -79,7 +73,11 @@
 
 /// Asks one node for its counts.
 async fn ask(pool: Pool, window: u64) -> QueryOutcome {
-    time::timeout(QUERY_TIMEOUT, query(&pool, window)).await.ok().flatten().unwrap_or(QueryOutcome::Failed)
+    time::timeout(QUERY_TIMEOUT, query(&pool, window))
+        .await
+        .ok()
+        .flatten()
+        .unwrap_or(QueryOutcome::Failed)
 }
 
 async fn query(pool: &Pool, window: u64) -> Option<QueryOutcome> {
--- a/mesh/src/usage/task.rs
+++ b/mesh/src/usage/task.rs
@@ -99,7 +99,12 @@
         match self.context.usage.clock() {
             Some(clock) => clock.now(),
             // The clock exists since the start of the task. An end of all leases is the safe reading.
-            None => Now { clock: Duration::MAX, steady: Duration::ZERO, unix: Duration::ZERO, jitter: 0.0 },
+            None => Now {
+                clock: Duration::MAX,
+                steady: Duration::ZERO,
+                unix: Duration::ZERO,
+                jitter: 0.0,
+            },
         }
     }
 
