--- a/mesh/src/reducer/usage.rs
+++ b/mesh/src/reducer/usage.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{keys::MemberId, time::Time, usage::Turn};
+use crate::{directory::Member, keys::MemberId, time::Time, usage::Turn};
 
 use super::Reducer;
 
@@ -25,10 +25,10 @@
     /// Returns the other members that may have counts, which are all but those that have ended.
     pub(crate) fn usage_members(&self, now: Time) -> Vec<(MemberId, SocketAddr)> {
         let members = self.directory.iter().map(|(_, member)| member);
-        let may_answer = members.filter(|member| {
-            !self.is_local(member.record.id)
-                && !(member.is_stopping && self.directory.is_silent(now, member))
-        });
+        let has_ended =
+            |member: &Member| member.is_stopping && self.directory.is_silent(now, member);
+        let may_answer =
+            members.filter(|member| !self.is_local(member.record.id) && !has_ended(member));
         may_answer.map(|member| (member.record.id, member.record.address)).collect()
     }
 }
--- a/mesh/src/usage/duty/tests.rs
+++ b/mesh/src/usage/duty/tests.rs
@@ -1,3 +1,4 @@
+mod store;
 mod world;
 
 use std::time::Duration;
--- a/mesh/src/usage/duty/tests/world.rs
+++ b/mesh/src/usage/duty/tests/world.rs
@@ -2,19 +2,17 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 
-use crate::{
-    store::{Item, Lease, Transaction},
-    usage::{
-        SendOutcome, UsageSettings, counter,
-        duty::{Action, Commit, Duty, Event, Note, Now, Renewal, Turn},
-        records::{Report, Snapshot},
-    },
+use crate::usage::{
+    SendOutcome, UsageSettings, counter,
+    duty::{Action, Commit, Duty, Event, Note, Now, Renewal, Turn},
+    records::Report,
 };
 
+use super::store::StoreState;
+
 pub(super) const STEP: Duration = Duration::from_millis(50);
 const START: Duration = Duration::from_secs(1_000_000);
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -45,49 +43,6 @@
     LoseCall,
 }
 
-#[derive(Clone, Default)]
-struct StoreState {
-    era: u64,
-    revision: u64,
-    items: BTreeMap<CompactString, (Bytes, u64, u64)>,
-    leases: BTreeMap<u64, Duration>,
-    next_lease: u64,
-}
-
-impl StoreState {
-    fn expire(&mut self, now: Duration) {
-        self.leases.retain(|_, expiry| *expiry > now);
-        let leases = &self.leases;
-        self.items.retain(|_, (_, _, lease)| *lease == 0 || leases.contains_key(lease));
-    }
-
-    fn commit(&mut self, transaction: &Transaction, era: u64) -> Commit {
-        let revision_of = |key| self.items.get(key).map_or(0, |(_, revision, _)| *revision);
-        if transaction.expected.iter().any(|(key, revision)| revision_of(key) != *revision) {
-            return Commit::Conflict;
-        }
-        for (key, value, lease) in &transaction.writes {
-            let lease = lease.map_or(0, |lease| lease.id);
-            if lease != 0 && !self.leases.contains_key(&lease) {
-                return Commit::Lost;
-            }
-            self.revision += 1;
-            self.items.insert(key.clone(), (value.clone(), self.revision, lease));
-        }
-        if self.era == era { Commit::Done(self.revision) } else { Commit::Lost }
-    }
-
-    fn snapshot(&self) -> Snapshot {
-        let item = |(key, (value, revision, _)): (&CompactString, &(Bytes, u64, u64))| Item {
-            key: key.clone(),
-            value: value.clone(),
-            revision: *revision,
-        };
-        let items: Vec<Item> = self.items.iter().map(item).collect();
-        Snapshot::read(&items, self.era).expect("readable keys")
-    }
-}
-
 struct Machine {
     duty: Duty,
     suspended_until: Duration,
@@ -211,7 +166,7 @@
             let (_, _, term, message) = self.messages.remove(position);
             match message {
                 Message::ToStore { call, answer_at } => {
-                    let event = self.call_store(&call);
+                    let event = self.store.call(self.now, &call);
                     let (at, event) = match (answer_at, event) {
                         (_, None) => continue,
                         (Some(at), Some(event)) => (at, event),
@@ -261,37 +216,6 @@
         }
     }
 
-    fn call_store(&mut self, call: &Action) -> Option<Event> {
-        self.store.expire(self.now);
-        let store = &mut self.store;
-        Some(match call {
-            Action::Look => Event::Looked { is_free: store.snapshot().holder_revision == 0 },
-            Action::Read => Event::Read(Some(store.snapshot())),
-            Action::Grant => {
-                store.next_lease += 1;
-                let ttl = settings().lease;
-                store.leases.insert(store.next_lease, self.now + ttl);
-                Event::Granted(Some(Lease { id: store.next_lease, ttl, era: store.era }))
-            }
-            Action::Take { transaction, era } => Event::Taken(store.commit(transaction, *era)),
-            Action::Record { transaction, era } => Event::Recorded(store.commit(transaction, *era)),
-            Action::Renew(lease) => {
-                let expiry = store.leases.get_mut(&lease.id);
-                let is_alive = expiry.is_some() && store.era == lease.era;
-                if let Some(expiry) = expiry {
-                    *expiry = self.now + lease.ttl;
-                }
-                Event::Renewed(if is_alive { Renewal::Done } else { Renewal::Lost })
-            }
-            Action::Release(lease) => {
-                store.leases.remove(&lease.id);
-                store.expire(self.now);
-                return None;
-            }
-            Action::Gather { .. } | Action::Send { .. } | Action::Note(_) => return None,
-        })
-    }
-
     fn clocks(&mut self, index: usize) -> Now {
         let steady = self.now - self.machines[index].slept;
         let (clock, unix) = (self.now, START + self.now + self.machines[index].ahead);
