Hand over the counts of a node that stops

Cause: a node that stops gracefully lost its counts of one or two windows, and the reports were short by its share. Change: it sends them to the member that asked last and to the next candidates, which include them once.

--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -307,6 +307,7 @@
                 break;
             }
         }
+        usage::handover::hand_over(&self.usage).await;
         self.tasks.abort_all();
     }
 }
--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -3,7 +3,9 @@
 use std::{str::FromStr, sync::Arc, time::Duration};
 
 use base64::{Engine as _, engine::general_purpose::URL_SAFE_NO_PAD};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header, request::Parts};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
+};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use tokio::time::{self, Instant};
@@ -150,6 +152,9 @@
             return self.replicas.serve_pull(req.uri().query(), is_compressed);
         }
         if req.uri().path() == usage::gather::PATH {
+            if req.method() == Method::POST {
+                return usage::handover::receive(&self.forwarder.usage, req.into_body()).await;
+            }
             return usage::gather::serve(&self.forwarder.usage, req.uri().query());
         }
         if req.uri().path() == recall::PATH {
--- a/mesh/src/usage.rs
+++ b/mesh/src/usage.rs
@@ -12,18 +12,24 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
-use crate::headers::{self, HeaderNames};
+use crate::{
+    headers::{self, HeaderNames},
+    keys::MemberId,
+};
 
 pub(crate) use self::duty::Turn;
 use self::{
     clock::UsageClock,
     counter::{Counter, Counts},
+    gather::Answer,
+    handover::{HandOver, Received},
 };
 
 mod clock;
 mod counter;
 mod duty;
 pub(crate) mod gather;
+pub(crate) mod handover;
 mod records;
 pub(crate) mod task;
 
@@ -84,6 +90,9 @@
     counter: Mutex<Counter>,
     /// Identifies this process, so that its counts are included once even if it is known under two member ids.
     source: u64,
+    /// The member that has asked for counts last, which is the holder.
+    asked_by: Mutex<Option<MemberId>>,
+    received: Mutex<Received>,
 }
 
 impl Usage {
@@ -93,6 +102,8 @@
             clock: UsageClock::new(),
             counter: Mutex::new(Counter::new(window)),
             source: rand::random(),
+            asked_by: Mutex::default(),
+            received: Mutex::default(),
         });
     }
 
@@ -110,6 +121,31 @@
         Some((shared.source, shared.counter().counts(window)))
     }
 
+    /// Records the member that asks for counts.
+    fn set_asked_by(&self, member: MemberId) {
+        if let Some(shared) = self.shared.get() {
+            *lock(&shared.asked_by) = Some(member);
+        }
+    }
+
+    /// Keeps the counts of a process that has stopped, and returns whether this node counts at all.
+    fn keep_received(&self, hand_over: HandOver) -> bool {
+        let shared = self.shared.get();
+        shared.map(|shared| lock(&shared.received).insert(hand_over)).is_some()
+    }
+
+    /// Returns the counts of a window of processes that have stopped.
+    fn received(&self, window: u64) -> Vec<Answer> {
+        self.shared.get().map_or_else(Vec::new, |shared| lock(&shared.received).answers(window))
+    }
+
+    /// Returns all counts of this process and the member that has asked for them last, or `None` if nothing is counted.
+    fn hand_over(&self) -> Option<(HandOver, Option<MemberId>)> {
+        let shared = self.shared.get()?;
+        let windows = shared.counter().all();
+        Some((HandOver { source: shared.source, windows }, *lock(&shared.asked_by)))
+    }
+
     /// Returns and resets the number of requests that were not counted because of the bounds.
     fn take_uncounted(&self) -> u64 {
         self.shared.get().map_or(0, |shared| shared.counter().take_uncounted())
@@ -122,10 +158,14 @@
 
 impl Shared {
     fn counter(&self) -> MutexGuard<'_, Counter> {
-        self.counter.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.counter)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A request that was counted.
 pub(crate) struct Begun {
     usage: Usage,
--- a/mesh/src/usage/counter.rs
+++ b/mesh/src/usage/counter.rs
@@ -83,6 +83,11 @@
         counts.map(|(_, counts)| counts.clone()).unwrap_or_default()
     }
 
+    /// Returns the counts of all windows.
+    pub(crate) fn all(&self) -> Vec<(u64, Counts)> {
+        self.windows.iter().cloned().collect()
+    }
+
     /// Returns and resets the number of requests that were not counted because of the bounds.
     pub(crate) fn take_uncounted(&mut self) -> u64 {
         std::mem::take(&mut self.uncounted)
--- a/mesh/src/usage/gather.rs
+++ b/mesh/src/usage/gather.rs
@@ -57,7 +57,14 @@
 
 /// Serves this node's counts of the window that a query names.
 pub(crate) fn serve(usage: &Usage, query: Option<&str>) -> Response<Body> {
-    let window = query.and_then(|query| query.strip_prefix("window=")?.parse().ok());
+    let value = |name: &str| {
+        let mut parts = query.unwrap_or_default().split('&');
+        parts.find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
+    };
+    let window = value("window").and_then(|window| window.parse().ok());
+    if let Some(from) = value("from").and_then(|from| from.parse().ok()) {
+        usage.set_asked_by(from);
+    }
     let answer = window.and_then(|window| {
         let (source, counts) = usage.counts(window)?;
         serde_json::to_vec(&Answer { source, counts }).ok()
@@ -72,16 +79,17 @@
 }
 
 /// Asks one node for its counts.
-async fn ask(pool: Pool, window: u64) -> QueryOutcome {
-    time::timeout(QUERY_TIMEOUT, query(&pool, window))
+async fn ask(pool: Pool, from: MemberId, window: u64) -> QueryOutcome {
+    time::timeout(QUERY_TIMEOUT, query(&pool, from, window))
         .await
         .ok()
         .flatten()
         .unwrap_or(QueryOutcome::Failed)
 }
 
-async fn query(pool: &Pool, window: u64) -> Option<QueryOutcome> {
-    let req = Request::get(format!("{PATH}?window={window}")).header(header::HOST, "node");
+async fn query(pool: &Pool, from: MemberId, window: u64) -> Option<QueryOutcome> {
+    let req =
+        Request::get(format!("{PATH}?window={window}&from={from}")).header(header::HOST, "node");
     let (response, conn) = pool.send(req.body(Body::default()).ok()?).await.ok()?;
     if response.status() != StatusCode::OK {
         // Nodes of earlier builds refuse a request without an envelope.
@@ -101,17 +109,19 @@
 }
 
 /// Asks all members in rounds until each has answered or the deadline is reached. `members` returns those to ask, since
-/// members come and go; `ask` queries one.
-pub(super) async fn collect<M, A, F>(
+/// members come and go; `ask` queries one. `received` returns the counts that members have handed over.
+pub(super) async fn collect<M, A, F, R>(
     local: Answer,
     deadline: Instant,
     members: M,
     ask: A,
+    received: R,
 ) -> Collected
 where
     M: Fn() -> Vec<(MemberId, SocketAddr)>,
     A: Fn(SocketAddr) -> F,
     F: Future<Output = QueryOutcome>,
+    R: Fn() -> Vec<Answer>,
 {
     let mut answers = BTreeMap::from([(local.source, local.counts)]);
     let mut done: HashSet<MemberId> = HashSet::new();
@@ -147,6 +157,9 @@
             time::sleep(ROUND_PAUSE).await;
         }
     }
+    for Answer { source, counts } in received() {
+        answers.entry(source).or_insert(counts);
+    }
     Collected { counts: sum(answers.into_values()), missing }
 }
 
@@ -169,8 +182,10 @@
 ) -> Collected {
     let (source, counts) = usage.counts(window).unwrap_or_default();
     let members = || driver.inspect(|now, reducer| reducer.usage_members(now));
-    let ask = |address| ask(peers.pool(address), window);
-    collect(Answer { source, counts }, deadline, members, ask).await
+    let from = driver.inspect(|_, reducer| reducer.local_id());
+    let ask = |address| ask(peers.pool(address), from, window);
+    let received = || usage.received(window);
+    collect(Answer { source, counts }, deadline, members, ask, received).await
 }
 
 #[cfg(test)]
--- a/mesh/src/usage/gather/tests.rs
+++ b/mesh/src/usage/gather/tests.rs
@@ -41,8 +41,10 @@
     };
     let local = Answer { source: 1, counts: counts(1) };
     let deadline = Instant::now() + Duration::from_secs(5);
-    let collected = collect(local, deadline, || members(&[1, 2, 3, 4, 5]), ask).await;
-    assert_eq!(collected, Collected { counts: counts(111), missing: 1 });
+    // The first has answered before it stopped and handed its counts over; the other one stopped before.
+    let received = || [11, 33].map(|source| Answer { source, counts: counts(1_000) }).into();
+    let collected = collect(local, deadline, || members(&[1, 2, 3, 4, 5]), ask, received).await;
+    assert_eq!(collected, Collected { counts: counts(1_111), missing: 1 });
     assert!(Instant::now() <= deadline, "the report would be late");
     let attempts = attempts.into_inner();
     assert_eq!((attempts[&1], attempts[&2], attempts[&4]), (2, 1, 1));
@@ -67,7 +69,7 @@
     let ports: Vec<u16> = (1..=1_000).collect();
     let local = Answer { source: 0, counts: counts(1) };
     let deadline = Instant::now() + Duration::from_secs(60);
-    let collected = collect(local, deadline, || members(&ports), ask).await;
+    let collected = collect(local, deadline, || members(&ports), ask, Vec::new).await;
     assert_eq!(collected, Collected { counts: counts(1_001), missing: 0 });
     assert!(Instant::now() + Duration::from_secs(50) < deadline);
     assert!(*most.borrow() <= MAX_QUERIES);
