--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod teams;
 pub mod time;
 pub mod timer;
+pub mod usage;
 
 mod activity;
 mod admission;
