Account for what peers hold of a node's memory and descriptors

Cause: a body was buffered before anything counted it, also without a route, heads of many fields were held while their bodies did not arrive, and connections were accepted until descriptors ran out. 400 clients took up to 106,784 KiB and 424 descriptors where the settings state 48 MB and 200. Change: one account for the process (mesh/src/peer_memory.rs) with bounds from limits.memory_mb and limits.fds: connections, heads, bodies and buffered answers reserve in it by guards. The peer that has sent least for its age gives way; what runs and answers never do. The route is checked before the body is read.

--- a/mesh/src/activity.rs
+++ b/mesh/src/activity.rs
@@ -17,7 +17,7 @@
     time::{self, Instant},
 };
 
-use crate::serve::HeadLimits;
+use crate::{peer_memory::Peer, serve::HeadLimits};
 
 /// The minimum interval of checks while a request is running, whatever the timeouts of the configuration.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,7 +28,11 @@
 
 /// The requests and the progress on a connection.
 #[derive(Clone)]
-pub(crate) struct Activity(Arc<Mutex<Progress>>);
+pub(crate) struct Activity {
+    progress: Arc<Mutex<Progress>>,
+    /// The connection in the account of what peers hold.
+    peer: Peer,
+}
 
 struct Progress {
     /// The number of requests that are running.
@@ -40,9 +44,9 @@
 }
 
 impl Activity {
-    pub(crate) fn new() -> Activity {
-        let last_sent = Instant::now();
-        Activity(Arc::new(Mutex::new(Progress { running: 0, last_sent, head_started: None })))
+    pub(crate) fn new(peer: Peer) -> Activity {
+        let progress = Progress { running: 0, last_sent: Instant::now(), head_started: None };
+        Activity { progress: Arc::new(Mutex::new(progress)), peer }
     }
 
     /// Records a request, whose head is complete.
@@ -50,6 +54,7 @@
         let mut progress = self.lock();
         progress.running += 1;
         progress.head_started = None;
+        self.peer.begin_request();
         ActivityGuard(self.clone())
     }
 
@@ -67,7 +72,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -97,6 +102,9 @@
         let mut progress = self.0.lock();
         progress.running -= 1;
         progress.last_sent = Instant::now();
+        if progress.running == 0 {
+            self.0.peer.end_request();
+        }
     }
 }
 
@@ -198,6 +206,7 @@
         let filled_before = buf.filled().len();
         let received = self.lock().poll_read(cx, buf);
         if buf.filled().len() > filled_before {
+            self.activity.peer.receive(buf.filled().len() - filled_before);
             let mut progress = self.activity.lock();
             // While a request is running, the bytes may be those of its body.
             if progress.running == 0 {
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -22,7 +22,8 @@
     forwarder::{AttemptOutcome, Forwarder},
     headers::{self, HeaderNames},
     keys::CallKey,
-    payload::{Body, Payload},
+    payload::{Body, Payload, ReadError},
+    peer_memory::{Peer, PeerMemory},
     peer_requests::{self, Reply},
     peers::Peers,
     reducer::RequestSize,
@@ -39,6 +40,7 @@
     pub(crate) names: Arc<HeaderNames>,
     pub(crate) peers: Peers,
     pub(crate) forwarder: Forwarder,
+    pub(crate) memory: PeerMemory,
 }
 
 impl Ingress {
@@ -78,20 +80,20 @@
         mut parts: Parts,
         body: Incoming,
     ) -> Result<(CallHead, Parts, Payload), Reason> {
+        let peer: Option<Peer> = parts.extensions.remove();
         let size = RequestSize { head: headers::head_size(&parts), body: body.size_hint().lower() };
         if let Some(reason) = self.driver.inspect(|_, reducer| reducer.find_excess(size)) {
             return Err(reason);
         }
         let timeout = head::read_timeout(&parts.headers, &self.names.deadline)?;
         head::set_origin_form(&mut parts);
-        let host = headers::text(&parts.headers, &header::HOST).ok_or(Reason::Malformed)?.into();
-        let read =
-            tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), Payload::read(body));
-        let payload = match read.await {
-            Ok(Ok(payload)) => payload,
-            Ok(Err(_)) => return Err(Reason::BodyCut),
-            Err(_) => return Err(Reason::BodyTimeout),
-        };
+        let host = headers::text(&parts.headers, &header::HOST).ok_or(Reason::Malformed)?;
+        let path = parts.uri.path();
+        if !self.driver.inspect(|_, reducer| reducer.may_have_route(host, path)) {
+            return Err(Reason::NoRoute);
+        }
+        let host = host.into();
+        let payload = read_body(body, &parts, peer.as_ref(), timeout).await?;
         headers::strip_hop_by_hop(&mut parts.headers);
         headers::strip_internal(&mut parts.headers);
         let service = self.driver.inspect(|_, reducer| reducer.local_service().clone());
@@ -142,6 +144,7 @@
                 },
                 Some((attempt, reply)) = attempts.next() => {
                     let (event, answer) = split_reply(attempt, reply, sent);
+                    let answer = answer.map(|answer| answer.map(|body| body.counted(&self.memory)));
                     answers.extend(answer.map(|answer| (attempt, answer)));
                     call.dispatch(event);
                 }
@@ -184,6 +187,28 @@
     }
 }
 
+/// Buffers the body of a request that has a route, if there is room for the request.
+async fn read_body(
+    body: Incoming,
+    parts: &Parts,
+    peer: Option<&Peer>,
+    timeout: Option<Duration>,
+) -> Result<Payload, Reason> {
+    let read = async {
+        let Some(peer) = peer else {
+            return Payload::read(body).await.map_err(|_| ReadError::Incomplete);
+        };
+        peer.admit(parts.headers.len())?;
+        Payload::read_counted(body, peer).await
+    };
+    match tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), read).await {
+        Ok(Ok(payload)) => Ok(payload),
+        Ok(Err(ReadError::Incomplete)) => Err(Reason::BodyCut),
+        Ok(Err(ReadError::NoRoom)) => Err(Reason::Overloaded),
+        Err(_) => Err(Reason::BodyTimeout),
+    }
+}
+
 /// Splits a reply into the event for the reducer and the answer, if any. `sent` is the size of the buffered part of
 /// the request body in bytes.
 fn split_reply(attempt: u32, reply: Reply, sent: u64) -> (CallEvent, Option<Response<Body>>) {
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod mailbox;
 pub mod node;
 pub mod payload;
+pub mod peer_memory;
 pub mod pool;
 pub mod reload;
 pub mod serve;
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -13,7 +13,7 @@
 use slog::{Discard, Drain, Level, Logger, info, o};
 use slog_logfmt::Logfmt;
 
-use crate::{effect::Record, log_prefix, log_writer::LogWriter};
+use crate::{effect::Record, log_prefix, log_writer::LogWriter, peer_memory::BoundReached};
 
 /// Sampling ratio of requests without errors or retries: one in this many is logged. The sample is chosen by a hash of
 /// the request id, so that all nodes log the same requests.
@@ -140,6 +140,13 @@
     }
 }
 
+/// Logs a bound on what peers hold.
+pub(crate) fn write_peer_bound(log: &Logger, bound: &BoundReached, count: u64) {
+    let BoundReached { action, door, connections, bytes, .. } = bound;
+    slog::warn!(log, "peer-bound"; "door" => door.as_str(), "action" => action.as_str(),
+        "count" => count, "connections" => connections, "bytes" => bytes);
+}
+
 fn is_sampled(id: &str) -> bool {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -38,8 +38,11 @@
 /// Number of histogram buckets. Each bound is twice the previous one; the last is about eight seconds.
 const BUCKET_COUNT: u16 = 14;
 
+/// The counter of bounds on what peers hold of the process.
+const PEER_BOUNDS: &str = "peer_bounds";
+
 /// Names and help texts of the counters.
-const COUNTERS: [(&str, &str); 16] = [
+const COUNTERS: [(&str, &str); 17] = [
     ("attempts", "Attempts of callers' requests at targets"),
     ("retries", "Attempts that ended without an answer that is passed on, by cause"),
     ("refusals", "Callers' requests refused, by reason"),
@@ -59,6 +62,7 @@
     ("suspects", "Requests whose standing changed after a crash"),
     ("pauses", "Times for which this node did not run"),
     ("stops", "Graceful stops that began or ended"),
+    (PEER_BOUNDS, "Times peers held all that they may, by what was done"),
 ];
 
 /// Names and help texts of the gauges.
@@ -202,6 +206,13 @@
         self.store_calls.get_or_create(&StoreCallLabels { call, outcome }).inc();
     }
 
+    /// Counts a bound on what peers hold, by what was done.
+    pub(crate) fn count_peer_bound(&self, kind: &'static str) {
+        if let Some(family) = self.counters.get(PEER_BOUNDS) {
+            family.get_or_create(&KindLabel { kind }).inc();
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self, values: &GaugeValues, dropped: u64) -> String {
         for (gauge, value) in self.gauges.iter().zip(gauge_values(values)) {
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -22,11 +22,12 @@
     health,
     ingress::Ingress,
     keys::MemberId,
-    logging::Log,
+    logging::{self, Log},
     metered_store::MeteredStore,
     metrics::Metrics,
     node_status::{self, NodeStatus},
     payload::Body,
+    peer_memory::{Door, PeerMemory},
     peer_requests::PeerServer,
     peers::Peers,
     pool::{Pool, PoolConfig},
@@ -82,6 +83,7 @@
 pub struct Node {
     driver: Arc<Driver>,
     id: MemberId,
+    memory: PeerMemory,
     stop: watch::Sender<bool>,
     tasks: JoinSet<()>,
     rollout_records: Option<mpsc::UnboundedReceiver<RolloutRecord>>,
@@ -119,6 +121,13 @@
             limits: settings.limits,
         };
         let metrics = Arc::new(Metrics::new());
+        let (bound_metrics, bound_log) = (metrics.clone(), log.clone());
+        let memory = PeerMemory::new(settings.process, move |bound| {
+            bound_metrics.count_peer_bound(bound.action.as_str());
+            if let Some(count) = bound.log_count {
+                logging::write_peer_bound(&bound_log, bound, count);
+            }
+        });
         let store = MeteredStore::new(store, metrics.clone());
         let reducer = Reducer::new(local, rand::rng().random());
         let driver = Arc::new(Driver::new(reducer, log.clone(), metrics.clone()));
@@ -170,19 +179,29 @@
             names,
             peers: peer_pools.clone(),
             forwarder: forwarder.clone(),
+            memory: memory.clone(),
         };
         let handle = move |req: Request<Incoming>| {
             let ingress = ingress.clone();
             async move { ingress.serve(req).await }
         };
-        tasks.spawn(serve::serve(callers, stop.subscribe(), head_limits, log.clone(), handle));
-        let peer_server = PeerServer { driver: driver.clone(), forwarder, replicas };
+        tasks.spawn(serve::serve(
+            callers,
+            (memory.clone(), Door::Callers),
+            stop.subscribe(),
+            head_limits,
+            log.clone(),
+            handle,
+        ));
+        let peer_server =
+            PeerServer { driver: driver.clone(), forwarder, replicas, memory: memory.clone() };
         let handle = move |req: Request<Incoming>| {
             let peer_server = peer_server.clone();
             async move { peer_server.serve(req).await }
         };
         tasks.spawn(serve::serve(
             peers,
+            (memory.clone(), Door::Peers),
             stop.subscribe(),
             default_limits.clone(),
             log.clone(),
@@ -195,6 +214,7 @@
         };
         tasks.spawn(serve::serve(
             ready,
+            (memory.clone(), Door::Ready),
             stop.subscribe(),
             default_limits.clone(),
             log.clone(),
@@ -211,6 +231,7 @@
                     };
                     tasks.spawn(serve::serve(
                         listener,
+                        (memory.clone(), Door::Metrics),
                         stop.subscribe(),
                         default_limits,
                         log,
@@ -243,7 +264,7 @@
             peers: peer_pools,
             timers,
         });
-        Ok(Node { driver, id, stop, tasks, rollout_records: Some(rollout_records) })
+        Ok(Node { driver, id, memory, stop, tasks, rollout_records: Some(rollout_records) })
     }
 
     /// Returns the member id, which is new at each start.
@@ -256,6 +277,11 @@
         NodeHandle::new(self.driver.clone())
     }
 
+    /// Returns the account of what peers hold of the process, for the adapter's own servers.
+    pub fn peer_memory(&self) -> PeerMemory {
+        self.memory.clone()
+    }
+
     /// Returns the receiver of rollout states that must be saved in the store; `None` after the first call.
     pub fn rollout_records(&mut self) -> Option<mpsc::UnboundedReceiver<RolloutRecord>> {
         self.rollout_records.take()
--- a/mesh/src/payload.rs
+++ b/mesh/src/payload.rs
@@ -6,12 +6,14 @@
     task::{Context, Poll, ready},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{self, Instant, Sleep};
 
+use crate::peer_memory::{NoRoom, Peer, PeerMemory};
+
 /// Largest body in bytes that is buffered completely.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 128 << 10;
 
@@ -26,6 +28,24 @@
     is_consumed: bool,
 }
 
+/// The memory that the HTTP library takes at most while a body arrives, beside what is buffered here: its read buffer.
+const LIBRARY_BYTES: usize = 64 << 10;
+
+/// A body was not read.
+#[derive(Copy, Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ReadError {
+    /// It ended prematurely.
+    Incomplete,
+    /// The account has no room for it.
+    NoRoom,
+}
+
+impl From<NoRoom> for ReadError {
+    fn from(_: NoRoom) -> ReadError {
+        ReadError::NoRoom
+    }
+}
+
 /// The body ended prematurely.
 #[derive(Debug, snafu::Snafu)]
 #[snafu(display("the body is incomplete"))]
@@ -33,30 +53,56 @@
 
 impl Payload {
     /// Buffers a body until it ends or exceeds [`MAX_BUFFERED_BYTES`].
-    pub(crate) async fn read(mut body: Incoming) -> Result<Payload, IncompleteBody> {
+    pub(crate) async fn read(body: Incoming) -> Result<Payload, IncompleteBody> {
+        Payload::buffer(body, |_| Ok(())).await.map_err(|_| IncompleteBody)
+    }
+
+    /// Buffers the body of a peer's request as [`read`](Self::read) does, as far as the account has room for it. What was
+    /// buffered stays in the account until it has been sent.
+    pub(crate) async fn read_counted(body: Incoming, peer: &Peer) -> Result<Payload, ReadError> {
+        if body.is_end_stream() {
+            return Payload::read(body).await.map_err(|_| ReadError::Incomplete);
+        }
+        let mut reservation = peer.begin_body();
+        let mut payload = tokio::select! {
+            biased;
+            () = peer.refused() => return Err(ReadError::NoRoom),
+            payload = Payload::buffer(body, |bytes| reservation.grow(bytes)) => payload?,
+        };
+        payload.buffered = reservation.finish(payload.buffered);
+        Ok(payload)
+    }
+
+    /// Buffers a body, and calls `grow` with the memory that the buffer takes each time before it grows.
+    async fn buffer(
+        mut body: Incoming,
+        mut grow: impl FnMut(usize) -> Result<(), NoRoom>,
+    ) -> Result<Payload, ReadError> {
         let length = body.size_hint().exact();
         if body.is_end_stream() {
             return Ok(Payload { buffered: Bytes::new(), rest: None, length, is_consumed: false });
         }
         let mut first: Option<Bytes> = None;
-        let mut joined = BytesMut::new();
+        let mut joined = Vec::new();
         while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| IncompleteBody)?.into_data() else { continue };
-            match first.take() {
-                None if joined.is_empty() => first = Some(data),
-                None => joined.extend_from_slice(&data),
-                Some(start) => {
-                    joined.reserve(start.len() + data.len());
-                    joined.extend_from_slice(&start);
-                    joined.extend_from_slice(&data);
-                }
+            let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() else { continue };
+            let size = first.as_ref().map_or(joined.len(), Bytes::len) + data.len();
+            if first.is_none() && joined.is_empty() {
+                grow(size + LIBRARY_BYTES.min(size))?;
+                first = Some(data);
+            } else {
+                let capacity = buffer_capacity(joined.capacity(), size, length);
+                grow(capacity + LIBRARY_BYTES.min(size))?;
+                joined.reserve_exact(capacity - joined.len());
+                joined.extend_from_slice(&first.take().unwrap_or_default());
+                joined.extend_from_slice(&data);
             }
-            if first.as_ref().map_or(joined.len(), Bytes::len) > MAX_BUFFERED_BYTES {
-                let buffered = first.unwrap_or_else(|| joined.freeze());
+            if size > MAX_BUFFERED_BYTES {
+                let buffered = first.unwrap_or_else(|| joined.into());
                 return Ok(Payload { buffered, rest: Some(body), length, is_consumed: false });
             }
         }
-        let buffered = first.unwrap_or_else(|| joined.freeze());
+        let buffered = first.unwrap_or_else(|| joined.into());
         Ok(Payload { buffered, rest: None, length, is_consumed: false })
     }
 
@@ -95,6 +141,17 @@
     }
 }
 
+/// Returns the capacity of a buffer that must hold `size` bytes: twice what it has, but not more than the declared length, so
+/// that a body takes no more than it needs.
+fn buffer_capacity(capacity: usize, size: usize, length: Option<u64>) -> usize {
+    if size <= capacity {
+        return capacity;
+    }
+    let length = length.and_then(|length| usize::try_from(length).ok());
+    let limit = length.unwrap_or(usize::MAX).min(MAX_BUFFERED_BYTES);
+    capacity.saturating_mul(2).min(limit).max(size)
+}
+
 /// An outgoing body: the buffered part, followed by the rest of an incoming body.
 #[derive(Default)]
 pub struct Body {
@@ -109,6 +166,12 @@
 }
 
 impl Body {
+    /// Counts the buffered part in the account until it has been sent, which a slow reader delays.
+    pub(crate) fn counted(mut self, memory: &PeerMemory) -> Body {
+        self.buffered = self.buffered.take().map(|bytes| memory.hold(None, bytes));
+        self
+    }
+
     /// Adds a callback for when the connection has taken all of the body, or dropped it. The last bytes may wait in the
     /// connection's buffer at that time, so the callback does not show that they have been sent.
     pub(crate) fn on_end(self, end: impl FnOnce() + Send + 'static) -> Body {
--- a/mesh/src/peer_requests.rs
+++ b/mesh/src/peer_requests.rs
@@ -16,7 +16,8 @@
     forwarder::{AttemptOutcome, Forwarder},
     headers,
     keys::MemberId,
-    payload::{Body, Payload},
+    payload::{Body, Payload, ReadError},
+    peer_memory::{Peer, PeerMemory},
     pool::{Pool, SendError},
     recall::{self, Recall},
     refusal::Reason,
@@ -139,6 +140,7 @@
     pub(crate) driver: Arc<Driver>,
     pub(crate) forwarder: Forwarder,
     pub(crate) replicas: TopicReplicas,
+    pub(crate) memory: PeerMemory,
 }
 
 impl PeerServer {
@@ -151,12 +153,17 @@
         if req.uri().path() == recall::PATH {
             return self.recalled(req.uri().query().and_then(Recall::parse));
         }
-        let (parts, body) = req.into_parts();
+        let (mut parts, body) = req.into_parts();
+        let peer: Option<Peer> = parts.extensions.remove();
         let envelope = read_envelope(&parts.headers);
         // The body is read also of a request that is refused, so that its connection stays usable.
         let limit = envelope.as_ref().map_or(BODY_TIMEOUT, |envelope| envelope.spec.timeout);
-        let Ok(Ok(payload)) = time::timeout(limit, Payload::read(body)).await else {
-            return self.answer(AttemptOutcome::Failed(Failure::BodyCut), "");
+        let payload = match time::timeout(limit, read_body(body, &parts, peer.as_ref())).await {
+            Ok(Ok(payload)) => payload,
+            Ok(Err(ReadError::NoRoom)) => return self.answer(refused(Reason::Overloaded), ""),
+            Ok(Err(ReadError::Incomplete)) | Err(_) => {
+                return self.answer(AttemptOutcome::Failed(Failure::BodyCut), "");
+            }
         };
         let Some(Envelope { from, to, spec }) = envelope else {
             return self.answer(refused(Reason::Unreadable), "");
@@ -185,7 +192,7 @@
         });
         let text = format_outcome(&outcome);
         let mut answer = match outcome {
-            AttemptOutcome::Answer(answer) => *answer,
+            AttemptOutcome::Answer(answer) => answer.map(|body| body.counted(&self.memory)),
             AttemptOutcome::Shed | AttemptOutcome::Refused { .. } | AttemptOutcome::Failed(_) => {
                 let mut answer = Response::new(Body::default());
                 *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -209,6 +216,18 @@
     }
 }
 
+async fn read_body(
+    body: Incoming,
+    parts: &Parts,
+    peer: Option<&Peer>,
+) -> Result<Payload, ReadError> {
+    let Some(peer) = peer else {
+        return Payload::read(body).await.map_err(|_| ReadError::Incomplete);
+    };
+    peer.admit(parts.headers.len())?;
+    Payload::read_counted(body, peer).await
+}
+
 fn refused(reason: Reason) -> AttemptOutcome {
     AttemptOutcome::Refused { reason, wait: Duration::ZERO }
 }
--- a/mesh/src/peer_requests/tests.rs
+++ b/mesh/src/peer_requests/tests.rs
@@ -17,6 +17,7 @@
     forwarder::AttemptOutcome,
     keys::MemberId,
     payload::{Body, Payload},
+    peer_memory::{Door, PeerMemory, ProcessLimits},
     pool::{Pool, PoolConfig},
     refusal::{Reason, Refusal},
     serve,
@@ -139,7 +140,15 @@
     };
     let (_stop, is_stopping) = watch::channel(false);
     let log = Logger::root(Discard, o!());
-    tokio::spawn(serve::serve(entry, is_stopping, serve::default_head_limits(), log, handle));
+    let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Door::Peers);
+    tokio::spawn(serve::serve(
+        entry,
+        account,
+        is_stopping,
+        serve::default_head_limits(),
+        log,
+        handle,
+    ));
     caller.write_all(b"GET / HTTP/1.1\r\nhost: shop\r\n\r\n").await.expect("the server reads");
     assert_eq!(received.recv().await, Some(true));
 }
--- a/mesh/src/reducer/denials.rs
+++ b/mesh/src/reducer/denials.rs
@@ -13,6 +13,9 @@
 /// The Retry-After time of a node without the configuration in force. It has arrived by then unless the store is away.
 pub(super) const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The Retry-After time where peers hold all memory that they may take. Peers that send nothing give way after a second.
+const PEER_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// The size of a request, as far as it is known before its body has been read.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 pub(crate) struct RequestSize {
@@ -32,6 +35,11 @@
         (size.body > limits.max_body_bytes).then_some(Reason::BodyTooLarge)
     }
 
+    /// Returns whether a request may have a route: one of the configuration, or any while there is no configuration.
+    pub(crate) fn may_have_route(&self, host: &str, path: &str) -> bool {
+        self.config().is_none_or(|table| table.find(host, path).is_some())
+    }
+
     /// Refuses a request for which no call has been opened.
     pub(crate) fn refuse_early(
         &self,
@@ -62,6 +70,8 @@
             let retry_after = Some(CONFIG_RETRY_AFTER);
             return Refusal { reason: Reason::StaleConfig, may_have_run: false, retry_after };
         }
-        Refusal { reason, may_have_run: false, retry_after: None }
+        // Without a call, a request is refused as such because of what peers hold of the process.
+        let retry_after = (reason == Reason::Overloaded).then_some(PEER_RETRY_AFTER);
+        Refusal { reason, may_have_run: false, retry_after }
     }
 }
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -16,6 +16,7 @@
     activity::{Activity, TrackedStream},
     config::CallerLimits,
     payload::Body,
+    peer_memory::{Door, Peer, PeerMemory},
     pool,
 };
 
@@ -90,9 +91,11 @@
     watch::channel(limits).1
 }
 
-/// Accepts connections until `stop` becomes true, then shuts them down gracefully.
+/// Accepts connections until `stop` becomes true, then shuts them down gracefully. What they hold is counted in the account at
+/// this door, and their requests carry their [`Peer`] as an extension.
 pub async fn serve<H, F>(
     listener: TcpListener,
+    (memory, door): (PeerMemory, Door),
     mut stop: watch::Receiver<bool>,
     limits: watch::Receiver<HeadLimits>,
     log: Logger,
@@ -108,8 +111,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                // Without room the connection is closed before anything of it is read.
+                let Some(peer) = memory.connect(door) else { continue };
                 let (stop, limits) = (stop.clone(), limits.clone());
-                tokio::spawn(serve_connection(stream, stop, limits, handle.clone()));
+                tokio::spawn(serve_connection((stream, peer), stop, limits, handle.clone()));
             }
             Err(error) => {
                 slog::warn!(log, "accept-failed"; "error" => %error);
@@ -120,7 +125,7 @@
 }
 
 async fn serve_connection<H, F>(
-    stream: TcpStream,
+    (stream, peer): (TcpStream, Peer),
     mut stop: watch::Receiver<bool>,
     limits: watch::Receiver<HeadLimits>,
     handle: H,
@@ -129,12 +134,14 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     pool::set_socket_options(&stream);
-    let activity = Activity::new();
+    let activity = Activity::new(peer.clone());
     let stream = TrackedStream::new(stream, activity.clone());
     let close_monitor = stream.close_monitor();
     let requests = activity.clone();
-    let service = service_fn(move |req: Request<Incoming>| {
+    let caller = peer.clone();
+    let service = service_fn(move |mut req: Request<Incoming>| {
         let guard = requests.start();
+        req.extensions_mut().insert(caller.clone());
         let answer = handle(req);
         async move { Ok::<_, Infallible>(answer.await.map(|body| body.on_end(move || drop(guard)))) }
     });
@@ -165,6 +172,8 @@
         () = close_monitor.closed() => {}
         // The connection was polled before this branch and no request is running, so none is lost when it is dropped.
         () = activity.wait_until_idle(&limits) => {}
+        // Likewise: the account sheds only connections on which no request has been read.
+        () = peer.closed() => {}
     }
 }
 
--- a/mesh/src/serve/tests.rs
+++ b/mesh/src/serve/tests.rs
@@ -12,7 +12,11 @@
 };
 
 use super::{HeadLimits, serve};
-use crate::{config::CallerLimits, payload::Body};
+use crate::{
+    config::CallerLimits,
+    payload::Body,
+    peer_memory::{Door, PeerMemory, ProcessLimits},
+};
 
 /// The limits in force: a connection is idle 70 s after an answer.
 const LIMITS: CallerLimits = CallerLimits {
@@ -46,7 +50,8 @@
         let limits = watch::channel(HeadLimits::from(&LIMITS)).1;
         let log = Logger::root(slog::Discard, slog::o!());
         let body = Bytes::from(vec![b'x'; length]);
-        tokio::spawn(serve(listener, is_stopping, limits, log, move |_| {
+        let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Door::Callers);
+        tokio::spawn(serve(listener, account, is_stopping, limits, log, move |_| {
             let body = body.clone();
             async move {
                 sleep(answer_time).await;
--- a/mesh/src/settings.rs
+++ b/mesh/src/settings.rs
@@ -4,7 +4,9 @@
 
 use compact_str::CompactString;
 
-use crate::{headers::HeaderNames, limits::Limits, registry, replica::Topic};
+use crate::{
+    headers::HeaderNames, limits::Limits, peer_memory::ProcessLimits, registry, replica::Topic,
+};
 
 /// The settings of a node. An adapter reads them in the format that its deployment uses.
 #[derive(Clone, Debug)]
@@ -29,6 +31,8 @@
     pub prefixes: KeyPrefixes,
     /// Limits that apply to all nodes of the deployment together.
     pub limits: Limits,
+    /// What this process may use. It is read at the start only.
+    pub process: ProcessLimits,
 }
 
 impl Settings {
--- a/mesh/tests/silent_store.rs
+++ b/mesh/tests/silent_store.rs
@@ -17,6 +17,7 @@
     headers::HeaderNames,
     logging::Log,
     node::{Node, NodeHandle},
+    peer_memory::ProcessLimits,
     settings::Settings,
     store::{Change, Item, Update},
 };
@@ -97,6 +98,7 @@
             grace: Duration::from_secs(6),
             address_reuse: Duration::from_secs(2),
         },
+        process: ProcessLimits::default(),
     };
     Node::start(settings, store.clone(), ConfigReader, Log::discard()).await.expect("a node")
 }
