--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -92,7 +92,7 @@
 }
 
 /// Accepts connections until `stop` becomes true, then shuts them down gracefully. What they hold is counted in the account at
-/// this door, and their requests carry their [`Peer`] as an extension.
+/// this door, and their requests carry their `Peer` as an extension.
 pub async fn serve<H, F>(
     listener: TcpListener,
     (memory, door): (PeerMemory, Door),
