--- a/mesh/src/early_runs/tests.rs
+++ b/mesh/src/early_runs/tests.rs
@@ -26,6 +26,7 @@
     gauges::GaugeValues,
     metrics::Metrics,
     payload::{Body, Payload},
+    peer_memory::{Door, Peer, PeerMemory, ProcessLimits},
     serve::{HeadLimits, Server},
 };
 
@@ -109,6 +110,11 @@
     }
 }
 
+fn peer() -> Peer {
+    let memory = PeerMemory::new(ProcessLimits::default(), |_| {});
+    memory.connect(Door::Callers).expect("room for a connection")
+}
+
 /// A server of the stub, and a connection to it.
 struct Fixture {
     stub: Arc<Stub>,
@@ -135,7 +141,8 @@
         let stop = watch::Sender::new(false);
         let limits = watch::channel(HeadLimits::default()).1;
         let early_runs = Some(Arc::new(early_runs));
-        let server = Server { stop: stop.subscribe(), limits, early_runs, handle };
+        let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Door::Callers);
+        let server = Server { account, stop: stop.subscribe(), limits, early_runs, handle };
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
         tokio::spawn(server.serve(listener, Logger::root(slog::Discard, slog::o!())));
@@ -338,7 +345,7 @@
 async fn a_run_of_another_request_is_discarded() {
     let stub = Arc::new(Stub::default());
     let early_runs = EarlyRuns::new(Arc::new(stub.clone()), Arc::new(Metrics::new()));
-    let runs = ConnectionRuns::new(Arc::new(early_runs), Activity::new());
+    let runs = ConnectionRuns::new(Arc::new(early_runs), Activity::new(peer()));
     let text = ["/free/a", "/free/b", "/free/c", "/free/d"].map(request).concat();
     runs.receive(text.as_bytes());
     let expected = ["early /free/b", "early /free/c", "early /free/d"];
@@ -365,7 +372,7 @@
     let stub = Arc::new(Stub::default());
     stub.released.send_replace(BTreeSet::from(["all".to_owned()]));
     let shared = Arc::new(EarlyRuns::new(Arc::new(stub.clone()), Arc::new(Metrics::new())));
-    let runs = ConnectionRuns::new(shared.clone(), Activity::new());
+    let runs = ConnectionRuns::new(shared.clone(), Activity::new(peer()));
     runs.receive(["/free/a", "/free/b", "/free/c"].map(request).concat().as_bytes());
     assert!(runs.take(&mut parts("/free/a")).is_none());
     sleep(MAX_HELD / 2).await;
--- a/mesh/src/ingress.rs
+++ b/mesh/src/ingress.rs
@@ -23,7 +23,8 @@
     forwarder::{AttemptOutcome, Forwarder},
     headers::{self, HeaderNames},
     keys::CallKey,
-    payload::{Body, Payload},
+    payload::{Body, Payload, ReadError},
+    peer_memory::{Peer, PeerMemory},
     peer_requests::{self, Reply},
     peers::Peers,
     reducer::RequestSize,
@@ -41,6 +42,7 @@
     pub(crate) names: Arc<HeaderNames>,
     pub(crate) peers: Peers,
     pub(crate) forwarder: Forwarder,
+    pub(crate) memory: PeerMemory,
 }
 
 impl Ingress {
@@ -92,6 +94,7 @@
         mut parts: Parts,
         body: Option<Incoming>,
     ) -> Result<(CallHead, Parts, Payload), Reason> {
+        let peer: Option<Peer> = parts.extensions.remove();
         let body_len = body.as_ref().map_or(0, |body| body.size_hint().lower());
         let size = RequestSize { head: headers::head_size(&parts), body: body_len };
         if let Some(reason) = self.driver.inspect(|_, reducer| reducer.find_excess(size)) {
@@ -104,17 +107,15 @@
         head::set_origin_form(&mut parts);
         // Nodes and targets speak this version, whatever the caller does.
         parts.version = Version::HTTP_11;
-        let host = headers::text(&parts.headers, &header::HOST).ok_or(Reason::Malformed)?.into();
+        let host = headers::text(&parts.headers, &header::HOST).ok_or(Reason::Malformed)?;
+        let path = parts.uri.path();
+        if !self.driver.inspect(|_, reducer| reducer.may_have_route(host, path)) {
+            return Err(Reason::NoRoute);
+        }
+        let host = host.into();
         let payload = match body {
             None => Payload::empty(),
-            Some(body) => {
-                let timeout = timeout.unwrap_or(DEFAULT_BODY_TIMEOUT);
-                match tokio::time::timeout(timeout, Payload::read(body)).await {
-                    Ok(Ok(payload)) => payload,
-                    Ok(Err(_)) => return Err(Reason::BodyCut),
-                    Err(_) => return Err(Reason::BodyTimeout),
-                }
-            }
+            Some(body) => read_body(body, &parts, peer.as_ref(), timeout).await?,
         };
         // A caller may declare the field with the key hop-by-hop, since it is meant for this node.
         let key = teams::read_key(&parts.headers);
@@ -175,6 +176,7 @@
                 },
                 Some((attempt, reply)) = attempts.next() => {
                     let (event, answer) = split_reply(attempt, reply, sent);
+                    let answer = answer.map(|answer| answer.map(|body| body.counted(&self.memory)));
                     answers.extend(answer.map(|answer| (attempt, answer)));
                     call.dispatch(event);
                 }
@@ -261,6 +263,28 @@
     Refusal { reason: Reason::Overloaded, may_have_run: false, retry_after }
 }
 
+/// Buffers the body of a request that has a route, if there is room for the request.
+async fn read_body(
+    body: Incoming,
+    parts: &Parts,
+    peer: Option<&Peer>,
+    timeout: Option<Duration>,
+) -> Result<Payload, Reason> {
+    let read = async {
+        let Some(peer) = peer else {
+            return Payload::read(body).await.map_err(|_| ReadError::Incomplete);
+        };
+        peer.admit(parts.headers.len())?;
+        Payload::read_counted(body, peer).await
+    };
+    match tokio::time::timeout(timeout.unwrap_or(DEFAULT_BODY_TIMEOUT), read).await {
+        Ok(Ok(payload)) => Ok(payload),
+        Ok(Err(ReadError::Incomplete)) => Err(Reason::BodyCut),
+        Ok(Err(ReadError::NoRoom)) => Err(Reason::Overloaded),
+        Err(_) => Err(Reason::BodyTimeout),
+    }
+}
+
 /// Splits a reply into the event for the reducer and the answer, if any. `sent` is the size of the buffered part of
 /// the request body in bytes.
 fn split_reply(attempt: u32, reply: Reply, sent: u64) -> (CallEvent, Option<Response<Body>>) {
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -23,11 +23,12 @@
     health,
     ingress::Ingress,
     keys::MemberId,
-    logging::Log,
+    logging::{self, Log},
     metered_store::MeteredStore,
     metrics::Metrics,
     node_status::{self, NodeStatus},
     payload::Body,
+    peer_memory::{Door, PeerMemory},
     peer_requests::PeerServer,
     peers::Peers,
     pool::{Pool, PoolConfig},
@@ -84,6 +85,7 @@
 pub struct Node {
     driver: Arc<Driver>,
     id: MemberId,
+    memory: PeerMemory,
     stop: watch::Sender<bool>,
     tasks: JoinSet<()>,
     rollout_records: Option<mpsc::UnboundedReceiver<RolloutRecord>>,
@@ -122,6 +124,13 @@
             limits: settings.limits,
         };
         let metrics = Arc::new(Metrics::new());
+        let (bound_metrics, bound_log) = (metrics.clone(), log.clone());
+        let memory = PeerMemory::new(settings.process, move |bound| {
+            bound_metrics.count_peer_bound(bound.action.as_str());
+            if let Some(count) = bound.log_count {
+                logging::write_peer_bound(&bound_log, bound, count);
+            }
+        });
         let store = MeteredStore::new(store, metrics.clone());
         let reducer = Reducer::new(local, rand::rng().random());
         let driver = Arc::new(Driver::new(reducer, log.clone(), metrics.clone()));
@@ -184,6 +193,7 @@
             names,
             peers: peer_pools.clone(),
             forwarder: forwarder.clone(),
+            memory: memory.clone(),
         };
         let early_runs = EarlyRuns::new(Arc::new(ingress.clone()), metrics.clone());
         let handle = move |req: Request<Incoming>| {
@@ -191,15 +201,19 @@
             async move { ingress.serve(req).await }
         };
         let early_runs = Some(Arc::new(early_runs));
-        let server = Server { stop: stop.subscribe(), limits: head_limits, early_runs, handle };
+        let account = (memory.clone(), Door::Callers);
+        let stopping = stop.subscribe();
+        let server = Server { account, stop: stopping, limits: head_limits, early_runs, handle };
         tasks.spawn(server.serve(callers, log.clone()));
-        let peer_server = PeerServer { driver: driver.clone(), forwarder, replicas };
+        let peer_server =
+            PeerServer { driver: driver.clone(), forwarder, replicas, memory: memory.clone() };
         let handle = move |req: Request<Incoming>| {
             let peer_server = peer_server.clone();
             async move { peer_server.serve(req).await }
         };
         tasks.spawn(serve::serve(
             peers,
+            (memory.clone(), Door::Peers),
             stop.subscribe(),
             default_limits.clone(),
             log.clone(),
@@ -212,6 +226,7 @@
         };
         tasks.spawn(serve::serve(
             ready,
+            (memory.clone(), Door::Ready),
             stop.subscribe(),
             default_limits.clone(),
             log.clone(),
@@ -228,6 +243,7 @@
                     };
                     tasks.spawn(serve::serve(
                         listener,
+                        (memory.clone(), Door::Metrics),
                         stop.subscribe(),
                         default_limits,
                         log,
@@ -260,7 +276,8 @@
             peers: peer_pools,
             timers,
         });
-        Ok(Node { driver, id, stop, tasks, rollout_records: Some(rollout_records), usage })
+        let rollout_records = Some(rollout_records);
+        Ok(Node { driver, id, memory, stop, tasks, rollout_records, usage })
     }
 
     /// Returns the member id, which is new at each start.
@@ -273,6 +290,11 @@
         NodeHandle::new(self.driver.clone())
     }
 
+    /// Returns the account of what peers hold of the process, for the adapter's own servers.
+    pub fn peer_memory(&self) -> PeerMemory {
+        self.memory.clone()
+    }
+
     /// Returns the receiver of rollout states that must be saved in the store; `None` after the first call.
     pub fn rollout_records(&mut self) -> Option<mpsc::UnboundedReceiver<RolloutRecord>> {
         self.rollout_records.take()
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -17,6 +17,7 @@
     config::CallerLimits,
     early_runs::{ConnectionRuns, EarlyRuns},
     payload::Body,
+    peer_memory::{Door, Peer, PeerMemory},
     pool,
 };
 
@@ -91,9 +92,11 @@
     watch::channel(limits).1
 }
 
-/// Accepts connections until `stop` becomes true, then shuts them down gracefully.
+/// Accepts connections until `stop` becomes true, then shuts them down gracefully. What they hold is counted in the account at
+/// this door, and their requests carry their `Peer` as an extension.
 pub async fn serve<H, F>(
     listener: TcpListener,
+    account: (PeerMemory, Door),
     stop: watch::Receiver<bool>,
     limits: watch::Receiver<HeadLimits>,
     log: Logger,
@@ -102,12 +105,14 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    Server { stop, limits, early_runs: None, handle }.serve(listener, log).await;
+    Server { account, stop, limits, early_runs: None, handle }.serve(listener, log).await;
 }
 
 /// A server and what its connections share.
 #[derive(Clone)]
 pub(crate) struct Server<H> {
+    /// The account of what peers hold, and the door at which its connections are counted.
+    pub(crate) account: (PeerMemory, Door),
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) limits: watch::Receiver<HeadLimits>,
     /// The runs of requests that are sent ahead; without them the requests of a connection run one after the other.
@@ -129,7 +134,10 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    tokio::spawn(self.clone().serve_connection(stream));
+                    let (memory, door) = &self.account;
+                    // Without room the connection is closed before anything of it is read.
+                    let Some(peer) = memory.connect(*door) else { continue };
+                    tokio::spawn(self.clone().serve_connection(stream, peer));
                 }
                 Err(error) => {
                     slog::warn!(log, "accept-failed"; "error" => %error);
@@ -139,16 +147,18 @@
         }
     }
 
-    async fn serve_connection(self, stream: TcpStream) {
-        let Server { mut stop, limits, early_runs, handle } = self;
+    async fn serve_connection(self, stream: TcpStream, peer: Peer) {
+        let Server { mut stop, limits, early_runs, handle, .. } = self;
         pool::set_socket_options(&stream);
-        let activity = Activity::new();
+        let activity = Activity::new(peer.clone());
         let runs = early_runs.map(|runs| ConnectionRuns::new(runs, activity.clone()));
         let stream = TrackedStream::new(stream, activity.clone(), runs.clone());
         let close_monitor = stream.close_monitor();
         let (requests, service_runs) = (activity.clone(), runs.clone());
-        let service = service_fn(move |req| {
+        let caller = peer.clone();
+        let service = service_fn(move |mut req: Request<Incoming>| {
             let guard = requests.start();
+            req.extensions_mut().insert(caller.clone());
             let answer = answer(req, handle.clone(), service_runs.clone());
             async move { Ok::<_, Infallible>(answer.await.map(|body| body.on_end(move || drop(guard)))) }
         });
@@ -183,6 +193,8 @@
             () = close_monitor.closed() => {}
             // The connection was polled before this branch and no request is running, so none is lost when it is dropped.
             () = activity.wait_until_idle(&limits) => {}
+            // Likewise: the account sheds only connections on which no request has been read.
+            () = peer.closed() => {}
         }
     }
 }
