--- a/mesh/src/usage.rs
+++ b/mesh/src/usage.rs
@@ -1,7 +1,7 @@
 //! Usage reports: one node at a time reports how many requests of each team began to run at targets in each window.
 //!
-//! Every node counts what its target began ([`counter`]). The holder of the duty ([`duty`]) collects the counts of all
-//! nodes ([`gather`]), records the report in the store and sends it ([`task`]). `docs/design/usage.md` describes the design.
+//! Every node counts what its target began (`counter`). The holder of the duty (`duty`) collects the counts of all
+//! nodes (`gather`), records the report in the store and sends it (`task`). `docs/design/usage.md` describes the design.
 
 use std::{
     future::Future,
