Add the decision how much traffic goes to other data centres

Cause: a request leaves its data centre only by its own cost, so a shortage of local targets is noticed when queues have grown. Change: each node works out by service how much of the demand the local targets bear within the time to the objective, and draws requests for other data centres by the share of the rest.

--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -206,6 +206,14 @@
     },
     /// The standing of a request that is suspected of a crash changed.
     Suspect(RequestStanding),
+    /// The share of the demand for a service that goes to other data centres changed.
+    RemoteShare {
+        service: CompactString,
+        reason: &'static str,
+        permille: u16,
+        /// The data centres with their shares, separated by commas.
+        centres: CompactString,
+    },
     /// The process of this node was paused.
     Paused { time: Duration },
     /// A graceful stop began or ended.
--- a/mesh/src/gauges.rs
+++ b/mesh/src/gauges.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 /// The state of a node when the metrics are read.
-#[derive(Copy, Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct GaugeValues {
     /// Callers' requests in progress at this entry node.
     pub(crate) calls: usize,
@@ -35,4 +37,14 @@
     pub(crate) orders_age: Option<Duration>,
     /// Whether this node reaches the store.
     pub(crate) has_store: bool,
+    /// The shares of the demand that go to other data centres. Their number is that of the services with a decision.
+    pub(crate) remote_shares: Vec<RemoteShare>,
+}
+
+/// The share of the demand for a service that goes to other data centres.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct RemoteShare {
+    pub(crate) service: CompactString,
+    pub(crate) reason: &'static str,
+    pub(crate) share: f64,
 }
--- a/mesh/src/lib.rs
+++ b/mesh/src/lib.rs
@@ -59,6 +59,7 @@
 mod rollout;
 mod route_failures;
 mod slowdown;
+mod spill;
 mod split;
 mod sync;
 mod tally;
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -134,6 +134,9 @@
         }
         Record::Suspect(suspect) => info!(log, "suspect";
             "fingerprint" => %suspect.fingerprint, "standing" => suspect.standing.as_str()),
+        Record::RemoteShare { service, reason, permille, centres } => info!(log, "remote-share";
+            "service" => service.as_str(), "reason" => reason, "share_permille" => permille,
+            "centres" => centres.as_str()),
         Record::Paused { time } => info!(log, "paused"; "time_ms" => ms(time)),
         Record::Stop { phase, calls, works } => info!(log, "stop";
             "phase" => phase, "calls" => calls, "works" => works),
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -39,7 +39,7 @@
 const BUCKET_COUNT: u16 = 14;
 
 /// Names and help texts of the counters.
-const COUNTERS: [(&str, &str); 16] = [
+const COUNTERS: [(&str, &str); 17] = [
     ("attempts", "Attempts of callers' requests at targets"),
     ("retries", "Attempts that ended without an answer that is passed on, by cause"),
     ("refusals", "Callers' requests refused, by reason"),
@@ -56,6 +56,10 @@
         "orders",
         "Configurations, evacuations and stages of rollouts that came into force, and their confirmations",
     ),
+    (
+        "remote_share_changes",
+        "Logged changes of the share of a service that leaves the data centre",
+    ),
     ("suspects", "Requests whose standing changed after a crash"),
     ("pauses", "Times for which this node did not run"),
     ("stops", "Graceful stops that began or ended"),
@@ -114,6 +118,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RemoteShareLabels {
+    service: RouteName,
+    reason: &'static str,
+}
+
 type RouteHistograms = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// All metrics of a node.
@@ -126,6 +136,7 @@
     queue_times: Histogram,
     store_calls: Family<StoreCallLabels, Counter>,
     gauges: Vec<Gauge<f64, AtomicU64>>,
+    remote_shares: Family<RemoteShareLabels, Gauge<f64, AtomicU64>>,
     dropped: Counter,
     routes: Mutex<HashSet<CompactString>>,
 }
@@ -158,6 +169,9 @@
         registry.register("queue_seconds", help, queue_times.clone());
         let store_calls = Family::default();
         registry.register("store_calls", "Calls to the store", store_calls.clone());
+        let remote_shares = Family::default();
+        let help = "Share of the demand for a service that goes to other data centres";
+        registry.register("remote_share", help, remote_shares.clone());
         let dropped = Counter::default();
         registry.register("log_lines_dropped", "Log lines that did not fit", dropped.clone());
         Metrics {
@@ -169,6 +183,7 @@
             queue_times,
             store_calls,
             gauges,
+            remote_shares,
             dropped,
             routes: Mutex::default(),
         }
@@ -207,6 +222,12 @@
         for (gauge, value) in self.gauges.iter().zip(gauge_values(values)) {
             gauge.set(value);
         }
+        self.remote_shares.clear();
+        for share in &values.remote_shares {
+            let (service, reason) = (RouteName(share.service.clone()), share.reason);
+            let labels = RemoteShareLabels { service, reason };
+            self.remote_shares.get_or_create(&labels).set(share.share);
+        }
         self.dropped.inner().store(dropped, Ordering::Relaxed);
         let mut text = String::new();
         // Writing to a string cannot fail.
@@ -267,6 +288,7 @@
         Record::Evacuated { .. } => ("orders", "evacuation"),
         Record::Rollout { stage, .. } => ("orders", *stage),
         Record::Suspect(suspect) => ("suspects", suspect.standing.as_str()),
+        Record::RemoteShare { reason, .. } => ("remote_share_changes", *reason),
         Record::Paused { .. } => ("pauses", "ended"),
         Record::Stop { phase, .. } => ("stops", *phase),
     }
--- a/mesh/src/metrics/tests.rs
+++ b/mesh/src/metrics/tests.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeSet;
 
 use super::*;
+use crate::gauges::RemoteShare;
 
 /// The operations manual.
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
@@ -26,7 +27,8 @@
     metrics.count(&answer("read", 1));
     metrics.count_store_call("get", "done");
     observe(&metrics.target_times, metrics.route_name(&"read".into()), Duration::ZERO);
-    let text = metrics.encode_text(&GaugeValues::default(), 0);
+    let remote_shares = vec![RemoteShare { service: "s".into(), reason: "shortage", share: 0.2 }];
+    let text = metrics.encode_text(&GaugeValues { remote_shares, ..GaugeValues::default() }, 0);
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: BTreeSet<&str> = types.filter_map(|line| line.split(' ').next()).collect();
     let rows = PAGE.lines().filter_map(|line| line.strip_prefix("| `poplarbarrow_"));
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod pulls;
 mod records;
+mod spills;
 mod statuses;
 mod stops;
 mod store_trials;
@@ -46,6 +47,7 @@
     replica::Revisions,
     report::LoadReport,
     rollout::{Rollout, RolloutRecord},
+    spill::SpillTable,
     split::SplitScheduler,
     tally::Tally,
     target::{Heartbeat, HeartbeatReply, Lifetime, Target, TargetChange},
@@ -122,6 +124,8 @@
     estimates: HashMap<calls::ServiceRoute, calls::RouteEstimate>,
     /// The scheduler of each route that splits its requests among services.
     splits: HashMap<CompactString, SplitScheduler>,
+    /// How much traffic goes to other data centres.
+    spills: SpillTable,
     /// The timeouts that callers have stated for each route.
     caller_timeouts: HashMap<CompactString, calls::CallerTimeouts>,
     crash_guard: CrashGuard,
@@ -173,6 +177,7 @@
             fleet: Fleet::default(),
             estimates: HashMap::new(),
             splits: HashMap::new(),
+            spills: SpillTable::default(),
             caller_timeouts: HashMap::new(),
             crash_guard: CrashGuard::new(local.id),
             pending_reports: Vec::new(),
@@ -309,6 +314,7 @@
             config_age: now.since(self.config_since),
             orders_age: self.orders_age(now),
             has_store: self.has_store,
+            remote_shares: self.spills.gauges(),
         }
     }
 
@@ -359,6 +365,7 @@
         self.save_lost_records(now, out);
         self.resend_suspects(now, out);
         self.update_admission(now, out);
+        self.update_spills(now, out);
         self.send_due_statuses(now, out);
         self.exit_if_idle(now, out);
     }
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -66,9 +66,10 @@
         }
         let Some(call) = self.calls.get(key) else { return false };
         let demand = self.demand(now, call);
-        let Some(choice) = placement::choose(&candidates, &demand, &mut self.rng) else {
-            return false;
-        };
+        let drawn = is_first.then(|| self.choose_drawn(now, &service, &candidates, &demand));
+        let choice =
+            drawn.flatten().or_else(|| placement::choose(&candidates, &demand, &mut self.rng));
+        let Some(choice) = choice else { return false };
         let chosen = candidates.iter().find(|candidate| candidate.key == choice.key);
         let age = chosen.and_then(|candidate| candidate.load).map(|(age, _)| age);
         let Some(call) = self.calls.get_mut(key) else { return false };
--- /dev/null
+++ b/mesh/src/spill/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
