Follow the actual flow and large jumps of the load in the remote share

Change: the flow is counted by answers, averages are slow unless the load jumps, a data centre takes traffic only up to 0.9 of what it bears.

--- a/mesh/src/reducer/calls.rs
+++ b/mesh/src/reducer/calls.rs
@@ -108,6 +108,11 @@
         usize::from(self.executions) + self.open.len() < usize::from(self.max_executions)
     }
 
+    /// Returns the service that serves the request.
+    pub(super) fn service(&self) -> &CompactString {
+        &self.service
+    }
+
     /// Returns whether an answer is being delivered.
     pub(super) fn is_answered(&self) -> bool {
         self.is_answered
--- a/mesh/src/reducer/calls/attempts.rs
+++ b/mesh/src/reducer/calls/attempts.rs
@@ -52,6 +52,7 @@
             return false;
         }
         let (service, is_first) = (call.service.clone(), call.tried.is_empty());
+        let is_new = call.attempts == 0;
         let versions = self.pick_versions(now, &service);
         let mut candidates = self.candidates(now, key, &versions);
         if matches!(versions, VersionFilter::Only(_)) && self.has_active_rollout(&service) {
@@ -66,7 +67,7 @@
         }
         let Some(call) = self.calls.get(key) else { return false };
         let demand = self.demand(now, call);
-        let drawn = is_first.then(|| self.choose_drawn(now, &service, &candidates, &demand));
+        let drawn = is_new.then(|| self.choose_drawn(now, &service, &candidates, &demand));
         let choice =
             drawn.flatten().or_else(|| placement::choose(&candidates, &demand, &mut self.rng));
         let Some(choice) = choice else { return false };
--- a/mesh/src/reducer/calls/endings.rs
+++ b/mesh/src/reducer/calls/endings.rs
@@ -45,7 +45,8 @@
         out: &mut Vec<Effect>,
     ) {
         let status = answer.status;
-        self.close_attempt(now, key, attempt, load);
+        let member = self.close_attempt(now, key, attempt, load);
+        self.count_spill(key, member);
         let Some(call) = self.calls.get_mut(key) else { return };
         if call.is_answered {
             return;
--- a/mesh/src/reducer/spills.rs
+++ b/mesh/src/reducer/spills.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use crate::{
     effect::Effect,
+    keys::{CallKey, MemberKey},
     placement::{self, Candidate, Choice, Demand},
-    spill::{CentreLoad, LoadSource, MeanDemand, SpillTable, Travel},
+    report::LoadReport,
+    spill::{CentreLoad, LoadSource, MeanDemand, Travel},
     time::Time,
 };
 
@@ -43,18 +47,14 @@
 impl Reducer {
     /// Updates how much traffic of each service goes to other data centres.
     pub(super) fn update_spills(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let mut spills: SpillTable = std::mem::take(&mut self.spills);
+        let mut spills = std::mem::take(&mut self.spills);
         let records = spills.update(now, &self.local.centre, &State { reducer: self, now });
         self.spills = spills;
         out.extend(records.into_iter().map(Effect::Log));
     }
 
     /// Returns the load report of a member that may receive requests, with its age.
-    fn usable_load(
-        &self,
-        now: Time,
-        member: &Member,
-    ) -> Option<(Duration, crate::report::LoadReport)> {
+    fn usable_load(&self, now: Time, member: &Member) -> Option<(Duration, LoadReport)> {
         let load = if self.is_local(member.record.id) {
             Some((Duration::ZERO, self.admission.report(now)))
         } else if self.directory.is_silent(now, member) || member.is_paused(now) {
@@ -66,12 +66,20 @@
         load.filter(|(_, load)| load.is_open && !is_evacuated)
     }
 
+    /// Counts the data centre that answered a request.
+    pub(super) fn count_spill(&mut self, call: CallKey, member: Option<MemberKey>) {
+        let member = member.and_then(|member| self.directory.get(member));
+        if let (Some(call), Some(member)) = (self.calls.get(call), member) {
+            self.spills.record_answer(call.service(), &member.record.centre);
+        }
+    }
+
     /// Chooses a target of the first attempt in the data centre drawn for the request, if one was drawn and a target there
     /// is fast enough.
     pub(super) fn choose_drawn(
         &mut self,
         now: Time,
-        service: &compact_str::CompactString,
+        service: &CompactString,
         candidates: &[Candidate],
         demand: &Demand,
     ) -> Option<Choice> {
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -14,6 +14,7 @@
 mod pulls;
 mod records;
 mod slowdowns;
+mod spills;
 mod spread;
 mod stale_config;
 mod stops;
@@ -24,7 +25,7 @@
     config::{Config, Route, RouteTable, Service, Share},
     crash_guard::RequestHash,
     directory::MemberRecord,
-    effect::{Attempt, CallStep, Effect, Hop, WorkStep},
+    effect::{Attempt, CallStep, Effect, Hop, Record, WorkStep},
     event::{CallEvent, CallHead, Event, Failure, Timer, WorkEvent, WorkHead},
     keys::{CallKey, MemberId, WorkKey},
     node_status::NodeStatus,
--- a/mesh/src/spill.rs
+++ b/mesh/src/spill.rs
@@ -4,6 +4,7 @@
 //! All nodes of a data centre see about the same reports and send about the same share away, which is drawn for each
 //! request, so that they do not all send everything at once.
 
+mod average;
 mod capacity;
 mod table;
 
@@ -12,14 +13,21 @@
 use compact_str::CompactString;
 use rand::{Rng as _, rngs::SmallRng};
 
+use self::average::Average;
 pub(crate) use self::{
     capacity::{CentreLoad, MeanDemand, Travel, travel_time},
     table::{LoadSource, SpillTable},
 };
 use crate::{placement::Demand, time::Time};
 
-/// The time constant in seconds of the averages of demand and load. Reports of single moments vary by several requests.
-const SMOOTHING_S: f64 = 0.5;
+/// The mean age in seconds up to which reports count fully. Those of the own data centre are at most 0.5 s apart.
+const NEW_AGE_S: f64 = 0.3;
+
+/// The time constant in seconds of the counts of answers by data centre.
+const ANSWERS_S: f64 = 1.0;
+
+/// The weight of the decided shares beside the counted answers, in answers. A node with few requests relies on them.
+const PRIOR_ANSWERS: f64 = 10.0;
 
 /// The rise of the share per second under a shortage. Callers are late until it has risen.
 const RISE_PER_S: f64 = 0.5;
@@ -47,9 +55,10 @@
 /// cold, and all other data centres turn to it at the same time.
 const RAMP_S: f64 = 10.0;
 
-/// The load of a data centre, as a part of the load that it bears, from which it counts as one that sends traffic away.
-/// The free room of the others is divided among these.
-const CLAIM_LOAD: f64 = 0.9;
+/// The load of a data centre, as a part of the load that it bears, from which it counts as one that sends traffic away and
+/// takes no more. It is below the load at which traffic leaves, so that two data centres do not send each other traffic.
+/// The free room of the others is divided among all that send.
+const FULL_LOAD: f64 = 0.9;
 
 /// The time between two decisions above which the earlier state is discarded, because the process was suspended.
 const MAX_GAP: Duration = Duration::from_secs(1);
@@ -92,22 +101,22 @@
 #[derive(Clone, Debug)]
 struct Remote {
     centre: CompactString,
-    /// When it appeared or returned.
-    since: Time,
+    /// When it appeared or returned, unless it was there at the first decision.
+    since: Option<Time>,
     /// The part of this data centre's demand that goes there.
     share: f64,
-    /// Its part of the whole share, as a moving average.
-    weight: f64,
-    /// The load that it bears beyond its present load without that of this data centre, as a moving average.
-    room: f64,
+    /// The load that it bears beside that of the other data centres.
+    room: Average,
+    /// The answers to callers of this node that came from there, with exponential decay.
+    answers: f64,
     /// The shares after the last decisions, newest first.
     past: VecDeque<f64>,
 }
 
 impl Remote {
-    fn new(now: Time, centre: CompactString) -> Remote {
+    fn new(since: Option<Time>, centre: CompactString) -> Remote {
         let past = VecDeque::new();
-        Remote { centre, since: now, share: 0.0, weight: 0.0, room: 0.0, past }
+        Remote { centre, since, share: 0.0, room: Average::default(), answers: 0.0, past }
     }
 
     /// Returns the share that was in force `age` ago, in intervals between decisions of `interval` seconds.
@@ -118,7 +127,8 @@
 
     /// Returns the part of its room that may be used. It rises step by step after a return.
     fn ramp(&self, now: Time) -> f64 {
-        (FIRST_RAMP + now.since(self.since).as_secs_f64() / RAMP_S).min(1.0)
+        let ramp = |since| FIRST_RAMP + now.since(since).as_secs_f64() / RAMP_S;
+        self.since.map_or(1.0, |since| ramp(since).min(1.0))
     }
 }
 
@@ -126,10 +136,14 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Spill {
     remotes: Vec<Remote>,
-    /// The load that would be at the local targets if no traffic left, as a moving average.
-    demand: Option<f64>,
+    /// The load that would be at the local targets if no traffic left.
+    demand: Average,
+    /// All answers to callers of this node, with exponential decay.
+    answers: f64,
     reason: SpillReason,
     decided: Time,
+    /// Whether a decision was possible before, so that a data centre seen for the first time has returned.
+    is_started: bool,
 }
 
 impl Spill {
@@ -147,22 +161,46 @@
             *self = Spill::default();
         }
         self.decided = now;
-        let interval = gap.min(MAX_GAP).as_secs_f64();
+        let interval = if gap > MAX_GAP { 0.0 } else { gap.as_secs_f64() };
         let local = loads.iter().find(|load| load.centre == centre);
         let others = || loads.iter().filter(|load| load.centre != centre).take(MAX_CENTRES);
         self.update_remotes(now, others());
         let (Some(local), false) = (local, self.remotes.is_empty()) else {
-            *self = Spill { decided: now, ..Spill::default() };
+            let is_started = self.is_started;
+            *self = Spill { decided: now, is_started, ..Spill::default() };
             return;
         };
-        let sent = |remote: &Remote| remote.share_before(local.age + service, interval);
-        let stayed = 1.0 - self.remotes.iter().map(sent).sum::<f64>().min(MAX_SHARE);
-        let demand = smooth(self.demand, local.load / stayed, interval);
-        self.demand = Some(demand);
+        self.is_started = true;
+        self.decay_answers(interval);
+        let age = local.age + service;
+        let sent: f64 = self.remotes.iter().map(|remote| self.sent(remote, age, interval)).sum();
+        let demand = local.load / (1.0 - sent.min(MAX_SHARE));
+        let demand = self.demand.update(demand, demand, interval * weight_of(local.age));
         self.update_rooms(demand, service, loads, interval);
         self.update_shares(now, demand, local.bearable, interval);
     }
 
+    /// Counts an answer to a caller of this node.
+    pub(crate) fn record_answer(&mut self, centre: &str) {
+        self.answers += 1.0;
+        if let Some(remote) = self.remotes.iter_mut().find(|remote| remote.centre == centre) {
+            remote.answers += 1.0;
+        }
+    }
+
+    fn decay_answers(&mut self, interval: f64) {
+        let keep = (-interval / ANSWERS_S).exp();
+        self.answers *= keep;
+        self.remotes.iter_mut().for_each(|remote| remote.answers *= keep);
+    }
+
+    /// Returns the share of the demand that was sent to a data centre `age` ago. Requests are also sent there by their own
+    /// cost, so the decided share alone would be too low.
+    fn sent(&self, remote: &Remote, age: Duration, interval: f64) -> f64 {
+        let decided = remote.share_before(age, interval) * PRIOR_ANSWERS;
+        (remote.answers + decided) / (self.answers + PRIOR_ANSWERS)
+    }
+
     /// Adds data centres that have appeared, and removes those that are gone, at once and with their shares.
     fn update_remotes<'a>(&mut self, now: Time, loads: impl Iterator<Item = &'a CentreLoad>) {
         let mut earlier = std::mem::take(&mut self.remotes);
@@ -170,7 +208,7 @@
             let known = earlier.iter().position(|remote| remote.centre == load.centre);
             self.remotes.push(match known {
                 Some(index) => earlier.swap_remove(index),
-                None => Remote::new(now, load.centre.clone()),
+                None => Remote::new(self.is_started.then_some(now), load.centre.clone()),
             });
         }
     }
@@ -183,38 +221,30 @@
         loads: &[CentreLoad],
         interval: f64,
     ) {
-        for remote in &mut self.remotes {
+        for index in 0..self.remotes.len() {
+            let remote = &self.remotes[index];
             let Some(load) = loads.iter().find(|load| load.centre == remote.centre) else {
                 continue;
             };
-            let claims = |other: &&CentreLoad| other.load >= other.bearable * CLAIM_LOAD;
+            let claims = |other: &&CentreLoad| other.load >= other.bearable * FULL_LOAD;
             let rivals = loads.iter().filter(|other| other.centre != remote.centre);
             let claimants = rivals.filter(claims).count().max(1);
-            let own = remote.share_before(load.age + service, interval) * demand;
-            let room = own + (load.bearable - load.load) / claimants as f64;
-            let known = (!remote.past.is_empty()).then_some(remote.room);
-            remote.room = smooth(known, room.max(0.0), interval);
+            let own = self.sent(remote, load.age + service, interval) * demand;
+            let room = own + (load.bearable * FULL_LOAD - load.load) / claimants as f64;
+            let weighted = interval * weight_of(load.age);
+            self.remotes[index].room.update(room.max(0.0), demand, weighted);
         }
     }
 
     fn update_shares(&mut self, now: Time, demand: f64, bearable: f64, interval: f64) {
         let demand = demand.max(f64::MIN_POSITIVE);
-        let rooms: Vec<f64> =
-            self.remotes.iter().map(|remote| remote.room * remote.ramp(now)).collect();
-        let all_room: f64 = rooms.iter().sum();
+        let room = |remote: &Remote| remote.room.get() * remote.ramp(now);
+        let all_room: f64 = self.remotes.iter().map(room).sum();
         let excess = (demand - bearable).max(0.0);
         let target = (excess.min(all_room) / demand).min(MAX_SHARE);
         let share = next_share(self.share(), target, interval).min(all_room / demand);
-        let keep = (-interval / SMOOTHING_S).exp();
-        for (remote, room) in self.remotes.iter_mut().zip(&rooms) {
-            let weight = if all_room > 0.0 { room / all_room } else { 0.0 };
-            let earlier = if remote.past.is_empty() { weight } else { remote.weight };
-            remote.weight = earlier * keep + weight * (1.0 - keep);
-        }
-        let all_weight: f64 = self.remotes.iter().map(|remote| remote.weight).sum();
-        for (remote, room) in self.remotes.iter_mut().zip(&rooms) {
-            let part = if all_weight > 0.0 { remote.weight / all_weight } else { 0.0 };
-            remote.share = (share * part).min(room / demand);
+        for remote in &mut self.remotes {
+            remote.share = if share > 0.0 { share * room(remote) / all_room } else { 0.0 };
             remote.past.push_front(remote.share);
             remote.past.truncate(HISTORY_LEN);
         }
@@ -277,6 +307,11 @@
     }
 }
 
+/// Returns the weight of a report in an average. The reports of one moment would count many times if they are old.
+fn weight_of(age: Duration) -> f64 {
+    NEW_AGE_S / age.as_secs_f64().max(NEW_AGE_S)
+}
+
 /// Returns the share after `interval` seconds: it rises fast and falls slowly.
 fn next_share(share: f64, target: f64, interval: f64) -> f64 {
     let next = if share == 0.0 {
@@ -291,10 +326,5 @@
     if next < STOP_SHARE && target == 0.0 { 0.0 } else { next }
 }
 
-fn smooth(known: Option<f64>, new: f64, interval: f64) -> f64 {
-    let keep = (-interval / SMOOTHING_S).exp();
-    known.map_or(new, |known| known * keep + new * (1.0 - keep))
-}
-
 #[cfg(test)]
 mod tests;
--- a/mesh/src/spill/capacity.rs
+++ b/mesh/src/spill/capacity.rs
@@ -66,7 +66,7 @@
     /// The mean age of the reports.
     pub(crate) age: Duration,
     /// The number of targets.
-    targets: u32,
+    pub(crate) targets: u32,
 }
 
 impl CentreLoad {
@@ -109,6 +109,8 @@
     let spare = demand.objective_s - journey - service;
     let limit = f64::from(report.limit.max(1));
     let mut bearable = bearable_utilisation(limit, spare / service.max(1e-6)) * limit / slowdown;
+    // A target that fails its requests at once has no queue and looks free.
+    bearable *= 1.0 - (f64::from(report.failure_permille) / 1_000.0).min(1.0);
     if report.is_cold {
         bearable = bearable.min(demand.cold_rate * demand.service_s);
     }
--- a/mesh/src/spill/table.rs
+++ b/mesh/src/spill/table.rs
@@ -92,6 +92,13 @@
         entry.spill.draw(demand, entry.demand.size, rng).cloned()
     }
 
+    /// Counts an answer of a target in a data centre.
+    pub(crate) fn record_answer(&mut self, service: &str, centre: &str) {
+        if let Some(entry) = self.services.get_mut(service) {
+            entry.spill.record_answer(centre);
+        }
+    }
+
     /// Updates the decisions of all services and returns the log lines about them.
     pub(crate) fn update(
         &mut self,
