Compare all other data centres of a service

Cause: a bound of 16 data centres was neither logged nor counted when reached, and a deployment has two to four. Change: the bound is gone; the number is that of the data centres of known members.

--- a/mesh/src/spill.rs
+++ b/mesh/src/spill.rs
@@ -66,13 +66,10 @@
 /// The number of earlier decisions whose shares are kept. At ten per second they reach back further than usable reports.
 const HISTORY_LEN: usize = 40;
 
-/// The most data centres compared for one service. Further ones receive traffic only by the cost of a request.
-pub(crate) const MAX_CENTRES: usize = 16;
-
 /// Why a share of the demand leaves the data centre, or why none does.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) enum SpillReason {
-    /// No decision: only one data centre, or the own one, has no usable targets.
+    /// No decision: the own data centre, or each other one, has no usable targets.
     #[default]
     Unknown,
     /// The local targets bear the demand.
@@ -163,7 +160,7 @@
         self.decided = now;
         let interval = if gap > MAX_GAP { 0.0 } else { gap.as_secs_f64() };
         let local = loads.iter().find(|load| load.centre == centre);
-        let others = || loads.iter().filter(|load| load.centre != centre).take(MAX_CENTRES);
+        let others = || loads.iter().filter(|load| load.centre != centre);
         self.update_remotes(now, others());
         let (Some(local), false) = (local, self.remotes.is_empty()) else {
             let is_started = self.is_started;
