--- a/mesh/src/activity.rs
+++ b/mesh/src/activity.rs
@@ -1,11 +1,11 @@
 //! What happens on a server's connection, by which the server decides that it is idle or that the caller has left.
 
 use std::{
-    future::poll_fn,
+    future::{Future as _, poll_fn},
     io::{self, IoSlice},
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -17,7 +17,7 @@
     time::{self, Instant},
 };
 
-use crate::serve::HeadLimits;
+use crate::{early_runs::ConnectionRuns, peer_memory::Peer, serve::HeadLimits};
 
 /// The minimum interval of checks while a request is running, whatever the timeouts of the configuration.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,7 +28,11 @@
 
 /// The requests and the progress on a connection.
 #[derive(Clone)]
-pub(crate) struct Activity(Arc<Mutex<Progress>>);
+pub(crate) struct Activity {
+    progress: Arc<Mutex<Progress>>,
+    /// The connection in the account of what peers hold.
+    peer: Peer,
+}
 
 struct Progress {
     /// The number of requests that are running.
@@ -40,9 +44,9 @@
 }
 
 impl Activity {
-    pub(crate) fn new() -> Activity {
-        let last_sent = Instant::now();
-        Activity(Arc::new(Mutex::new(Progress { running: 0, last_sent, head_started: None })))
+    pub(crate) fn new(peer: Peer) -> Activity {
+        let progress = Progress { running: 0, last_sent: Instant::now(), head_started: None };
+        Activity { progress: Arc::new(Mutex::new(progress)), peer }
     }
 
     /// Records a request, whose head is complete.
@@ -50,24 +54,35 @@
         let mut progress = self.lock();
         progress.running += 1;
         progress.head_started = None;
+        self.peer.begin_request();
         ActivityGuard(self.clone())
     }
 
     /// Waits until the connection has been idle for the timeouts that are then in force. It is never idle while a
     /// request is running.
+    ///
+    /// This must be polled by the same task as the server and after it: a head that begins may end the wait earlier.
     pub(crate) async fn wait_until_idle(&self, limits: &watch::Receiver<HeadLimits>) {
-        loop {
-            let HeadLimits { timeout, head_timeout, .. } = *limits.borrow();
-            let left = self.lock().time_left(timeout, head_timeout);
-            if left.is_zero() {
-                return;
+        let mut check = pin!(time::sleep(Duration::ZERO));
+        poll_fn(|cx| {
+            loop {
+                let HeadLimits { timeout, head_timeout, .. } = *limits.borrow();
+                let left = self.lock().time_left(timeout, head_timeout);
+                if left.is_zero() {
+                    return Poll::Ready(());
+                }
+                let due = Instant::now() + left;
+                if due < check.deadline() || check.is_elapsed() {
+                    check.as_mut().reset(due);
+                }
+                ready!(check.as_mut().poll(cx));
             }
-            time::sleep(left).await;
-        }
+        })
+        .await;
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -97,6 +112,9 @@
         let mut progress = self.0.lock();
         progress.running -= 1;
         progress.last_sent = Instant::now();
+        if progress.running == 0 {
+            self.0.peer.end_request();
+        }
     }
 }
 
@@ -110,6 +128,8 @@
 struct Socket {
     stream: TcpStream,
     read_ahead: BytesMut,
+    /// The early runs, which see each byte once, when it is read from the stream.
+    early_runs: Option<ConnectionRuns>,
     /// Whether the server waits for bytes, and so notices the end of the connection itself.
     is_awaited: bool,
 }
@@ -124,8 +144,13 @@
 }
 
 impl TrackedStream {
-    pub(crate) fn new(stream: TcpStream, activity: Activity) -> TrackedStream {
-        let socket = Socket { stream, read_ahead: BytesMut::new(), is_awaited: false };
+    pub(crate) fn new(
+        stream: TcpStream,
+        activity: Activity,
+        early_runs: Option<ConnectionRuns>,
+    ) -> TrackedStream {
+        let read_ahead = BytesMut::new();
+        let socket = Socket { stream, read_ahead, early_runs, is_awaited: false };
         TrackedStream { socket: Arc::new(Mutex::new(socket)), activity }
     }
 
@@ -153,8 +178,12 @@
             self.read_ahead.advance(len);
             return Poll::Ready(Ok(()));
         }
+        let filled_before = buf.filled().len();
         let received = Pin::new(&mut self.stream).poll_read(cx, buf);
         self.is_awaited = received.is_pending();
+        if let Some(early_runs) = &self.early_runs {
+            early_runs.receive(&buf.filled()[filled_before..]);
+        }
         received
     }
 }
@@ -170,7 +199,7 @@
             return Poll::Pending;
         }
         let mut socket = self.socket.lock().unwrap_or_else(PoisonError::into_inner);
-        let Socket { stream, read_ahead, is_awaited } = &mut *socket;
+        let Socket { stream, read_ahead, early_runs, is_awaited } = &mut *socket;
         if *is_awaited {
             return Poll::Pending;
         }
@@ -181,6 +210,9 @@
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
                     read_ahead.extend_from_slice(buf.filled());
+                    if let Some(early_runs) = early_runs {
+                        early_runs.receive(buf.filled());
+                    }
                 }
                 Poll::Ready(Ok(()) | Err(_)) => return Poll::Ready(()),
             }
@@ -198,6 +230,7 @@
         let filled_before = buf.filled().len();
         let received = self.lock().poll_read(cx, buf);
         if buf.filled().len() > filled_before {
+            self.activity.peer.receive(buf.filled().len() - filled_before);
             let mut progress = self.activity.lock();
             // While a request is running, the bytes may be those of its body.
             if progress.running == 0 {
--- a/mesh/src/admission/request.rs
+++ b/mesh/src/admission/request.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct AdmissionRequest {
     pub(crate) route: CompactString,
+    /// The caller's team, if it has one.
+    pub(crate) team: Option<CompactString>,
     /// The priority; 0 is the highest.
     pub(crate) priority: u8,
     /// The latest time at which the answer counts as in time.
@@ -18,6 +20,8 @@
     pub(crate) deadline: Time,
     /// Whether the entry node found that no target can meet the objective.
     pub(crate) is_late: bool,
+    /// Whether a target waits for the answer while it runs another request, which holds one of its slots.
+    pub(crate) is_nested: bool,
     /// The objective of the route, counted from the caller's first attempt.
     pub(crate) full_objective: Duration,
     /// The nominal service time assumed until this node has measured one.
--- a/mesh/src/effect.rs
+++ b/mesh/src/effect.rs
@@ -14,6 +14,7 @@
     node_status::NodeStatus,
     refusal::{Reason, Refusal},
     rollout::RolloutRecord,
+    teams::Identity,
 };
 
 /// One effect, executed by the driver.
@@ -76,6 +77,10 @@
     pub(crate) number: u32,
     pub(crate) hop: Hop,
     pub(crate) spec: AttemptSpec,
+    /// Whether the request is a nested call.
+    pub(crate) is_nested: bool,
+    /// Who sends the request, which its headers must tell the target.
+    pub(crate) identity: Identity,
 }
 
 /// The node through which a target is reached.
@@ -132,6 +137,7 @@
         /// The age of the load report used for the choice.
         age: Option<Duration>,
         config: u64,
+        is_nested: bool,
     },
     /// An attempt ended without an answer for the caller.
     Retry { id: CompactString, attempt: u32, cause: &'static str, is_resent: bool },
--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -38,8 +38,11 @@
 /// Number of histogram buckets. Each bound is twice the previous one; the last is about eight seconds.
 const BUCKET_COUNT: u16 = 14;
 
+/// The counter of bounds on what peers hold of the process.
+const PEER_BOUNDS: &str = "peer_bounds";
+
 /// Names and help texts of the counters.
-const COUNTERS: [(&str, &str); 17] = [
+const COUNTERS: [(&str, &str); 19] = [
     ("attempts", "Attempts of callers' requests at targets"),
     ("retries", "Attempts that ended without an answer that is passed on, by cause"),
     ("refusals", "Callers' requests refused, by reason"),
@@ -63,10 +66,12 @@
     ("suspects", "Requests whose standing changed after a crash"),
     ("pauses", "Times for which this node did not run"),
     ("stops", "Graceful stops that began or ended"),
+    ("usage", "Usage reports by outcome, and changes of the duty to send them"),
+    (PEER_BOUNDS, "Times peers held all that they may, by what was done"),
 ];
 
 /// Names and help texts of the gauges.
-const GAUGES: [(&str, &str); 15] = [
+const GAUGES: [(&str, &str); 16] = [
     ("calls_in_progress", "Callers' requests in progress at this entry node"),
     ("target_running", "Requests running at the target beside this node"),
     ("target_queued", "Requests waiting for that target"),
@@ -74,6 +79,7 @@
     ("target_pace", "How long work takes there, as a multiple of the usual time"),
     ("target_open", "Whether that target takes new work"),
     ("target_cold", "Whether that target is in cold start"),
+    ("target_teams", "Teams whose shares of that target are counted"),
     ("members_known", "Members that this node knows"),
     ("members_silent", "Members from which nothing was heard for long"),
     ("members_cold", "Members whose targets are in cold start"),
@@ -135,9 +141,11 @@
     target_times: RouteHistograms,
     queue_times: Histogram,
     store_calls: Family<StoreCallLabels, Counter>,
+    early_runs: Family<KindLabel, Counter>,
     gauges: Vec<Gauge<f64, AtomicU64>>,
     remote_shares: Family<RemoteShareLabels, Gauge<f64, AtomicU64>>,
     dropped: Counter,
+    usage_holder: Gauge<f64, AtomicU64>,
     routes: Mutex<HashSet<CompactString>>,
 }
 
@@ -172,8 +180,14 @@
         let remote_shares = Family::default();
         let help = "Share of the demand for a service that goes to other data centres";
         registry.register("remote_share", help, remote_shares.clone());
+        let early_runs = Family::default();
+        let help = "Requests sent ahead that were started, delayed by a bound or discarded";
+        registry.register("early_runs", help, early_runs.clone());
         let dropped = Counter::default();
         registry.register("log_lines_dropped", "Log lines that did not fit", dropped.clone());
+        let usage_holder = Gauge::default();
+        let help = "Whether this node holds the duty to report usage";
+        registry.register("usage_holder", help, usage_holder.clone());
         Metrics {
             registry,
             counters,
@@ -182,9 +196,11 @@
             target_times,
             queue_times,
             store_calls,
+            early_runs,
             gauges,
             remote_shares,
             dropped,
+            usage_holder,
             routes: Mutex::default(),
         }
     }
@@ -217,6 +233,29 @@
         self.store_calls.get_or_create(&StoreCallLabels { call, outcome }).inc();
     }
 
+    /// Counts a request that was sent ahead, by what became of its early run.
+    pub(crate) fn count_early_run(&self, kind: &'static str) {
+        self.early_runs.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts usage reports by outcome, or changes of the duty to send them.
+    pub(crate) fn count_usage(&self, kind: &'static str, count: u64) {
+        if let Some(family) = self.counters.get("usage") {
+            family.get_or_create(&KindLabel { kind }).inc_by(count);
+        }
+    }
+
+    pub(crate) fn set_usage_holder(&self, is_holder: bool) {
+        self.usage_holder.set(f64::from(u8::from(is_holder)));
+    }
+
+    /// Counts a bound on what peers hold, by what was done.
+    pub(crate) fn count_peer_bound(&self, kind: &'static str) {
+        if let Some(family) = self.counters.get(PEER_BOUNDS) {
+            family.get_or_create(&KindLabel { kind }).inc();
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn encode_text(&self, values: &GaugeValues, dropped: u64) -> String {
         for (gauge, value) in self.gauges.iter().zip(gauge_values(values)) {
@@ -305,6 +344,7 @@
         values.slowdown,
         flag(values.is_open),
         flag(values.is_cold),
+        values.teams as f64,
         values.members as f64,
         values.silent as f64,
         values.cold as f64,
--- a/mesh/src/metrics/tests.rs
+++ b/mesh/src/metrics/tests.rs
@@ -26,6 +26,7 @@
     }
     metrics.count(&answer("read", 1));
     metrics.count_store_call("get", "done");
+    metrics.count_early_run("started");
     observe(&metrics.target_times, metrics.route_name(&"read".into()), Duration::ZERO);
     let remote_shares = vec![RemoteShare { service: "s".into(), reason: "shortage", share: 0.2 }];
     let text = metrics.encode_text(&GaugeValues { remote_shares, ..GaugeValues::default() }, 0);
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -17,16 +17,18 @@
 
 use crate::{
     driver::{Driver, EffectSinks},
+    early_runs::EarlyRuns,
     event::Event,
     forwarder::Forwarder,
     health,
     ingress::Ingress,
     keys::MemberId,
-    logging::Log,
+    logging::{self, Log},
     metered_store::MeteredStore,
     metrics::Metrics,
     node_status::{self, NodeStatus},
     payload::Body,
+    peer_memory::{Door, PeerMemory},
     peer_requests::PeerServer,
     peers::Peers,
     pool::{Pool, PoolConfig},
@@ -35,12 +37,13 @@
     registry,
     replica::Topic,
     rollout::RolloutRecord,
-    serve::{self, HeadLimits},
+    serve::{self, HeadLimits, Server},
     settings::Settings,
     store::Store,
     sync::{self, Startup, WatchSignals},
     timer::Timers,
     topic_replicas::{TopicReplicas, UpdateHandler},
+    usage::{self, ReportSink, Usage, UsageSettings, task::UsageContext},
 };
 
 pub use crate::handle::NodeHandle;
@@ -82,9 +85,11 @@
 pub struct Node {
     driver: Arc<Driver>,
     id: MemberId,
+    memory: PeerMemory,
     stop: watch::Sender<bool>,
     tasks: JoinSet<()>,
     rollout_records: Option<mpsc::UnboundedReceiver<RolloutRecord>>,
+    usage: UsageContext,
 }
 
 impl Node {
@@ -119,6 +124,13 @@
             limits: settings.limits,
         };
         let metrics = Arc::new(Metrics::new());
+        let (bound_metrics, bound_log) = (metrics.clone(), log.clone());
+        let memory = PeerMemory::new(settings.process, move |bound| {
+            bound_metrics.count_peer_bound(bound.action.as_str());
+            if let Some(count) = bound.log_count {
+                logging::write_peer_bound(&bound_log, bound, count);
+            }
+        });
         let store = MeteredStore::new(store, metrics.clone());
         let reducer = Reducer::new(local, rand::rng().random());
         let driver = Arc::new(Driver::new(reducer, log.clone(), metrics.clone()));
@@ -164,25 +176,44 @@
         let peer_pools = Peers::default();
         tasks.spawn(pull(pull_requests, peer_pools.clone(), replicas.clone()));
         tasks.spawn(recall::send_recalls(recall_orders, peer_pools.clone(), driver.clone()));
-        let forwarder = Forwarder { driver: driver.clone(), names: names.clone(), pool };
+        let usage = UsageContext {
+            usage: Usage::default(),
+            driver: driver.clone(),
+            peers: peer_pools.clone(),
+            metrics: metrics.clone(),
+        };
+        let forwarder = Forwarder {
+            driver: driver.clone(),
+            names: names.clone(),
+            pool,
+            usage: usage.usage.clone(),
+        };
         let ingress = Ingress {
             driver: driver.clone(),
             names,
             peers: peer_pools.clone(),
             forwarder: forwarder.clone(),
+            memory: memory.clone(),
         };
+        let early_runs = EarlyRuns::new(Arc::new(ingress.clone()), metrics.clone());
         let handle = move |req: Request<Incoming>| {
             let ingress = ingress.clone();
             async move { ingress.serve(req).await }
         };
-        tasks.spawn(serve::serve(callers, stop.subscribe(), head_limits, log.clone(), handle));
-        let peer_server = PeerServer { driver: driver.clone(), forwarder, replicas };
+        let early_runs = Some(Arc::new(early_runs));
+        let account = (memory.clone(), Door::Callers);
+        let stopping = stop.subscribe();
+        let server = Server { account, stop: stopping, limits: head_limits, early_runs, handle };
+        tasks.spawn(server.serve(callers, log.clone()));
+        let peer_server =
+            PeerServer { driver: driver.clone(), forwarder, replicas, memory: memory.clone() };
         let handle = move |req: Request<Incoming>| {
             let peer_server = peer_server.clone();
             async move { peer_server.serve(req).await }
         };
         tasks.spawn(serve::serve(
             peers,
+            (memory.clone(), Door::Peers),
             stop.subscribe(),
             default_limits.clone(),
             log.clone(),
@@ -195,6 +226,7 @@
         };
         tasks.spawn(serve::serve(
             ready,
+            (memory.clone(), Door::Ready),
             stop.subscribe(),
             default_limits.clone(),
             log.clone(),
@@ -211,6 +243,7 @@
                     };
                     tasks.spawn(serve::serve(
                         listener,
+                        (memory.clone(), Door::Metrics),
                         stop.subscribe(),
                         default_limits,
                         log,
@@ -243,7 +276,8 @@
             peers: peer_pools,
             timers,
         });
-        Ok(Node { driver, id, stop, tasks, rollout_records: Some(rollout_records) })
+        let rollout_records = Some(rollout_records);
+        Ok(Node { driver, id, memory, stop, tasks, rollout_records, usage })
     }
 
     /// Returns the member id, which is new at each start.
@@ -256,11 +290,28 @@
         NodeHandle::new(self.driver.clone())
     }
 
+    /// Returns the account of what peers hold of the process, for the adapter's own servers.
+    pub fn peer_memory(&self) -> PeerMemory {
+        self.memory.clone()
+    }
+
     /// Returns the receiver of rollout states that must be saved in the store; `None` after the first call.
     pub fn rollout_records(&mut self) -> Option<mpsc::UnboundedReceiver<RolloutRecord>> {
         self.rollout_records.take()
     }
 
+    /// Starts to count requests of teams, and to take part in the duty to report them through `sink`.
+    pub fn report_usage<S: Store, K: ReportSink>(
+        &mut self,
+        store: S,
+        sink: K,
+        settings: UsageSettings,
+    ) {
+        let context = self.usage.clone();
+        let store = MeteredStore::new(store, context.metrics.clone());
+        self.tasks.spawn(usage::task::run(context, store, sink, settings));
+    }
+
     /// Begins a graceful stop: the node accepts no new requests and completes those in progress.
     pub fn stop(&self) {
         self.driver.dispatch(Event::Stop);
@@ -282,6 +333,7 @@
                 break;
             }
         }
+        usage::handover::hand_over(&self.usage).await;
         self.tasks.abort_all();
     }
 }
--- a/mesh/src/serve/tests.rs
+++ b/mesh/src/serve/tests.rs
@@ -12,7 +12,11 @@
 };
 
 use super::{HeadLimits, serve};
-use crate::{config::CallerLimits, payload::Body};
+use crate::{
+    config::CallerLimits,
+    payload::Body,
+    peer_memory::{Door, PeerMemory, ProcessLimits},
+};
 
 /// The limits in force: a connection is idle 70 s after an answer.
 const LIMITS: CallerLimits = CallerLimits {
@@ -46,7 +50,8 @@
         let limits = watch::channel(HeadLimits::from(&LIMITS)).1;
         let log = Logger::root(slog::Discard, slog::o!());
         let body = Bytes::from(vec![b'x'; length]);
-        tokio::spawn(serve(listener, is_stopping, limits, log, move |_| {
+        let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Door::Callers);
+        tokio::spawn(serve(listener, account, is_stopping, limits, log, move |_| {
             let body = body.clone();
             async move {
                 sleep(answer_time).await;
@@ -104,6 +109,20 @@
     assert_eq!(caller.start.elapsed().as_secs(), 75);
 }
 
+/// Guards against a slow head that outlasts its time because the connection was checked before it began, and again only
+/// after the idle timeout.
+#[test_case(5_000; "soon after the connection began")]
+#[test_case(40_000; "later")]
+#[tokio::test]
+async fn a_head_that_begins_after_a_check_has_its_own_time(begin_ms: u64) {
+    let mut caller = Caller::open(0, ANSWER_TIME).await;
+    for ms in [0, 3_000, 6_000] {
+        caller.send_at(begin_ms + ms, "GET").await;
+    }
+    assert_eq!(caller.receive().await, b"");
+    assert_eq!(caller.start.elapsed().as_secs(), begin_ms / 1_000 + 10);
+}
+
 /// Guards against an answer that is cut while a slow caller receives its last chunk, which the server took long before.
 #[tokio::test]
 async fn an_answer_to_a_slow_reader_is_complete() {
