--- a/mesh/src/spill.rs
+++ b/mesh/src/spill.rs
@@ -60,6 +60,10 @@
 /// The free room of the others is divided among all that send.
 const FULL_LOAD: f64 = 0.9;
 
+/// The idle part of the local targets' limits above which there is no shortage. A target that is slow for a moment bears less
+/// within the time to the objective, but while there are idle ones the choice for each request evades it.
+const IDLE_SHARE: f64 = 0.3;
+
 /// The time between two decisions above which the earlier state is discarded, because the process was suspended.
 const MAX_GAP: Duration = Duration::from_secs(1);
 
@@ -135,6 +139,8 @@
     remotes: Vec<Remote>,
     /// The load that would be at the local targets if no traffic left.
     demand: Average,
+    /// The idle part of the local targets' limits.
+    idle: Average,
     /// All answers to callers of this node, with exponential decay.
     answers: f64,
     reason: SpillReason,
@@ -174,7 +180,10 @@
         let demand = local.load / (1.0 - sent.min(MAX_SHARE));
         let demand = self.demand.update(demand, demand, interval * weight_of(local.age));
         self.update_rooms(demand, service, loads, interval);
-        self.update_shares(now, demand, local.bearable, interval);
+        let idle = local.idle / local.limit.max(1.0);
+        let idle = self.idle.update(idle, 1.0, interval * weight_of(local.age));
+        let bearable = if idle > IDLE_SHARE { local.bearable.max(demand) } else { local.bearable };
+        self.update_shares(now, demand, bearable, interval);
     }
 
     /// Counts an answer to a caller of this node.
--- a/mesh/src/spill/capacity.rs
+++ b/mesh/src/spill/capacity.rs
@@ -67,11 +67,16 @@
     pub(crate) age: Duration,
     /// The number of targets.
     pub(crate) targets: u32,
+    /// The requests that the targets run at the same time at most.
+    pub(crate) limit: f64,
+    /// How many more they could run now.
+    pub(crate) idle: f64,
 }
 
 impl CentreLoad {
     pub(crate) fn new(centre: CompactString) -> CentreLoad {
-        CentreLoad { centre, load: 0.0, bearable: 0.0, age: Duration::ZERO, targets: 0 }
+        let (age, targets) = (Duration::ZERO, 0);
+        CentreLoad { centre, load: 0.0, bearable: 0.0, age, targets, limit: 0.0, idle: 0.0 }
     }
 
     /// Adds a target that accepts requests.
@@ -87,6 +92,9 @@
         self.bearable += bearable;
         self.age = (self.age * self.targets + age) / (self.targets + 1);
         self.targets += 1;
+        let in_progress = f64::from(report.running) + f64::from(report.queued);
+        self.limit += f64::from(report.limit);
+        self.idle += (f64::from(report.limit) - in_progress).max(0.0);
     }
 }
 
