--- a/mesh/src/metrics.rs
+++ b/mesh/src/metrics.rs
@@ -42,7 +42,7 @@
 const PEER_BOUNDS: &str = "peer_bounds";
 
 /// Names and help texts of the counters.
-const COUNTERS: [(&str, &str); 18] = [
+const COUNTERS: [(&str, &str); 19] = [
     ("attempts", "Attempts of callers' requests at targets"),
     ("retries", "Attempts that ended without an answer that is passed on, by cause"),
     ("refusals", "Callers' requests refused, by reason"),
@@ -59,6 +59,10 @@
         "orders",
         "Configurations, evacuations and stages of rollouts that came into force, and their confirmations",
     ),
+    (
+        "remote_share_changes",
+        "Logged changes of the share of a service that leaves the data centre",
+    ),
     ("suspects", "Requests whose standing changed after a crash"),
     ("pauses", "Times for which this node did not run"),
     ("stops", "Graceful stops that began or ended"),
@@ -120,6 +124,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RemoteShareLabels {
+    service: RouteName,
+    reason: &'static str,
+}
+
 type RouteHistograms = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// All metrics of a node.
@@ -133,6 +143,7 @@
     store_calls: Family<StoreCallLabels, Counter>,
     early_runs: Family<KindLabel, Counter>,
     gauges: Vec<Gauge<f64, AtomicU64>>,
+    remote_shares: Family<RemoteShareLabels, Gauge<f64, AtomicU64>>,
     dropped: Counter,
     usage_holder: Gauge<f64, AtomicU64>,
     routes: Mutex<HashSet<CompactString>>,
@@ -166,6 +177,9 @@
         registry.register("queue_seconds", help, queue_times.clone());
         let store_calls = Family::default();
         registry.register("store_calls", "Calls to the store", store_calls.clone());
+        let remote_shares = Family::default();
+        let help = "Share of the demand for a service that goes to other data centres";
+        registry.register("remote_share", help, remote_shares.clone());
         let early_runs = Family::default();
         let help = "Requests sent ahead that were started, delayed by a bound or discarded";
         registry.register("early_runs", help, early_runs.clone());
@@ -184,6 +198,7 @@
             store_calls,
             early_runs,
             gauges,
+            remote_shares,
             dropped,
             usage_holder,
             routes: Mutex::default(),
@@ -246,6 +261,12 @@
         for (gauge, value) in self.gauges.iter().zip(gauge_values(values)) {
             gauge.set(value);
         }
+        self.remote_shares.clear();
+        for share in &values.remote_shares {
+            let (service, reason) = (RouteName(share.service.clone()), share.reason);
+            let labels = RemoteShareLabels { service, reason };
+            self.remote_shares.get_or_create(&labels).set(share.share);
+        }
         self.dropped.inner().store(dropped, Ordering::Relaxed);
         let mut text = String::new();
         // Writing to a string cannot fail.
@@ -306,6 +327,7 @@
         Record::Evacuated { .. } => ("orders", "evacuation"),
         Record::Rollout { stage, .. } => ("orders", *stage),
         Record::Suspect(suspect) => ("suspects", suspect.standing.as_str()),
+        Record::RemoteShare { reason, .. } => ("remote_share_changes", *reason),
         Record::Paused { .. } => ("pauses", "ended"),
         Record::Stop { phase, .. } => ("stops", *phase),
     }
--- a/mesh/src/reducer.rs
+++ b/mesh/src/reducer.rs
@@ -15,6 +15,7 @@
 mod parents;
 mod pulls;
 mod records;
+mod spills;
 mod statuses;
 mod stops;
 mod store_trials;
@@ -48,6 +49,7 @@
     replica::Revisions,
     report::LoadReport,
     rollout::{Rollout, RolloutRecord},
+    spill::SpillTable,
     split::SplitScheduler,
     tally::Tally,
     target::{Heartbeat, HeartbeatReply, Lifetime, Target, TargetChange},
@@ -126,6 +128,8 @@
     estimates: HashMap<calls::ServiceRoute, calls::RouteEstimate>,
     /// The scheduler of each route that splits its requests among services.
     splits: HashMap<CompactString, SplitScheduler>,
+    /// How much traffic goes to other data centres.
+    spills: SpillTable,
     /// The timeouts that callers have stated for each route.
     caller_timeouts: HashMap<CompactString, calls::CallerTimeouts>,
     crash_guard: CrashGuard,
@@ -178,6 +182,7 @@
             fleet: Fleet::default(),
             estimates: HashMap::new(),
             splits: HashMap::new(),
+            spills: SpillTable::default(),
             caller_timeouts: HashMap::new(),
             crash_guard: CrashGuard::new(local.id),
             pending_reports: Vec::new(),
@@ -316,6 +321,7 @@
             config_age: now.since(self.config_since),
             orders_age: self.orders_age(now),
             has_store: self.has_store,
+            remote_shares: self.spills.gauges(),
         }
     }
 
@@ -366,6 +372,7 @@
         self.save_lost_records(now, out);
         self.resend_suspects(now, out);
         self.update_admission(now, out);
+        self.update_spills(now, out);
         self.send_due_statuses(now, out);
         self.exit_if_idle(now, out);
     }
--- a/mesh/src/reducer/tests.rs
+++ b/mesh/src/reducer/tests.rs
@@ -15,6 +15,7 @@
 mod pulls;
 mod records;
 mod slowdowns;
+mod spills;
 mod spread;
 mod stale_config;
 mod stops;
@@ -26,7 +27,7 @@
     config::{Config, Route, RouteTable, Service, Share},
     crash_guard::RequestHash,
     directory::MemberRecord,
-    effect::{Attempt, CallStep, Effect, Hop, WorkStep},
+    effect::{Attempt, CallStep, Effect, Hop, Record, WorkStep},
     event::{CallEvent, CallHead, Event, Failure, Timer, WorkEvent, WorkHead},
     keys::{CallKey, MemberId, WorkKey},
     node_status::NodeStatus,
