--- a/mesh/src/budget.rs
+++ b/mesh/src/budget.rs
@@ -114,7 +114,7 @@
     /// Withdraws the cost of a retry, or returns `false` if the budget does not cover it.
     ///
     /// In a large fleet, the balance of a node never covers a retry: whole retries saved by each node would exceed the bound.
-    /// Such a node stakes its balance, and sends the retry with the probability that the balance covers.
+    /// Such a node spends its balance on a draw, and sends the retry with the probability that the balance covers.
     pub(crate) fn try_withdraw(
         &mut self,
         now: Time,
--- a/mesh/src/early_runs/tests.rs
+++ b/mesh/src/early_runs/tests.rs
@@ -26,7 +26,7 @@
     gauges::GaugeValues,
     metrics::Metrics,
     payload::{Body, Payload},
-    peer_memory::{Door, Peer, PeerMemory, ProcessLimits},
+    peer_memory::{Endpoint, Peer, PeerMemory, ProcessLimits},
     serve::{HeadLimits, Server},
 };
 
@@ -112,7 +112,7 @@
 
 fn peer() -> Peer {
     let memory = PeerMemory::new(ProcessLimits::default(), |_| {});
-    memory.connect(Door::Callers).expect("room for a connection")
+    memory.connect(Endpoint::Callers).expect("room for a connection")
 }
 
 /// A server of the stub, and a connection to it.
@@ -141,7 +141,7 @@
         let stop = watch::Sender::new(false);
         let limits = watch::channel(HeadLimits::default()).1;
         let early_runs = Some(Arc::new(early_runs));
-        let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Door::Callers);
+        let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Endpoint::Callers);
         let server = Server { account, stop: stop.subscribe(), limits, early_runs, handle };
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
--- a/mesh/src/logging.rs
+++ b/mesh/src/logging.rs
@@ -146,8 +146,8 @@
 
 /// Logs a bound on what peers hold.
 pub(crate) fn write_peer_bound(log: &Logger, bound: &BoundReached, count: u64) {
-    let BoundReached { action, door, connections, bytes, .. } = bound;
-    slog::warn!(log, "peer-bound"; "door" => door.as_str(), "action" => action.as_str(),
+    let BoundReached { action, endpoint, connections, bytes, .. } = bound;
+    slog::warn!(log, "peer-bound"; "endpoint" => endpoint.as_str(), "action" => action.as_str(),
         "count" => count, "connections" => connections, "bytes" => bytes);
 }
 
--- a/mesh/src/node.rs
+++ b/mesh/src/node.rs
@@ -28,7 +28,7 @@
     metrics::Metrics,
     node_status::{self, NodeStatus},
     payload::Body,
-    peer_memory::{Door, PeerMemory},
+    peer_memory::{Endpoint, PeerMemory},
     peer_requests::PeerServer,
     peers::Peers,
     pool::{Pool, PoolConfig},
@@ -201,7 +201,7 @@
             async move { ingress.serve(req).await }
         };
         let early_runs = Some(Arc::new(early_runs));
-        let account = (memory.clone(), Door::Callers);
+        let account = (memory.clone(), Endpoint::Callers);
         let stopping = stop.subscribe();
         let server = Server { account, stop: stopping, limits: head_limits, early_runs, handle };
         tasks.spawn(server.serve(callers, log.clone()));
@@ -213,7 +213,7 @@
         };
         tasks.spawn(serve::serve(
             peers,
-            (memory.clone(), Door::Peers),
+            (memory.clone(), Endpoint::Peers),
             stop.subscribe(),
             default_limits.clone(),
             log.clone(),
@@ -226,7 +226,7 @@
         };
         tasks.spawn(serve::serve(
             ready,
-            (memory.clone(), Door::Ready),
+            (memory.clone(), Endpoint::Ready),
             stop.subscribe(),
             default_limits.clone(),
             log.clone(),
@@ -243,7 +243,7 @@
                     };
                     tasks.spawn(serve::serve(
                         listener,
-                        (memory.clone(), Door::Metrics),
+                        (memory.clone(), Endpoint::Metrics),
                         stop.subscribe(),
                         default_limits,
                         log,
--- a/mesh/src/peer_memory.rs
+++ b/mesh/src/peer_memory.rs
@@ -3,7 +3,7 @@
 //!
 //! A connection reserves when it is accepted, for its heads while they arrive, and for a body while it is buffered; buffered
 //! bodies and answers are counted until their last byte has been sent. Each reservation is a guard that gives back when it is
-//! dropped. What is full is decided in `account`, for each [`Door`] and for the process.
+//! dropped. What is full is decided in `account`, for each [`Endpoint`] and for the process.
 
 use std::{
     mem,
@@ -33,7 +33,7 @@
 
 /// The listener at which a peer connects.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
-pub enum Door {
+pub enum Endpoint {
     /// Requests of callers.
     Callers,
     /// Requests of other nodes.
@@ -46,18 +46,18 @@
     Metrics,
 }
 
-impl Door {
-    pub(crate) const ALL: [Door; 5] =
-        [Door::Callers, Door::Peers, Door::Ready, Door::Control, Door::Metrics];
+impl Endpoint {
+    pub(crate) const ALL: [Endpoint; 5] =
+        [Endpoint::Callers, Endpoint::Peers, Endpoint::Ready, Endpoint::Control, Endpoint::Metrics];
 
     /// Returns the name used in logs.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
-            Door::Callers => "callers",
-            Door::Peers => "peers",
-            Door::Ready => "ready",
-            Door::Control => "control",
-            Door::Metrics => "metrics",
+            Endpoint::Callers => "callers",
+            Endpoint::Peers => "peers",
+            Endpoint::Ready => "ready",
+            Endpoint::Control => "control",
+            Endpoint::Metrics => "metrics",
         }
     }
 }
@@ -93,8 +93,8 @@
 #[derive(Copy, Clone, Debug)]
 pub(crate) struct BoundReached {
     pub(crate) action: Action,
-    pub(crate) door: Door,
-    /// What the door holds.
+    pub(crate) endpoint: Endpoint,
+    /// What the endpoint holds.
     pub(crate) connections: usize,
     pub(crate) bytes: usize,
     /// The number of times since the last log line, if there is to be one now.
@@ -148,25 +148,25 @@
     }
 
     /// Registers a new connection, or returns `None` if it must be closed.
-    pub(crate) fn connect(&self, door: Door) -> Option<Peer> {
+    pub(crate) fn connect(&self, endpoint: Endpoint) -> Option<Peer> {
         let mut state = self.lock();
-        let (key, shed) = state.account.connect(self.now(), door);
-        self.notify(&mut state, door, &shed);
+        let (key, shed) = state.account.connect(self.now(), endpoint);
+        self.notify(&mut state, endpoint, &shed);
         let Some(key) = key else {
-            self.report(&mut state, Action::NotAccepted, door);
+            self.report(&mut state, Action::NotAccepted, endpoint);
             return None;
         };
         let signals = Arc::<Signals>::default();
         state.signals.insert(key, signals.clone());
         drop(state);
-        Some(Peer(Arc::new(Connection { memory: self.clone(), door, key, signals })))
+        Some(Peer(Arc::new(Connection { memory: self.clone(), endpoint, key, signals })))
     }
 
-    /// Counts buffered bytes until the last clone of them is dropped: those of an answer, or of a request at a door.
-    pub(crate) fn hold(&self, door: Option<Door>, bytes: Bytes) -> Bytes {
+    /// Counts buffered bytes until the last clone of them is dropped: those of an answer, or of a request at an endpoint.
+    pub(crate) fn hold(&self, endpoint: Option<Endpoint>, bytes: Bytes) -> Bytes {
         let count = bytes.len();
-        self.lock().account.hold(door, count);
-        Bytes::from_owner(HeldBytes { memory: self.clone(), door, bytes })
+        self.lock().account.hold(endpoint, count);
+        Bytes::from_owner(HeldBytes { memory: self.clone(), endpoint, bytes })
     }
 
     fn now(&self) -> Time {
@@ -177,7 +177,7 @@
         self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn notify(&self, state: &mut State, door: Door, shed: &[Shed]) {
+    fn notify(&self, state: &mut State, endpoint: Endpoint, shed: &[Shed]) {
         for Shed { key, phase } in shed {
             let Some(signals) = state.signals.get(*key) else { continue };
             let action = if *phase == Phase::Idle {
@@ -187,11 +187,11 @@
                 signals.refuse.notify_one();
                 Action::BodyRefused
             };
-            self.report(state, action, door);
+            self.report(state, action, endpoint);
         }
     }
 
-    fn report(&self, state: &mut State, action: Action, door: Door) {
+    fn report(&self, state: &mut State, action: Action, endpoint: Endpoint) {
         let now = self.now();
         let (logged, count) = &mut state.reports[action as usize];
         *count += 1;
@@ -200,16 +200,16 @@
         if is_due {
             *logged = Some(now);
         }
-        let usage = state.account.door(door);
+        let usage = state.account.endpoint(endpoint);
         let (connections, bytes) = (usage.connections, usage.bytes);
-        (self.0.report)(&BoundReached { action, door, connections, bytes, log_count });
+        (self.0.report)(&BoundReached { action, endpoint, connections, bytes, log_count });
     }
 }
 
 /// Bytes with the reservation for them.
 struct HeldBytes {
     memory: PeerMemory,
-    door: Option<Door>,
+    endpoint: Option<Endpoint>,
     bytes: Bytes,
 }
 
@@ -221,7 +221,7 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        self.memory.lock().account.release(self.door, self.bytes.len());
+        self.memory.lock().account.release(self.endpoint, self.bytes.len());
     }
 }
 
@@ -231,7 +231,7 @@
 
 struct Connection {
     memory: PeerMemory,
-    door: Door,
+    endpoint: Endpoint,
     key: PeerKey,
     signals: Arc<Signals>,
 }
@@ -247,10 +247,10 @@
 impl Peer {
     /// Records bytes that arrived.
     pub(crate) fn receive(&self, bytes: usize) {
-        let Connection { memory, door, key, .. } = &*self.0;
+        let Connection { memory, endpoint, key, .. } = &*self.0;
         let mut state = memory.lock();
         let shed = state.account.receive(memory.now(), *key, bytes);
-        memory.notify(&mut state, *door, &shed);
+        memory.notify(&mut state, *endpoint, &shed);
     }
 
     /// Begins a request, whose head has been read.
@@ -269,18 +269,18 @@
     ///
     /// Fails if the request must be refused.
     pub(crate) fn admit(&self, fields: usize) -> Result<(), NoRoom> {
-        let Connection { memory, door, key, .. } = &*self.0;
+        let Connection { memory, endpoint, key, .. } = &*self.0;
         let mut state = memory.lock();
         if state.account.has_room() {
             let bytes = fields * FIELD_BYTES;
             let Grant { is_granted, shed } =
                 state.account.reserve(memory.now(), *key, Part::Head, bytes);
-            memory.notify(&mut state, *door, &shed);
+            memory.notify(&mut state, *endpoint, &shed);
             if is_granted {
                 return Ok(());
             }
         }
-        memory.report(&mut state, Action::Refused, *door);
+        memory.report(&mut state, Action::Refused, *endpoint);
         Err(NoRoom)
     }
 
@@ -320,14 +320,14 @@
 impl BodyReservation {
     /// Raises the reservation to this many bytes.
     pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), NoRoom> {
-        let Connection { memory, door, key, .. } = &*self.peer.0;
+        let Connection { memory, endpoint, key, .. } = &*self.peer.0;
         let more = bytes.saturating_sub(self.reserved);
         let mut state = memory.lock();
         let Grant { is_granted, shed } =
             state.account.reserve(memory.now(), *key, Part::Body, more);
-        memory.notify(&mut state, *door, &shed);
+        memory.notify(&mut state, *endpoint, &shed);
         if !is_granted {
-            memory.report(&mut state, Action::BodyRefused, *door);
+            memory.report(&mut state, Action::BodyRefused, *endpoint);
             return Err(NoRoom);
         }
         self.reserved += more;
@@ -336,8 +336,8 @@
 
     /// Ends the buffering and counts the bytes that were buffered until they have been sent.
     pub(crate) fn finish(self, bytes: Bytes) -> Bytes {
-        let Connection { memory, door, .. } = &*self.peer.0;
-        memory.hold(Some(*door), bytes)
+        let Connection { memory, endpoint, .. } = &*self.peer.0;
+        memory.hold(Some(*endpoint), bytes)
     }
 }
 
--- a/mesh/src/peer_memory/account.rs
+++ b/mesh/src/peer_memory/account.rs
@@ -5,7 +5,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    peer_memory::{Door, bounds::Bounds},
+    peer_memory::{Endpoint, bounds::Bounds},
     time::Time,
 };
 
@@ -45,7 +45,7 @@
 }
 
 struct Peer {
-    door: Door,
+    endpoint: Endpoint,
     phase: Phase,
     /// When the phase began.
     since: Time,
@@ -60,7 +60,7 @@
     is_shed: bool,
 }
 
-/// What a door, or the process, has given away.
+/// What an endpoint, or the process, has given away.
 #[derive(Copy, Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Usage {
     pub(super) connections: usize,
@@ -99,8 +99,8 @@
 pub(super) struct Account {
     bounds: Bounds,
     peers: SlotMap<PeerKey, Peer>,
-    doors: [Usage; Door::ALL.len()],
-    /// The bytes of buffered answers, which no door bounds.
+    endpoints: [Usage; Endpoint::ALL.len()],
+    /// The bytes of buffered answers, which no endpoint bounds.
     answers: usize,
 }
 
@@ -129,35 +129,39 @@
         Account {
             bounds,
             peers: SlotMap::with_key(),
-            doors: [Usage::default(); Door::ALL.len()],
+            endpoints: [Usage::default(); Endpoint::ALL.len()],
             answers: 0,
         }
     }
 
-    pub(super) fn door(&self, door: Door) -> Usage {
-        self.doors[door as usize]
+    pub(super) fn endpoint(&self, endpoint: Endpoint) -> Usage {
+        self.endpoints[endpoint as usize]
     }
 
-    /// Returns the bytes that are given away at all doors and for answers.
+    /// Returns the bytes that are given away at all endpoints and for answers.
     pub(super) fn bytes(&self) -> usize {
-        self.answers + self.doors.iter().map(|usage| usage.bytes).sum::<usize>()
+        self.answers + self.endpoints.iter().map(|usage| usage.bytes).sum::<usize>()
     }
 
-    /// Takes a new connection, or returns `None` if its door is full and nobody can give way. The listed peers must give
+    /// Takes a new connection, or returns `None` if its endpoint is full and nobody can give way. The listed peers must give
     /// way.
-    pub(super) fn connect(&mut self, now: Time, door: Door) -> (Option<PeerKey>, Vec<Shed>) {
+    pub(super) fn connect(
+        &mut self,
+        now: Time,
+        endpoint: Endpoint,
+    ) -> (Option<PeerKey>, Vec<Shed>) {
         let mut shed = Vec::new();
-        while self.door(door).connections >= self.bounds.connections(door) {
-            let Some(peer) = self.shed_one(now, door, None) else { return (None, shed) };
+        while self.endpoint(endpoint).connections >= self.bounds.connections(endpoint) {
+            let Some(peer) = self.shed_one(now, endpoint, None) else { return (None, shed) };
             shed.push(peer);
         }
-        let grant = self.make_room(now, (door, None), Part::Head, CONNECTION_BYTES);
+        let grant = self.make_room(now, (endpoint, None), Part::Head, CONNECTION_BYTES);
         shed.extend(grant.shed);
         if !grant.is_granted {
             return (None, shed);
         }
         let peer = Peer {
-            door,
+            endpoint,
             phase: Phase::Idle,
             since: now,
             received: 0,
@@ -167,13 +171,13 @@
             body: 0,
             is_shed: false,
         };
-        self.doors[door as usize].add(peer.usage());
+        self.endpoints[endpoint as usize].add(peer.usage());
         (Some(self.peers.insert(peer)), shed)
     }
 
     pub(super) fn disconnect(&mut self, key: PeerKey) {
         if let Some(peer) = self.peers.remove(key) {
-            self.doors[peer.door as usize].subtract(peer.usage());
+            self.endpoints[peer.endpoint as usize].subtract(peer.usage());
         }
     }
 
@@ -235,7 +239,7 @@
         let Some(peer) = self.peers.get(key) else {
             return Grant { is_granted: false, shed: Vec::new() };
         };
-        let grant = self.make_room(now, (peer.door, Some(key)), part, bytes);
+        let grant = self.make_room(now, (peer.endpoint, Some(key)), part, bytes);
         if grant.is_granted {
             self.update(key, |peer| match part {
                 Part::Head => peer.head += bytes,
@@ -254,39 +258,39 @@
         self.peers.get(key).is_none_or(|peer| peer.is_shed)
     }
 
-    /// Counts bytes that are held for a request that runs (`Some` door) or for an answer, whatever the bounds.
-    pub(super) fn hold(&mut self, door: Option<Door>, bytes: usize) {
-        match door {
-            Some(door) => self.doors[door as usize].bytes += bytes,
+    /// Counts bytes that are held for a request that runs (`Some` endpoint) or for an answer, whatever the bounds.
+    pub(super) fn hold(&mut self, endpoint: Option<Endpoint>, bytes: usize) {
+        match endpoint {
+            Some(endpoint) => self.endpoints[endpoint as usize].bytes += bytes,
             None => self.answers += bytes,
         }
     }
 
-    pub(super) fn release(&mut self, door: Option<Door>, bytes: usize) {
-        match door {
-            Some(door) => self.doors[door as usize].bytes -= bytes,
+    pub(super) fn release(&mut self, endpoint: Option<Endpoint>, bytes: usize) {
+        match endpoint {
+            Some(endpoint) => self.endpoints[endpoint as usize].bytes -= bytes,
             None => self.answers -= bytes,
         }
     }
 
-    /// Sheds peers of a door until it has room for these bytes.
+    /// Sheds peers of an endpoint until it has room for these bytes.
     fn make_room(
         &mut self,
         now: Time,
-        (door, asking): (Door, Option<PeerKey>),
+        (endpoint, asking): (Endpoint, Option<PeerKey>),
         part: Part,
         bytes: usize,
     ) -> Grant {
-        let max = self.bounds.door_bytes(door, part);
+        let max = self.bounds.endpoint_bytes(endpoint, part);
         let mut shed = Vec::new();
         // Answers that slow readers hold leave room for connections and heads, so that for instance readiness is told.
         let is_full = |account: &Account| {
             let total = account.bytes() + bytes;
-            account.door(door).bytes + bytes > max
+            account.endpoint(endpoint).bytes + bytes > max
                 || (part == Part::Body && total > account.bounds.bytes())
         };
         while is_full(self) {
-            let Some(peer) = self.shed_one(now, door, asking) else {
+            let Some(peer) = self.shed_one(now, endpoint, asking) else {
                 return Grant { is_granted: false, shed };
             };
             shed.push(peer);
@@ -294,10 +298,10 @@
         Grant { is_granted: true, shed }
     }
 
-    /// Marks the peer of a door that gives way first, if any may.
-    fn shed_one(&mut self, now: Time, door: Door, asking: Option<PeerKey>) -> Option<Shed> {
+    /// Marks the peer of an endpoint that gives way first, if any may.
+    fn shed_one(&mut self, now: Time, endpoint: Endpoint, asking: Option<PeerKey>) -> Option<Shed> {
         let can_give_way = |key: PeerKey, peer: &Peer| {
-            peer.door == door
+            peer.endpoint == endpoint
                 && !peer.is_shed
                 && peer.phase != Phase::Running
                 && Some(key) != asking
@@ -312,7 +316,7 @@
 
     fn update(&mut self, key: PeerKey, change: impl FnOnce(&mut Peer)) {
         let Some(peer) = self.peers.get_mut(key) else { return };
-        let usage = &mut self.doors[peer.door as usize];
+        let usage = &mut self.endpoints[peer.endpoint as usize];
         usage.subtract(peer.usage());
         change(peer);
         usage.add(peer.usage());
--- a/mesh/src/peer_memory/account/tests.rs
+++ b/mesh/src/peer_memory/account/tests.rs
@@ -5,7 +5,7 @@
 
 use super::{Account, Part, PeerKey, Phase, Usage};
 use crate::{
-    peer_memory::{Door, ProcessLimits, bounds::Bounds},
+    peer_memory::{Endpoint, ProcessLimits, bounds::Bounds},
     time::Time,
 };
 
@@ -20,11 +20,11 @@
     Time::ZERO + Duration::from_millis(ms)
 }
 
-fn connect(account: &mut Account, ms: u64, door: Door) -> PeerKey {
-    account.connect(at(ms), door).0.expect("room")
+fn connect(account: &mut Account, ms: u64, endpoint: Endpoint) -> PeerKey {
+    account.connect(at(ms), endpoint).0.expect("room")
 }
 
-/// What a connection did before its door is full.
+/// What a connection did before its endpoint is full.
 #[derive(Copy, Clone, Debug)]
 enum Past {
     /// Sent nothing.
@@ -38,7 +38,7 @@
 }
 
 fn open(account: &mut Account, past: Past) -> PeerKey {
-    let key = connect(account, 0, Door::Callers);
+    let key = connect(account, 0, Endpoint::Callers);
     if !matches!(past, Past::Silent) {
         account.begin_request(at(0), key);
     }
@@ -64,8 +64,8 @@
     let mut account = account(7);
     let second = open(&mut account, second);
     let first = open(&mut account, first);
-    assert_eq!(account.connect(at(999), Door::Callers), (None, Vec::new()));
-    let (key, shed) = account.connect(at(1_000), Door::Callers);
+    assert_eq!(account.connect(at(999), Endpoint::Callers), (None, Vec::new()));
+    let (key, shed) = account.connect(at(1_000), Endpoint::Callers);
     assert!(key.is_some());
     assert_eq!(shed.iter().map(|shed| shed.key).collect::<Vec<_>>(), [first]);
     assert!(!account.is_shed(second));
@@ -78,7 +78,7 @@
     for _ in 0..2 {
         open(&mut account, Past::Running);
     }
-    assert_eq!(account.connect(at(60_000), Door::Callers), (None, Vec::new()));
+    assert_eq!(account.connect(at(60_000), Endpoint::Callers), (None, Vec::new()));
 }
 
 /// Guards against a connection that is closed although a request began on it after it was chosen.
@@ -87,28 +87,28 @@
     let mut account = account(7);
     let chosen = open(&mut account, Past::Silent);
     open(&mut account, Past::Running);
-    connect(&mut account, 2_000, Door::Callers);
+    connect(&mut account, 2_000, Endpoint::Callers);
     assert!(account.is_shed(chosen));
     account.begin_request(at(2_001), chosen);
     assert!(!account.is_shed(chosen));
-    assert_eq!(account.door(Door::Callers).connections, 3);
+    assert_eq!(account.endpoint(Endpoint::Callers).connections, 3);
 }
 
-/// Guards against a crowd of bodies that keeps out requests without one, or those at another door.
+/// Guards against a crowd of bodies that keeps out requests without one, or those at another endpoint.
 #[test]
 fn bodies_leave_room_for_heads_and_other_doors() {
     let mut account = account(4_096);
     let body = 128 << 10;
     loop {
-        let key = connect(&mut account, 0, Door::Callers);
+        let key = connect(&mut account, 0, Endpoint::Callers);
         if !account.reserve(at(0), key, Part::Body, body).is_granted {
             assert!(account.reserve(at(0), key, Part::Head, 16 << 10).is_granted);
             break;
         }
     }
-    for door in [Door::Peers, Door::Ready, Door::Control, Door::Metrics] {
-        let key = connect(&mut account, 0, door);
-        assert!(account.reserve(at(0), key, Part::Body, body).is_granted, "{door:?}");
+    for endpoint in [Endpoint::Peers, Endpoint::Ready, Endpoint::Control, Endpoint::Metrics] {
+        let key = connect(&mut account, 0, endpoint);
+        assert!(account.reserve(at(0), key, Part::Body, body).is_granted, "{endpoint:?}");
     }
     assert!(account.has_room());
 }
@@ -119,13 +119,13 @@
 fn ordinary_callers_do_not_reach_the_defaults() {
     let mut account = Account::new(Bounds::new(ProcessLimits::default()));
     for _ in 0..80 * 15 {
-        connect(&mut account, 0, Door::Callers);
+        connect(&mut account, 0, Endpoint::Callers);
     }
     for _ in 0..80 * 2 {
-        account.hold(Some(Door::Callers), 60_000);
+        account.hold(Some(Endpoint::Callers), 60_000);
         account.hold(None, 90_000);
     }
-    let key = connect(&mut account, 0, Door::Callers);
+    let key = connect(&mut account, 0, Endpoint::Callers);
     assert!(account.reserve(at(0), key, Part::Body, 192 << 10).is_granted);
     assert!(account.has_room());
 }
@@ -140,10 +140,10 @@
     let mut open: Vec<PeerKey> = Vec::new();
     for step in 0..20_000 {
         let now = at(step * 5);
-        let door = Door::ALL[rng.random_range(0..Door::ALL.len())];
+        let endpoint = Endpoint::ALL[rng.random_range(0..Endpoint::ALL.len())];
         let mut shed = Vec::new();
         if open.is_empty() || rng.random_ratio(1, 4) {
-            let (key, chosen) = account.connect(now, door);
+            let (key, chosen) = account.connect(now, endpoint);
             open.extend(key);
             open.retain(|key| !chosen.iter().any(|shed| shed.key == *key));
             chosen.iter().for_each(|shed| account.disconnect(shed.key));
@@ -164,14 +164,17 @@
         }
         open.retain(|key| !shed.iter().any(|shed| shed.key == *key));
         shed.iter().for_each(|shed| account.disconnect(shed.key));
-        for door in Door::ALL {
-            let peers = account.peers.values().filter(|peer| peer.door == door);
+        for endpoint in Endpoint::ALL {
+            let peers = account.peers.values().filter(|peer| peer.endpoint == endpoint);
             let held = peers.fold(Usage::default(), |mut held, peer| {
                 held.add(peer.usage());
                 held
             });
-            assert_eq!(held, account.door(door), "step {step}");
-            assert!(held.bytes <= account.bounds.door_bytes(door, Part::Head), "step {step}");
+            assert_eq!(held, account.endpoint(endpoint), "step {step}");
+            assert!(
+                held.bytes <= account.bounds.endpoint_bytes(endpoint, Part::Head),
+                "step {step}"
+            );
         }
     }
     open.into_iter().for_each(|key| account.disconnect(key));
--- a/mesh/src/peer_memory/bounds.rs
+++ b/mesh/src/peer_memory/bounds.rs
@@ -1,6 +1,6 @@
 //! The parts of the process's memory and descriptors that peers may take.
 
-use crate::peer_memory::{Door, account::Part};
+use crate::peer_memory::{Endpoint, account::Part};
 
 /// The memory of the process where the settings state none: that of the smallest machines.
 const DEFAULT_MEMORY_BYTES: u64 = 160 << 20;
@@ -12,7 +12,7 @@
 /// allocator and the HTTP library take beyond what is counted: half as much again, as measured with crowds of 400.
 const PEER_PERCENT: u64 = 40;
 
-/// The part of a door that connections and heads have beyond bodies, so that a crowd of bodies does not keep out small
+/// The part of an endpoint that connections and heads have beyond bodies, so that a crowd of bodies does not keep out small
 /// requests.
 const HEAD_PERCENT: usize = 25;
 
@@ -39,17 +39,17 @@
         Bounds { bytes, descriptors: limits.descriptors.unwrap_or(DEFAULT_DESCRIPTORS) }
     }
 
-    /// Returns the bytes of all doors and answers together.
+    /// Returns the bytes of all endpoints and answers together.
     pub(super) fn bytes(&self) -> usize {
         self.bytes
     }
 
-    /// Returns the bytes that a door may take for a part of requests.
-    pub(super) fn door_bytes(&self, door: Door, part: Part) -> usize {
-        let bytes = match door {
-            Door::Callers => self.bytes / 2,
-            Door::Peers => self.bytes / 4,
-            Door::Ready | Door::Control | Door::Metrics => self.bytes / 24,
+    /// Returns the bytes that an endpoint may take for a part of requests.
+    pub(super) fn endpoint_bytes(&self, endpoint: Endpoint, part: Part) -> usize {
+        let bytes = match endpoint {
+            Endpoint::Callers => self.bytes / 2,
+            Endpoint::Peers => self.bytes / 4,
+            Endpoint::Ready | Endpoint::Control | Endpoint::Metrics => self.bytes / 24,
         };
         match part {
             Part::Head => bytes,
@@ -57,12 +57,12 @@
         }
     }
 
-    /// Returns the connections of a door; at least two, so that a prober or a target finds one free. More than a quarter of
+    /// Returns the connections of an endpoint; at least two, so that a prober or a target finds one free. More than a quarter of
     /// the descriptors remain for connections that the node opens.
-    pub(super) fn connections(&self, door: Door) -> usize {
-        let part = match door {
-            Door::Callers | Door::Peers => self.descriptors / 16 * 5,
-            Door::Ready | Door::Control | Door::Metrics => self.descriptors / 32,
+    pub(super) fn connections(&self, endpoint: Endpoint) -> usize {
+        let part = match endpoint {
+            Endpoint::Callers | Endpoint::Peers => self.descriptors / 16 * 5,
+            Endpoint::Ready | Endpoint::Control | Endpoint::Metrics => self.descriptors / 32,
         };
         part.max(2)
     }
--- a/mesh/src/peer_memory/tests.rs
+++ b/mesh/src/peer_memory/tests.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use super::{Door, PeerMemory, ProcessLimits};
+use super::{Endpoint, PeerMemory, ProcessLimits};
 
 fn memory(memory_bytes: u64) -> (PeerMemory, Arc<AtomicUsize>) {
     let reported = Arc::<AtomicUsize>::default();
@@ -24,7 +24,7 @@
     let held = memory.hold(None, Bytes::from(vec![0; 500_000]));
     let rest = held.slice(499_999..);
     drop(held);
-    let peer = memory.connect(Door::Callers).expect("room");
+    let peer = memory.connect(Endpoint::Callers).expect("room");
     assert!(peer.admit(10).is_err());
     drop(rest);
     assert!(peer.admit(10).is_ok());
@@ -35,7 +35,7 @@
 fn guards_give_back_what_they_reserve() {
     let (memory, _) = memory(48 << 20);
     for _ in 0..1_000 {
-        let peer = memory.connect(Door::Peers).expect("room");
+        let peer = memory.connect(Endpoint::Peers).expect("room");
         peer.begin_request();
         let mut body = peer.begin_body();
         assert!(body.grow(100_000).is_ok());
@@ -49,7 +49,7 @@
 #[test]
 fn log_lines_are_bounded_in_rate() {
     let (memory, reported) = memory(48 << 20);
-    let peers: Vec<_> = (0..500).map(|_| memory.connect(Door::Ready)).collect();
+    let peers: Vec<_> = (0..500).map(|_| memory.connect(Endpoint::Ready)).collect();
     assert_eq!(peers.iter().flatten().count(), 2);
     assert_eq!(reported.load(Ordering::Relaxed), 1);
 }
--- a/mesh/src/peer_requests/tests.rs
+++ b/mesh/src/peer_requests/tests.rs
@@ -17,7 +17,7 @@
     forwarder::AttemptOutcome,
     keys::MemberId,
     payload::{Body, Payload},
-    peer_memory::{Door, PeerMemory, ProcessLimits},
+    peer_memory::{Endpoint, PeerMemory, ProcessLimits},
     pool::{Pool, PoolConfig},
     refusal::{Reason, Refusal},
     serve,
@@ -140,7 +140,7 @@
     };
     let (_stop, is_stopping) = watch::channel(false);
     let log = Logger::root(Discard, o!());
-    let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Door::Peers);
+    let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Endpoint::Peers);
     tokio::spawn(serve::serve(
         entry,
         account,
--- a/mesh/src/serve.rs
+++ b/mesh/src/serve.rs
@@ -17,7 +17,7 @@
     config::CallerLimits,
     early_runs::{ConnectionRuns, EarlyRuns},
     payload::Body,
-    peer_memory::{Door, Peer, PeerMemory},
+    peer_memory::{Endpoint, Peer, PeerMemory},
     pool,
 };
 
@@ -93,10 +93,10 @@
 }
 
 /// Accepts connections until `stop` becomes true, then shuts them down gracefully. What they hold is counted in the account at
-/// this door, and their requests carry their `Peer` as an extension.
+/// this endpoint, and their requests carry their `Peer` as an extension.
 pub async fn serve<H, F>(
     listener: TcpListener,
-    account: (PeerMemory, Door),
+    account: (PeerMemory, Endpoint),
     stop: watch::Receiver<bool>,
     limits: watch::Receiver<HeadLimits>,
     log: Logger,
@@ -111,8 +111,8 @@
 /// A server and what its connections share.
 #[derive(Clone)]
 pub(crate) struct Server<H> {
-    /// The account of what peers hold, and the door at which its connections are counted.
-    pub(crate) account: (PeerMemory, Door),
+    /// The account of what peers hold, and the endpoint at which its connections are counted.
+    pub(crate) account: (PeerMemory, Endpoint),
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) limits: watch::Receiver<HeadLimits>,
     /// The runs of requests that are sent ahead; without them the requests of a connection run one after the other.
@@ -134,9 +134,9 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    let (memory, door) = &self.account;
+                    let (memory, endpoint) = &self.account;
                     // Without room the connection is closed before anything of it is read.
-                    let Some(peer) = memory.connect(*door) else { continue };
+                    let Some(peer) = memory.connect(*endpoint) else { continue };
                     tokio::spawn(self.clone().serve_connection(stream, peer));
                 }
                 Err(error) => {
--- a/mesh/src/serve/tests.rs
+++ b/mesh/src/serve/tests.rs
@@ -15,7 +15,7 @@
 use crate::{
     config::CallerLimits,
     payload::Body,
-    peer_memory::{Door, PeerMemory, ProcessLimits},
+    peer_memory::{Endpoint, PeerMemory, ProcessLimits},
 };
 
 /// The limits in force: a connection is idle 70 s after an answer.
@@ -50,7 +50,7 @@
         let limits = watch::channel(HeadLimits::from(&LIMITS)).1;
         let log = Logger::root(slog::Discard, slog::o!());
         let body = Bytes::from(vec![b'x'; length]);
-        let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Door::Callers);
+        let account = (PeerMemory::new(ProcessLimits::default(), |_| {}), Endpoint::Callers);
         tokio::spawn(serve(listener, account, is_stopping, limits, log, move |_| {
             let body = body.clone();
             async move {
