--- a/mesh/src/usage/clock.rs
+++ b/mesh/src/usage/clock.rs
@@ -37,8 +37,11 @@
 #[derive(Debug)]
 pub(super) struct Discipline {
     last: Reading,
-    /// The time since the first reading, suspension included.
+    /// The time since the first reading, with suspensions that both the uptime and the time of day show. The windows follow
+    /// it: an uptime that runs faster than the other clocks must not move them.
     basis: Duration,
+    /// The time since the first reading by the clock that shows most, by which a lease counts.
+    lease: Duration,
     /// The jumps of the time of day ahead so far. They may be suspensions that no other clock shows.
     leaps: Duration,
     /// The offset of the time of day from `basis` that the windows follow, in microseconds.
@@ -49,8 +52,8 @@
 
 impl Discipline {
     pub(super) fn new(first: Reading) -> Discipline {
-        let (basis, leaps) = (Duration::ZERO, Duration::ZERO);
-        Discipline { last: first, basis, leaps, offset: micros(first.wall), jump: None }
+        let (basis, lease, leaps) = (Duration::ZERO, Duration::ZERO, Duration::ZERO);
+        Discipline { last: first, basis, lease, leaps, offset: micros(first.wall), jump: None }
     }
 
     /// Applies a reading and returns by how many microseconds the time of day is ahead of the one that the windows follow.
@@ -58,9 +61,12 @@
         let last = std::mem::replace(&mut self.last, reading);
         let steady = reading.steady.saturating_sub(last.steady);
         let uptime = reading.uptime.zip(last.uptime).map(|(now, then)| now.saturating_sub(then));
-        let passed = steady.max(uptime.unwrap_or_default());
-        let leap = reading.wall.saturating_sub(last.wall).saturating_sub(passed);
-        self.basis += passed;
+        let uptime = uptime.unwrap_or_default();
+        let wall = reading.wall.saturating_sub(last.wall);
+        let longest = steady.max(uptime);
+        let leap = wall.saturating_sub(longest);
+        self.basis += steady.max(uptime.min(wall));
+        self.lease += longest;
         if leap > JUMP_THRESHOLD {
             self.leaps += leap;
         }
@@ -83,7 +89,7 @@
 
     /// Returns the elapsed time that a lease counts by: no clock shows more.
     pub(super) fn elapsed(&self) -> Duration {
-        self.basis + self.leaps
+        self.lease + self.leaps
     }
 }
 
--- a/mesh/src/usage/clock/tests.rs
+++ b/mesh/src/usage/clock/tests.rs
@@ -66,3 +66,21 @@
     discipline.observe(reading(2, 900));
     assert_eq!(discipline.elapsed(), Duration::from_secs(2));
 }
+
+/// Guards against windows that end too early because the uptime runs faster than the other clocks, as it did on days that were
+/// played slower than real time: counts were reported before their window had begun.
+#[test]
+fn a_fast_uptime_moves_no_window() {
+    let reading = |n: u64| Reading {
+        steady: Duration::from_millis(500 * n),
+        uptime: Some(Duration::from_millis(1_500 * n)),
+        wall: START + Duration::from_millis(500 * n),
+    };
+    let mut discipline = Discipline::new(reading(0));
+    assert!((1..120).all(|n| discipline.observe(reading(n)) == 0));
+    assert_eq!(
+        discipline.elapsed(),
+        Duration::from_millis(1_500 * 119),
+        "a lease counts by the fastest clock"
+    );
+}
