--- a/review/standins-2/leaving.rs
+++ b/review/standins-2/leaving.rs
@@ -19,7 +19,7 @@
 const WORK: Duration = Duration::from_millis(210);
 
 /// The interval of payments.
-const SEND_INTERVAL: Duration = Duration::from_millis(25);
+const SEND_INTERVAL: Duration = Duration::from_millis(18);
 
 /// The time from the crash to the next start.
 const DOWN: Duration = Duration::from_millis(1_000);
@@ -28,7 +28,7 @@
 const LIFE: Duration = Duration::from_millis(700);
 
 /// The upstream goes on serving for this time after the confirmation, and then exits.
-const STAY: Duration = Duration::from_millis(8_000);
+const STAY: Duration = Duration::from_millis(10_000);
 
 /// The bound `drain_s`.
 const DRAIN: Duration = Duration::from_secs(2);
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -191,11 +191,12 @@
 ) -> Option<u16> {
     let body = format!(
         "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":{},\
-         \"state\":\"ready\",\"cold_left_s\":0,\"sequence\":{sequence},\"born\":{}}}",
+         \"state\":\"ready\",\"cold_left_s\":{},\"sequence\":{sequence},\"born\":{}}}",
         quote(service),
         upstream.address,
         quote(zone),
         crate::upstream::SLOTS,
+        upstream.cold_left().as_secs_f64(),
         upstream.born(),
     );
     post(control, &format!("/Instances.Heartbeat/{}", upstream.id), &body)
--- a/review/standins-2/upstream.rs
+++ b/review/standins-2/upstream.rs
@@ -37,6 +37,8 @@
     is_down: AtomicBool,
     is_leaving: AtomicBool,
     is_beating: AtomicBool,
+    /// Until when it is cold, as a time since the start of the script in milliseconds.
+    cold_until: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -52,6 +54,9 @@
 /// The interval at which a listener is polled.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
 
+/// How long an upstream is cold that starts during traffic.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
 /// The start of the first lifetime of each upstream.
 const FIRST_BORN: u64 = 1_796_000_000_000;
 
@@ -117,6 +122,8 @@
         self.state.born.fetch_add(60_000, Ordering::Relaxed);
         self.state.running.store(0, Ordering::Relaxed);
         self.state.is_down.store(false, Ordering::Relaxed);
+        let cold_until = (self.record.now() + COLD_TIME).as_millis() as u64;
+        self.state.cold_until.store(cold_until, Ordering::Relaxed);
         let listener = TcpListener::bind(self.address).expect("the address is free");
         self.clone().accept(listener);
         self.record.write(&format!("upstream={} started again born={}", self.id, self.born()));
@@ -132,6 +139,12 @@
         self.state.born.load(Ordering::Relaxed)
     }
 
+    /// Returns how long it will still be cold.
+    pub fn cold_left(&self) -> Duration {
+        let until = Duration::from_millis(self.state.cold_until.load(Ordering::Relaxed));
+        until.saturating_sub(self.record.now())
+    }
+
     /// Returns whether it sends heartbeats.
     pub fn is_beating(&self) -> bool {
         self.is(&self.state.is_beating)
@@ -148,8 +161,9 @@
                 let is_leaving = self.is(&self.state.is_leaving);
                 let status = if is_leaving { "503 Service Unavailable" } else { "200 OK" };
                 let fields = format!(
-                    "x-poplarbarrow-instance-id: {}\r\nx-poplarbarrow-cold-ms: 0\r\n",
-                    self.id
+                    "x-poplarbarrow-instance-id: {}\r\nx-poplarbarrow-cold-ms: {}\r\n",
+                    self.id,
+                    self.cold_left().as_millis()
                 );
                 conn.send(self.response(status, &fields, b"").as_slice())
             } else {
