--- a/review/standins-3/crash.rs
+++ b/review/standins-3/crash.rs
@@ -185,7 +185,7 @@
         if has_trouble {
             record.write(&format!("SIGTERM to the node of machine {index}"));
             let at = Instant::now();
-            node.signal("TERM");
+            node.terminate();
             while !node.has_ended() && at.elapsed() < Duration::from_secs(6) {
                 thread::sleep(Duration::from_millis(20));
             }
--- a/review/standins-3/node.rs
+++ b/review/standins-3/node.rs
@@ -11,6 +11,12 @@
 
 use crate::http::Connection;
 
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 pub const OUTBOUND: u16 = 18304;
 pub const READY: u16 = 18302;
 pub const CONTROL: u16 = 18306;
@@ -107,11 +113,16 @@
         Node { machine, settings, log, process }
     }
 
-    /// Sends a signal, named as `kill` names it.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill")
-            .args([&format!("-{name}"), &self.process.id().to_string()])
-            .status();
+    /// Asks the process to stop, as the platform does.
+    pub fn terminate(&self) {
+        self.signal(SIGTERM);
+    }
+
+    fn signal(&self, signal: i32) {
+        if let Ok(id) = i32::try_from(self.process.id()) {
+            // SAFETY: the call has no effect on memory, and the process has not been waited for.
+            unsafe { kill(id, signal) };
+        }
     }
 
     pub fn kill(&mut self) {
@@ -163,7 +174,6 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        self.signal("CONT");
         self.kill();
     }
 }
