--- a/review/standins-3/caller.rs
+++ b/review/standins-3/caller.rs
@@ -14,7 +14,7 @@
     node::{CONTROL, Machine, Node, OUTBOUND, TemporaryFolder, local_ip},
     record::Recorder,
     store::Store,
-    upstream::Upstream,
+    upstream::{Start, Upstream},
 };
 
 /// The time after the end of an upstream before which its address goes to no other service is 2 s.
@@ -41,8 +41,8 @@
     });
     let mut changing = Machine::new(1, "oax-a", "bodega", store.address);
     let serving = Machine::new(2, "oax-b", "tienda", store.address);
-    let before = Upstream::start("i-before", "bodega", changing.app, handler.clone());
-    let tienda = Upstream::start("i-tienda", "tienda", serving.app, handler.clone());
+    let before = Upstream::start("i-before", &changing, Start::BeforeTraffic, handler.clone());
+    let tienda = Upstream::start("i-tienda", &serving, Start::BeforeTraffic, handler.clone());
     let started = Instant::now();
     let nodes =
         [Node::start(changing.clone(), &temporary.0), Node::start(serving.clone(), &temporary.0)];
@@ -67,7 +67,7 @@
         "the settings file of the machine names {}, without a signal",
         changing.service
     ));
-    let after = Upstream::start("i-after", changing.service, changing.app, handler);
+    let after = Upstream::start("i-after", &changing, Start::DuringTraffic, handler);
     let status = after.beat_once(changing.at(CONTROL));
     record.write(&format!("the upstream i-after of {} runs at the same address; its heartbeat is answered with {status}", changing.service));
     after.beat(changing.at(CONTROL));
--- a/review/standins-3/crash.rs
+++ b/review/standins-3/crash.rs
@@ -17,7 +17,7 @@
     node::{CONTROL, Machine, Node, OUTBOUND, TemporaryFolder, local_ip},
     record::Recorder,
     store::Store,
-    upstream::Upstream,
+    upstream::{Start, Upstream},
 };
 
 /// The time for which a machine, or the request's third crash, must lie back: `stable_window_s`.
@@ -61,8 +61,10 @@
     poison: Mutex<Vec<Arrival>>,
     /// Whether the caller of the request that crashes upstreams sends it again.
     is_coming: AtomicBool,
-    /// Ordinary payments that an upstream had begun to run when it crashed, and that got no answer of it.
+    /// Ordinary payments that were answered with 502.
     lost: AtomicUsize,
+    /// The ordinary requests that ran at the upstreams when they crashed, summed over all crashes.
+    others: AtomicUsize,
     is_over: AtomicBool,
 }
 
@@ -73,11 +75,17 @@
         Arc::new(move |up: &Upstream, req: &Message, conn: &mut Connection<TcpStream>| {
             let shared = &handler_shared;
             if req.path() != "/pago/poison" {
-                thread::sleep(WORK);
+                up.work(WORK);
                 return up.answer(req, conn, "ok");
             }
             shared.poison.lock().unwrap().push(Arrival { at: Instant::now(), machine: index });
-            shared.record.write(&format!("upstream {} runs {} and crashes", up.id, req.id()));
+            let others = up.running.load(Ordering::SeqCst).saturating_sub(1);
+            shared.others.fetch_add(others as usize, Ordering::SeqCst);
+            shared.record.write(&format!(
+                "upstream {} runs {} and crashes beside {others} others",
+                up.id,
+                req.id()
+            ));
             up.crash();
             let (shared, machine) = (shared.clone(), place.clone());
             thread::spawn(move || {
@@ -89,7 +97,8 @@
             false
         });
     let id = format!("i-{index}-{lifetime}");
-    let upstream = Upstream::start(&id, machine.service, machine.app, handler);
+    let start = if lifetime == 1 { Start::BeforeTraffic } else { Start::DuringTraffic };
+    let upstream = Upstream::start(&id, machine, start, handler);
     shared.record.write(&format!("upstream {id} starts"));
     upstream.beat(machine.at(CONTROL));
 }
@@ -115,6 +124,7 @@
         poison: Mutex::default(),
         is_coming: AtomicBool::new(true),
         lost: AtomicUsize::new(0),
+        others: AtomicUsize::new(0),
         is_over: AtomicBool::new(false),
     });
     let record = &shared.record;
@@ -215,8 +225,11 @@
         ));
     }
     let lost = shared.lost.load(Ordering::SeqCst);
-    record
-        .say(&format!("{lost} ordinary payments were lost with the upstreams that ran them (502)"));
+    record.say(&format!("{lost} ordinary payments were answered with 502"));
+    let others = shared.others.load(Ordering::SeqCst) as f64 / arrivals.len().max(1) as f64;
+    record.say(&format!(
+        "{others:.1} ordinary requests ran at an upstream when it crashed, in the mean"
+    ));
     let Some(third) = arrivals.get(2) else {
         record.say(&format!("HELD: {} crashes in all", arrivals.len()));
         return 0;
--- a/review/standins-3/upstream.rs
+++ b/review/standins-3/upstream.rs
@@ -10,7 +10,10 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use crate::http::{Connection, Message};
+use crate::{
+    http::{Connection, Message},
+    node::Machine,
+};
 
 /// A request as the upstream received it.
 #[derive(Clone, Debug)]
@@ -19,6 +22,22 @@
     pub request: Message,
 }
 
+/// The time for which an upstream is cold that starts during traffic: `cold_start_s` of the configuration.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
+/// The ratio by which work takes longer on a cold upstream.
+const COLD_RATIO: u32 = 2;
+
+/// The interval of heartbeats: `heartbeat_s` of the settings.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// When an upstream starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    BeforeTraffic,
+    DuringTraffic,
+}
+
 /// What an upstream does with a request that it runs; `false` ends the connection.
 pub type Handler = dyn Fn(&Upstream, &Message, &mut Connection<TcpStream>) -> bool + Send + Sync;
 
@@ -27,6 +46,8 @@
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
+    zone: String,
+    cold_until: Instant,
     pub born: u128,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub is_leaving: Arc<AtomicBool>,
@@ -38,12 +59,16 @@
 }
 
 impl Upstream {
-    pub fn start(id: &str, service: &str, address: SocketAddr, handler: Arc<Handler>) -> Upstream {
-        let listener = bind(address);
+    /// Starts the upstream of a machine.
+    pub fn start(id: &str, machine: &Machine, start: Start, handler: Arc<Handler>) -> Upstream {
+        let listener = bind(machine.app);
+        let cold_time = if start == Start::DuringTraffic { COLD_TIME } else { Duration::ZERO };
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis());
         let upstream = Upstream {
             id: id.into(),
-            service: service.into(),
+            service: machine.service.into(),
+            zone: machine.zone.into(),
+            cold_until: Instant::now() + cold_time,
             address: listener.local_addr().expect("a bound address"),
             born,
             runs: Arc::default(),
@@ -84,7 +109,7 @@
         thread::spawn(move || {
             while !upstream.is_ended.load(Ordering::SeqCst) {
                 upstream.beat_once(control);
-                thread::sleep(Duration::from_millis(1_000));
+                thread::sleep(HEARTBEAT_INTERVAL);
             }
         });
     }
@@ -93,13 +118,26 @@
         let state = if self.is_leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"oax-a\",\"version\":\"v1\",\"slots\":12,\"state\":\"{state}\",\"cold_left_s\":0,\"sequence\":{sequence},\"born\":{}}}",
-            self.service, self.address, self.born
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":12,\"state\":\"{state}\",\"cold_left_s\":{:.3},\"sequence\":{sequence},\"born\":{}}}",
+            self.service,
+            self.address,
+            self.zone,
+            self.cold_left().as_secs_f64(),
+            self.born
         );
         let path = format!("/Instances.Heartbeat/{}", self.id);
         post(control, &path, &body)
     }
 
+    fn cold_left(&self) -> Duration {
+        self.cold_until.saturating_duration_since(Instant::now())
+    }
+
+    /// Works on a request, for longer while it is cold.
+    pub fn work(&self, time: Duration) {
+        thread::sleep(if self.cold_left().is_zero() { time } else { time * COLD_RATIO });
+    }
+
     /// Ends it: it accepts and answers nothing more.
     pub fn end(&self) {
         self.is_ended.store(true, Ordering::SeqCst);
@@ -135,9 +173,10 @@
                 let status =
                     if self.is_leaving.load(Ordering::SeqCst) { "503 Leaving" } else { "200 OK" };
                 let text = format!(
-                    "HTTP/1.1 {status}\r\nX-Poplarbarrow-Instance-Id: {}\r\nX-Poplarbarrow-Server-Load: {},0,12,100\r\nContent-Length: 0\r\n\r\n",
+                    "HTTP/1.1 {status}\r\nX-Poplarbarrow-Instance-Id: {}\r\nX-Poplarbarrow-Server-Load: {},0,12,100\r\nX-Poplarbarrow-Cold-Ms: {}\r\nContent-Length: 0\r\n\r\n",
                     self.id,
-                    self.running.load(Ordering::SeqCst)
+                    self.running.load(Ordering::SeqCst),
+                    self.cold_left().as_millis()
                 );
                 if conn.send(&text).is_err() {
                     return;
